--- /dev/null
+++ b/internal/cicadacmd/operator.go
@@ -0,0 +1,338 @@
+package cicadacmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadahome"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/cicadadyke/cicadadyke/internal/cicadarefusal"
+	"github.com/cicadadyke/cicadadyke/internal/cicadarouter"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/pkg/errors"
+)
+
+const (
+	operatorTimeout = 2 * time.Second
+	maxOperatorBody = 64 << 20 // bytes
+)
+
+// errNoRecord is returned when a router has no trail of a request.
+var errNoRecord = errors.New("no record of the request")
+
+type (
+	// operatorClient asks routers on their operators' address.
+	operatorClient struct {
+		token string
+		http  *http.Client
+	}
+
+	// explainVerb tells why a request went as it did.
+	explainVerb struct {
+		platform platformFlags
+		token    string
+		json     bool
+	}
+
+	// stateVerb dumps a router's state.
+	stateVerb struct{ token string }
+
+	// topVerb shows budgets, spend and refusals at a glance.
+	topVerb struct {
+		platform platformFlags
+		token    string
+		json     bool
+	}
+)
+
+func newOperatorClient(token string) *operatorClient {
+	return &operatorClient{token: token, http: &http.Client{Timeout: operatorTimeout}}
+}
+
+func (c *operatorClient) get(ctx context.Context, addr, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, http.NoBody)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fail(ExitUnavailable, errors.Wrap(err, "router not reached"))
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxOperatorBody))
+	switch {
+	case err != nil:
+		return nil, fail(ExitUnavailable, errors.Wrap(err, "router's answer"))
+	case resp.StatusCode == http.StatusNotFound:
+		return nil, errNoRecord
+	case resp.StatusCode != http.StatusOK:
+		return nil, errors.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(data)))
+	}
+	return data, nil
+}
+
+func (c *operatorClient) state(ctx context.Context, addr string) (*cicadarouter.State, error) {
+	data, err := c.get(ctx, addr, "/debug/state")
+	if err != nil {
+		return nil, err
+	}
+	var st cicadarouter.State
+	return &st, errors.Wrap(json.Unmarshal(data, &st), "router's state")
+}
+
+func (v *explainVerb) command(env *environment) *ff.Command {
+	fs := env.flags("explain")
+	v.platform.add(fs)
+	fs.StringVar(&v.token, 0, "operator-token", "", "operators' token of the routers")
+	fs.BoolVar(&v.json, 0, "json", "print JSON")
+	return &ff.Command{
+		Name: "explain", Usage: "cicadadyke explain [FLAGS] REQUEST-ID", ShortHelp: "tell why a request was routed, refused, billed or cut",
+		LongHelp: "Asks the router that the id names, then the others, and last the platform's record of bills.\n\n" +
+			"Example:\n  cicadadyke explain --operator-token op r1-19b2f-1a",
+		Flags: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usagef("explain takes one REQUEST-ID")
+			}
+			return v.run(ctx, env, args[0])
+		},
+	}
+}
+
+func (v *explainVerb) run(ctx context.Context, env *environment, id string) error {
+	client := v.platform.client()
+	hosts, err := client.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	// The router that the id names comes first.
+	sort.SliceStable(hosts, func(i, j int) bool {
+		return strings.HasPrefix(id, hosts[i].Name+"-") && !strings.HasPrefix(id, hosts[j].Name+"-")
+	})
+	path := "/debug/requests/" + id
+	if !v.json {
+		path += "?format=text"
+	}
+	op := newOperatorClient(v.token)
+	for _, h := range hosts {
+		if h.State == cicadastore.HostGone {
+			continue
+		}
+		data, err := op.get(ctx, h.OperatorAddr, path)
+		if err != nil {
+			if !errors.Is(err, errNoRecord) {
+				fmt.Fprintf(env.io.Err, "router %s: %v\n", h.Name, err)
+			}
+			continue
+		}
+		_, _ = env.io.Out.Write(data)
+		return nil
+	}
+	return v.fromBills(ctx, env, client, id)
+}
+
+// fromBills looks for the request's bill in the platform: its router is gone.
+func (v *explainVerb) fromBills(ctx context.Context, env *environment, client *cicadastore.Client, id string) error {
+	rows, err := cicadastore.ScanAll(ctx, client, cicadastore.TableBatch, "", "")
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		rec, err := cicadaledger.DecodeRecord(row.Value)
+		if err != nil {
+			return err
+		}
+		for _, e := range rec.BillsOf(id) {
+			data, err := json.MarshalIndent(e, "", "  ")
+			if err != nil {
+				return errors.Wrap(err, "encode bill")
+			}
+			fmt.Fprintf(env.io.Out, "its router has no record of it any more; the bill in batch row %s:\n%s\n", row.Key, data)
+			return nil
+		}
+	}
+	return fail(ExitNotFound, errors.Errorf("no router and no bill knows request %s", id))
+}
+
+func (v *stateVerb) command(env *environment) *ff.Command {
+	fs := env.flags("state")
+	fs.StringVar(&v.token, 0, "operator-token", "", "operators' token of the router")
+	return &ff.Command{
+		Name: "state", Usage: "cicadadyke state [FLAGS] ADDRESS", ShortHelp: "dump a router's whole state as JSON",
+		LongHelp: "Example:\n  cicadadyke state --operator-token op 127.0.0.1:8081",
+		Flags:    fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usagef("state takes one ADDRESS, the router's address for operators")
+			}
+			data, err := newOperatorClient(v.token).get(ctx, args[0], "/debug/state")
+			if err != nil {
+				return err
+			}
+			_, err = env.io.Out.Write(data)
+			return errors.Wrap(err, "write")
+		},
+	}
+}
+
+func (v *topVerb) command(env *environment) *ff.Command {
+	fs := env.flags("top")
+	v.platform.add(fs)
+	fs.StringVar(&v.token, 0, "operator-token", "", "operators' token of the routers")
+	fs.BoolVar(&v.json, 0, "json", "print JSON")
+	return &ff.Command{
+		Name: "top", Usage: "cicadadyke top [FLAGS]", ShortHelp: "show budgets, spend and refusals at a glance",
+		LongHelp: "Example:\n  cicadadyke top --operator-token op",
+		Flags:    fs,
+		Exec:     func(ctx context.Context, _ []string) error { return v.run(ctx, env) },
+	}
+}
+
+type (
+	budgetLine struct {
+		Budget    string             `json:"budget"`
+		Prepaid   cicadabudget.Units `json:"prepaid"`
+		Allotted  cicadabudget.Units `json:"allotted"`
+		Spent     cicadabudget.Units `json:"spent"`
+		Withheld  cicadabudget.Units `json:"withheld"`
+		Held      cicadabudget.Units `json:"held"`
+		EndedHeld cicadabudget.Units `json:"heldByEndedRouters"`
+		Home      string             `json:"home"`
+	}
+
+	overview struct {
+		Routers  []string         `json:"routers"`
+		Budgets  []budgetLine     `json:"budgets"`
+		Refusals map[string]int64 `json:"refusals"`
+	}
+)
+
+func (v *topVerb) run(ctx context.Context, env *environment) error {
+	client := v.platform.client()
+	hosts, err := client.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	rows, err := cicadastore.ScanAll(ctx, client, cicadastore.TableBudget, "", "")
+	if err != nil {
+		return err
+	}
+	lines := make(map[string]*budgetLine)
+	for _, row := range rows {
+		var br cicadaledger.BudgetRow
+		if err := cicadaledger.DecodeRow(row.Value, &br); err != nil {
+			return err
+		}
+		lines[row.Key] = &budgetLine{Budget: row.Key, Prepaid: br.Prepaid, Allotted: br.TotalAllotted()}
+	}
+	view := overview{Refusals: make(map[string]int64)}
+	op := newOperatorClient(v.token)
+	for _, h := range hosts {
+		view.Routers = append(view.Routers, fmt.Sprintf("%s (%s, %s)", h.Name, h.Place, h.State))
+		if h.State != cicadastore.HostGone {
+			v.addRouter(ctx, env, op, h, lines, view.Refusals)
+		}
+	}
+	for _, row := range rows {
+		view.Budgets = append(view.Budgets, *lines[row.Key])
+	}
+	if v.json {
+		enc := json.NewEncoder(env.io.Out)
+		enc.SetIndent("", "  ")
+		return errors.Wrap(enc.Encode(view), "write")
+	}
+	return printOverview(env.io.Out, &view)
+}
+
+func (v *topVerb) addRouter(
+	ctx context.Context, env *environment, op *operatorClient, h cicadastore.Host, lines map[string]*budgetLine, refusals map[string]int64,
+) {
+	st, err := op.state(ctx, h.OperatorAddr)
+	if err != nil {
+		fmt.Fprintf(env.io.Err, "router %s: %v\n", h.Name, err)
+		return
+	}
+	for _, part := range st.Homes {
+		for _, f := range part.Budgets {
+			line, ok := lines[f.Budget]
+			if !ok {
+				continue
+			}
+			line.Spent, line.Withheld, line.Held, line.Home = line.Spent+f.Spent, line.Withheld+f.Withheld, line.Held+f.Held, h.Name
+			for _, holder := range part.Holders {
+				line.EndedHeld += heldByEnded(&holder, f.Budget)
+			}
+		}
+	}
+	data, err := op.get(ctx, h.OperatorAddr, "/debug/vars")
+	if err != nil {
+		return
+	}
+	var vars struct {
+		Refusals map[string]int64 `json:"refusals"`
+	}
+	if json.Unmarshal(data, &vars) == nil {
+		for code, n := range vars.Refusals {
+			refusals[code] += n
+		}
+	}
+}
+
+// heldByEnded returns what a holder whose process has ended still holds.
+func heldByEnded(holder *cicadahome.HolderState, budget string) cicadabudget.Units {
+	var sum cicadabudget.Units
+	for _, a := range holder.Held {
+		if holder.Ended && a.Budget == budget {
+			sum += a.Units
+		}
+	}
+	return sum
+}
+
+func printOverview(w io.Writer, view *overview) error {
+	fmt.Fprintf(w, "routers: %s\n\n", strings.Join(view.Routers, ", "))
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "budget\tprepaid\tallotted\tspent\twithheld\theld\theld by ended routers\thome\t")
+	for _, b := range view.Budgets {
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t\n", b.Budget, b.Prepaid, b.Allotted, b.Spent, b.Withheld, b.Held, b.EndedHeld, b.Home)
+	}
+	if err := tw.Flush(); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	fmt.Fprintln(w, "\nrefusals since the routers' starts:")
+	codes := make([]string, 0, len(view.Refusals))
+	for code := range view.Refusals {
+		codes = append(codes, code)
+	}
+	sort.Strings(codes)
+	for _, code := range codes {
+		fmt.Fprintf(w, "  %s: %d\n", code, view.Refusals[code])
+	}
+	return nil
+}
+
+// refusalsVerb lists the refusal codes.
+type refusalsVerb struct{}
+
+func (v *refusalsVerb) command(env *environment) *ff.Command {
+	return &ff.Command{
+		Name: "refusals", Usage: "cicadadyke refusals", ShortHelp: "list every refusal code with its remedy",
+		Flags: env.flags("refusals"),
+		Exec: func(context.Context, []string) error {
+			for _, k := range cicadarefusal.Kinds() {
+				fmt.Fprintf(env.io.Out, "%-20s %d  %s; %s\n", k.Code, k.Status, k.Title, k.Remedy)
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/cicadadoc/delta.go
@@ -0,0 +1,212 @@
+package cicadadoc
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ErrWrongBase is returned when a delta does not fit the document.
+var ErrWrongBase = errors.New("delta is for another version")
+
+type (
+	// Entity is one part of a document: an organisation, a budget, an
+	// upstream, a place, or the rules.
+	Entity struct {
+		Name  string          `json:"name"` // such as budget/acme-2026
+		Value json.RawMessage `json:"value,omitempty"`
+	}
+
+	// Delta turns version Base of a service's document into Version.
+	Delta struct {
+		Service string   `json:"service"`
+		Base    uint64   `json:"base"`
+		Version uint64   `json:"version"`
+		Changed []Entity `json:"changed,omitempty"`
+		Removed []string `json:"removed,omitempty"`
+	}
+
+	// Change is one difference between two documents, for people.
+	Change struct {
+		Entity string `json:"entity"`
+		Before string `json:"before,omitempty"`
+		After  string `json:"after,omitempty"`
+	}
+)
+
+// Kinds of entity, each followed by a slash and a name.
+const (
+	entityPlace        = "place"
+	entityOrganisation = "organisation"
+	entityBudget       = "budget"
+	entityUpstream     = "upstream"
+	entityRules        = "rules"
+)
+
+// Digest returns a digest of the document's content, whatever the order of its
+// lists and the version that it was based on.
+func (d *Document) Digest() string {
+	sum := sha256.New()
+	for _, e := range d.entities() {
+		sum.Write([]byte(e.Name))
+		sum.Write(e.Value)
+	}
+	return hex.EncodeToString(sum.Sum(nil)[:16])
+}
+
+// entities returns the parts of d by name.
+func (d *Document) entities() []Entity {
+	out := []Entity{{Name: entityRules, Value: encode(d.Rules)}}
+	for _, v := range d.Places {
+		out = append(out, Entity{Name: entityPlace + "/" + v.Name, Value: encode(v)})
+	}
+	for _, v := range d.Organisations {
+		out = append(out, Entity{Name: entityOrganisation + "/" + v.Name, Value: encode(v)})
+	}
+	for _, v := range d.Budgets {
+		out = append(out, Entity{Name: entityBudget + "/" + v.Name, Value: encode(v)})
+	}
+	for _, v := range d.Upstreams {
+		out = append(out, Entity{Name: entityUpstream + "/" + v.Name, Value: encode(v)})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+func encode(v any) json.RawMessage {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(errors.Wrap(err, "encode a document's part")) // only plain data
+	}
+	return data
+}
+
+// Diff returns the delta from old to d. Old may be nil.
+func (d *Document) Diff(old *Document, base, version uint64) Delta {
+	delta := Delta{Service: d.Service, Base: base, Version: version}
+	before := make(map[string]json.RawMessage)
+	if old != nil {
+		for _, e := range old.entities() {
+			before[e.Name] = e.Value
+		}
+	}
+	for _, e := range d.entities() {
+		if !bytes.Equal(before[e.Name], e.Value) {
+			delta.Changed = append(delta.Changed, e)
+		}
+		delete(before, e.Name)
+	}
+	for name := range before {
+		delta.Removed = append(delta.Removed, name)
+	}
+	sort.Strings(delta.Removed)
+	return delta
+}
+
+// Changes lists what the delta changes against old, for people.
+func (delta *Delta) Changes(old *Document) []Change {
+	before := make(map[string]string)
+	if old != nil {
+		for _, e := range old.entities() {
+			before[e.Name] = string(e.Value)
+		}
+	}
+	var out []Change
+	for _, e := range delta.Changed {
+		out = append(out, Change{Entity: e.Name, Before: before[e.Name], After: string(e.Value)})
+	}
+	for _, name := range delta.Removed {
+		out = append(out, Change{Entity: name, Before: before[name]})
+	}
+	return out
+}
+
+// ChangedBudgets returns the names of budgets that the delta adds or changes.
+func (delta *Delta) ChangedBudgets() []string {
+	var out []string
+	for _, e := range delta.Changed {
+		if name, ok := strings.CutPrefix(e.Name, entityBudget+"/"); ok {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// RemovedBudgets returns the names of budgets that the delta removes.
+func (delta *Delta) RemovedBudgets() []string {
+	var out []string
+	for _, name := range delta.Removed {
+		if budget, ok := strings.CutPrefix(name, entityBudget+"/"); ok {
+			out = append(out, budget)
+		}
+	}
+	return out
+}
+
+// Apply returns the document that the delta makes of old, which may be nil for
+// base zero. Old is left unchanged.
+func (delta *Delta) Apply(old *Document) (*Document, error) {
+	if (old == nil) != (delta.Base == 0) {
+		return nil, errors.Wrapf(ErrWrongBase, "base %d", delta.Base)
+	}
+	parts := make(map[string]json.RawMessage)
+	if old != nil {
+		for _, e := range old.entities() {
+			parts[e.Name] = e.Value
+		}
+	}
+	for _, name := range delta.Removed {
+		delete(parts, name)
+	}
+	for _, e := range delta.Changed {
+		parts[e.Name] = e.Value
+	}
+	return assemble(delta.Service, delta.Base, parts)
+}
+
+func assemble(service string, base uint64, parts map[string]json.RawMessage) (*Document, error) {
+	names := make([]string, 0, len(parts))
+	for name := range parts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	doc := &Document{Schema: Schema, Service: service, BasedOn: base}
+	for _, name := range names {
+		if err := doc.addEntity(name, parts[name]); err != nil {
+			return nil, errors.Wrapf(err, "entity %s", name)
+		}
+	}
+	return doc, nil
+}
+
+func (d *Document) addEntity(name string, value json.RawMessage) error {
+	kind, _, _ := strings.Cut(name, "/")
+	switch kind {
+	case entityRules:
+		return errors.WithStack(json.Unmarshal(value, &d.Rules))
+	case entityPlace:
+		return appendEntity(&d.Places, value)
+	case entityOrganisation:
+		return appendEntity(&d.Organisations, value)
+	case entityBudget:
+		return appendEntity(&d.Budgets, value)
+	case entityUpstream:
+		return appendEntity(&d.Upstreams, value)
+	default:
+		return errors.Errorf("unknown kind %q", kind)
+	}
+}
+
+func appendEntity[T any](list *[]T, value json.RawMessage) error {
+	var v T
+	if err := json.Unmarshal(value, &v); err != nil {
+		return errors.WithStack(err)
+	}
+	*list = append(*list, v)
+	return nil
+}
--- /dev/null
+++ b/internal/cicadafleet/exchange.go
@@ -0,0 +1,219 @@
+package cicadafleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/cicadadyke/cicadadyke/internal/cicadamember"
+	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/cicadadyke/cicadadyke/internal/cicadasession"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/pkg/errors"
+)
+
+const (
+	// callsPerHome is the number of calls open at once to one home.
+	callsPerHome = 4
+	// itemsPerCall bounds the exchanges in one call.
+	itemsPerCall = 64
+	// candidates is how many hosts in the order of the partition are asked
+	// before an exchange is repeated later.
+	candidates = 3
+)
+
+type (
+	// sender puts the exchanges of many partitions with one home into few
+	// calls.
+	sender struct {
+		f    *Fleet
+		addr string
+
+		mu    sync.Mutex // guards the fields below
+		queue []*sending
+		calls int
+	}
+
+	sending struct {
+		ctx   context.Context
+		item  cicadapeer.ExchangeItem
+		reply chan cicadapeer.ItemReply
+	}
+)
+
+var _ cicadasession.Homes = (*Fleet)(nil)
+
+// Exchange sends an exchange to the home of its partition: the one known last,
+// else the first hosts in the partition's order, which take it over if it has
+// no home.
+func (f *Fleet) Exchange(ctx context.Context, item *cicadapeer.ExchangeItem) (*cicadaledger.Answer, error) {
+	tried := make(map[string]bool)
+	addrs := f.candidates(item.Partition)
+	for len(addrs) > 0 {
+		addr := addrs[0]
+		addrs = addrs[1:]
+		if tried[addr] {
+			continue
+		}
+		tried[addr] = true
+		reply := f.send(ctx, addr, item)
+		switch reply.Fault {
+		case cicadapeer.FaultNone:
+			f.setHome(item.Partition, addr)
+			return reply.Answer, nil
+		case cicadapeer.FaultNotHome:
+			f.forgetHome(item.Partition, addr)
+			if reply.HomeAddr != "" {
+				addrs = append([]string{reply.HomeAddr}, addrs...)
+			}
+		case cicadapeer.FaultOutOfOrder:
+			return nil, cicadasession.ErrSessionEnded
+		case cicadapeer.FaultBad:
+			return nil, errors.Wrap(cicadapeer.ErrRefused, "the home refused the exchange")
+		case cicadapeer.FaultUnavailable:
+			// The home, or a host that tried to become it, lacks the
+			// platform: another one would fare no better.
+			return nil, errors.Wrap(cicadapeer.ErrUnreachable, "the home cannot commit now")
+		case faultUnreachable:
+			f.forgetHome(item.Partition, addr)
+		}
+	}
+	return nil, errors.Wrapf(cicadapeer.ErrUnreachable, "no home for partition %s", item.Partition)
+}
+
+// faultUnreachable stands for a call without an answer.
+const faultUnreachable cicadapeer.Fault = "unreachable"
+
+// candidates lists the addresses to try, most likely first.
+func (f *Fleet) candidates(id cicadaledger.PartitionID) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	if addr, ok := f.homes[id]; ok {
+		out = append(out, addr)
+	}
+	ranked := cicadamember.Rank(f.table.Live(time.Now()), id)
+	for i := range min(candidates, len(ranked)) {
+		out = append(out, ranked[i].PeerAddr)
+	}
+	return out
+}
+
+func (f *Fleet) setHome(id cicadaledger.PartitionID, addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.homes[id] = addr
+}
+
+func (f *Fleet) forgetHome(id cicadaledger.PartitionID, addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.homes[id] == addr {
+		delete(f.homes, id)
+	}
+}
+
+// send carries one exchange to addr, together with others that wait.
+func (f *Fleet) send(ctx context.Context, addr string, item *cicadapeer.ExchangeItem) cicadapeer.ItemReply {
+	s := &sending{ctx: ctx, item: *item, reply: make(chan cicadapeer.ItemReply, 1)}
+	f.senderTo(addr).add(s)
+	select {
+	case r := <-s.reply:
+		return r
+	case <-ctx.Done():
+		return cicadapeer.ItemReply{Partition: item.Partition, Fault: faultUnreachable}
+	case <-f.ctx.Done():
+		return cicadapeer.ItemReply{Partition: item.Partition, Fault: faultUnreachable}
+	}
+}
+
+func (f *Fleet) senderTo(addr string) *sender {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.senders[addr]
+	if !ok {
+		f.dropIdleSenders()
+		s = &sender{f: f, addr: addr}
+		f.senders[addr] = s
+	}
+	return s
+}
+
+// dropIdleSenders forgets addresses without work, so that replaced hosts leave
+// nothing behind. The caller holds f.mu.
+func (f *Fleet) dropIdleSenders() {
+	for addr, s := range f.senders {
+		s.mu.Lock()
+		idle := s.calls == 0 && len(s.queue) == 0
+		s.mu.Unlock()
+		if idle {
+			delete(f.senders, addr)
+		}
+	}
+}
+
+func (s *sender) add(e *sending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue = append(s.queue, e)
+	if s.calls < callsPerHome {
+		s.calls++
+		go s.drain()
+	}
+}
+
+// drain calls until nothing waits.
+func (s *sender) drain() {
+	for {
+		batch := s.take()
+		if len(batch) == 0 {
+			return
+		}
+		s.call(batch)
+	}
+}
+
+func (s *sender) take() []*sending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := min(len(s.queue), itemsPerCall)
+	batch := s.queue[:n:n]
+	s.queue = append([]*sending(nil), s.queue[n:]...)
+	if n == 0 {
+		s.calls--
+	}
+	return batch
+}
+
+func (s *sender) call(batch []*sending) {
+	req := &cicadapeer.ExchangeRequest{Items: make([]cicadapeer.ExchangeItem, len(batch))}
+	for i, e := range batch {
+		req.Items[i] = e.item
+	}
+	reply, err := s.f.callHome(s.addr, req)
+	for i, e := range batch {
+		r := cicadapeer.ItemReply{Partition: e.item.Partition, Fault: faultUnreachable}
+		if err == nil && i < len(reply.Items) && reply.Items[i].Partition == e.item.Partition {
+			r = reply.Items[i]
+			if r.Fault == cicadapeer.FaultNone && r.Answer == nil {
+				r.Fault = cicadapeer.FaultBad
+			}
+		}
+		e.reply <- r
+	}
+}
+
+func (f *Fleet) callHome(addr string, req *cicadapeer.ExchangeRequest) (*cicadapeer.ExchangeReply, error) {
+	if addr == f.cfg.Self.PeerAddr {
+		return f.home.Exchange(f.ctx, req), nil
+	}
+	return f.cfg.Client.Exchange(f.ctx, addr, req)
+}
+
+// Live lists the hosts that take work.
+func (f *Fleet) Live() []cicadastore.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Live(time.Now())
+}
--- /dev/null
+++ b/internal/cicadahome/checkpoint.go
@@ -0,0 +1,152 @@
+package cicadahome
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+)
+
+const (
+	// checkpointBatches and checkpointAge make a checkpoint due: enough
+	// batches have come, or any batch has and the last checkpoint is old.
+	checkpointBatches = 500
+	checkpointAge     = time.Minute
+)
+
+// maintain writes the checkpoints that are due, at most one at a time, so that
+// the committer is never away for long.
+func (h *Home) maintain() {
+	var due *owned
+	for _, o := range h.parts {
+		if o.sinceCheck == 0 {
+			continue
+		}
+		if o.sinceCheck < checkpointBatches && time.Since(o.checkedAt) < checkpointAge {
+			continue
+		}
+		if due == nil || o.checkedAt.Before(due.checkedAt) {
+			due = o
+		}
+	}
+	if due != nil {
+		h.checkpoint(due)
+	}
+}
+
+// checkpoint writes the partition's state as an object and then lets the fence
+// row name it, which shortens what a successor has to read.
+func (h *Home) checkpoint(o *owned) {
+	ctx, cancel := context.WithTimeout(h.ctx, commitTimeout)
+	defer cancel()
+	data, err := cicadaledger.EncodeCheckpoint(o.ledger.Checkpoint())
+	if err != nil {
+		h.impossible(err)
+		return
+	}
+	name := fmt.Sprintf("checkpoint/%s/%d-%d", o.id, o.fence.Incarnation, o.ledger.Seq())
+	if err := h.cfg.Platform.PutObject(ctx, name, data); err != nil {
+		h.cfg.Counts.Add("checkpointsFailed", 1)
+		return
+	}
+	fence := o.fence
+	fence.Checkpoint = name
+	fence.Logs = []cicadaledger.LogRef{{Log: h.log, From: h.nextRow}}
+	version, err := h.writeFence(ctx, o.id, o.version, fence)
+	if err != nil {
+		// It is not known which of the two fence rows is there. The next
+		// commit conflicts if it is the new one, and the partition is read
+		// again.
+		h.cfg.Counts.Add("checkpointsFailed", 1)
+		delete(h.parts, o.id)
+		return
+	}
+	o.fence, o.version = fence, version
+	o.sinceCheck = 0
+	o.checkedAt = time.Now()
+	h.cfg.Counts.Add("checkpoints", 1)
+}
+
+// releaseAll gives the fence rows up in one transaction. If that fails, the
+// successor finds this process ended and takes over all the same.
+func (h *Home) releaseAll() {
+	h.released = true
+	var txn cicadastore.Txn
+	for id, o := range h.parts {
+		fence := o.fence
+		fence.Home, fence.PeerAddr = cicadaledger.Holder{}, ""
+		value, err := cicadaledger.EncodeRow(fence)
+		if err != nil {
+			continue
+		}
+		txn.Conditions = append(txn.Conditions, cicadastore.Condition{Ref: fenceRef(id), Version: o.version})
+		txn.Writes = append(txn.Writes, cicadastore.Write{Ref: fenceRef(id), Value: value})
+	}
+	if len(txn.Writes) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, commitTimeout)
+	defer cancel()
+	if _, err := h.cfg.Platform.Commit(ctx, txn); err != nil {
+		h.cfg.Log.WithError(err).Warn("partitions not released; a successor will take them over")
+	}
+	h.cfg.Counts.Add("homesReleased", int64(len(txn.Writes)))
+}
+
+// State returns the partitions of this home. While the committer waits for the
+// platform it returns what was asked last.
+func (h *Home) State() []PartitionState {
+	select {
+	case h.stateAsked <- struct{}{}:
+	default:
+	}
+	select {
+	case state := <-h.stateTold:
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.state = state
+		return state
+	case <-time.After(stateWait):
+	case <-h.done:
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state
+}
+
+// stateWait bounds how long State waits for the committer.
+const stateWait = 200 * time.Millisecond
+
+func (h *Home) tellState() {
+	state := make([]PartitionState, 0, len(h.parts))
+	for _, o := range h.parts {
+		state = append(state, h.partitionState(o))
+	}
+	sort.Slice(state, func(i, j int) bool { return state[i].Partition.Number < state[j].Partition.Number })
+	select {
+	case h.stateTold <- state:
+	case <-time.After(stateWait):
+	}
+}
+
+func (h *Home) partitionState(o *owned) PartitionState {
+	st := PartitionState{
+		Partition:   o.id,
+		Incarnation: o.fence.Incarnation,
+		Seq:         o.ledger.Seq(),
+		Budgets:     o.ledger.AllFigures(),
+	}
+	for _, id := range o.ledger.Holders() {
+		hs := HolderState{Holder: id, Ended: h.cfg.Fleet.Ended(id)}
+		for _, f := range st.Budgets {
+			if units := o.ledger.HeldBy(f.Budget)[id]; units > 0 {
+				hs.Held = append(hs.Held, cicadaledger.Amount{Budget: f.Budget, Units: units})
+			}
+		}
+		st.Holders = append(st.Holders, hs)
+	}
+	return st
+}
--- /dev/null
+++ b/internal/cicadaledger/apply.go
@@ -0,0 +1,325 @@
+package cicadaledger
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+type (
+	// Checkpoint is the whole state of a partition after batch Seq.
+	Checkpoint struct {
+		Incarnation uint64             `cbor:"1,keyasint"`
+		Seq         uint64             `cbor:"2,keyasint"`
+		Time        time.Time          `cbor:"3,keyasint"`
+		Budgets     []BudgetCheckpoint `cbor:"4,keyasint"`
+		Holders     []HolderCheckpoint `cbor:"5,keyasint"`
+		Keys        []KeyCheckpoint    `cbor:"6,keyasint"`
+	}
+
+	// BudgetCheckpoint is one budget of a checkpoint.
+	BudgetCheckpoint struct {
+		Budget   string             `cbor:"1,keyasint"`
+		Allotted cicadabudget.Units `cbor:"2,keyasint"`
+		Spent    cicadabudget.Units `cbor:"3,keyasint"`
+		Withheld cicadabudget.Units `cbor:"4,keyasint"`
+	}
+
+	// HolderCheckpoint is one holder of a checkpoint.
+	HolderCheckpoint struct {
+		Holder Holder   `cbor:"1,keyasint"`
+		Last   Answer   `cbor:"2,keyasint"`
+		Held   []Amount `cbor:"3,keyasint"`
+	}
+
+	// KeyCheckpoint is one request key of a checkpoint.
+	KeyCheckpoint struct {
+		Key         string    `cbor:"1,keyasint"`
+		RequestID   string    `cbor:"2,keyasint"`
+		Fingerprint string    `cbor:"3,keyasint"`
+		Holder      Holder    `cbor:"4,keyasint"`
+		At          time.Time `cbor:"5,keyasint"`
+		Once        bool      `cbor:"6,keyasint"`
+		Billed      bool      `cbor:"7,keyasint"`
+		Replays     int       `cbor:"8,keyasint"`
+		Lost        bool      `cbor:"9,keyasint"`
+	}
+)
+
+// Apply adds a batch that was read from the log, or committed without having
+// been staged. Batches come in the order of their numbers.
+func (p *Partition) Apply(b *Batch) error {
+	if b.Seq != p.seq+1 || b.Incarnation < p.incarnation || len(p.staged) > 0 {
+		return errors.Wrapf(ErrCorrupt, "batch %d of incarnation %d after %d of %d",
+			b.Seq, b.Incarnation, p.seq, p.incarnation)
+	}
+	p.seq = b.Seq
+	p.incarnation = b.Incarnation
+	p.now = b.Time
+	for _, a := range b.Allots {
+		p.budget(a.Budget).allotted += a.Units
+	}
+	for i := range b.Steps {
+		if err := p.applyStep(&b.Steps[i], b.Time); err != nil {
+			return err
+		}
+	}
+	p.expireKeys()
+	return nil
+}
+
+// Stage decides x and applies the step ahead of its commit. The answer may be
+// told only once the batch that Cut returns is committed; if that fails, the
+// whole partition has to be dropped and read again.
+func (p *Partition) Stage(x *Exchange, now time.Time) (Answer, error) {
+	if err := p.check(x); err != nil {
+		return Answer{}, err
+	}
+	return p.StageStep(p.Decide(x, now), now)
+}
+
+// check refuses an exchange that gives up more than its holder has.
+func (p *Partition) check(x *Exchange) error {
+	left := make(map[string]cicadabudget.Units)
+	if h, ok := p.holders[x.Holder]; ok {
+		maps.Copy(left, h.held)
+	}
+	take := func(budget string, units cicadabudget.Units) error {
+		rest, err := left[budget].Sub(units)
+		if err != nil {
+			return errors.Wrapf(ErrBadExchange, "%s gives up %d of %s and holds %d",
+				x.Holder.Host, units, budget, left[budget])
+		}
+		left[budget] = rest
+		return nil
+	}
+	for _, r := range x.Returns {
+		if err := take(r.Budget, r.Units); err != nil {
+			return err
+		}
+	}
+	for _, b := range x.Bills {
+		total, err := b.Units.Add(b.Withheld)
+		if err != nil {
+			return errors.Wrapf(ErrBadExchange, "bill of %s: %v", b.RequestID, err)
+		}
+		if err := take(b.Budget, total); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StageStep applies a step that the home made itself, such as the return of a
+// dead holder's units.
+func (p *Partition) StageStep(s Step, now time.Time) (Answer, error) {
+	if err := p.applyStep(&s, now); err != nil {
+		return Answer{}, err
+	}
+	p.staged = append(p.staged, s)
+	return s.Answer, nil
+}
+
+// Cut returns the staged steps as the next batch, or nil if there are none.
+func (p *Partition) Cut(incarnation uint64, now time.Time) *Batch {
+	if len(p.staged) == 0 {
+		return nil
+	}
+	p.seq++
+	p.incarnation = incarnation
+	p.now = now
+	b := &Batch{Partition: p.cfg.ID, Incarnation: incarnation, Seq: p.seq, Time: now, Steps: p.staged}
+	p.staged = nil
+	p.expireKeys()
+	return b
+}
+
+// AllotBatch returns a batch that raises allotments. It takes effect by Apply,
+// after its commit.
+func (p *Partition) AllotBatch(incarnation uint64, allots []Amount, now time.Time) *Batch {
+	return &Batch{Partition: p.cfg.ID, Incarnation: incarnation, Seq: p.seq + 1, Time: now, Allots: allots}
+}
+
+func (p *Partition) applyStep(s *Step, at time.Time) error {
+	h := p.holder(s.Holder)
+	for _, r := range s.Returns {
+		if err := p.move(h, r.Budget, -r.Units); err != nil {
+			return errors.Wrapf(err, "return by %s", s.Holder.Host)
+		}
+	}
+	for i := range s.Bills {
+		if err := p.applyBill(h, &s.Bills[i], s.Holder, at); err != nil {
+			return err
+		}
+	}
+	for _, c := range s.Claims {
+		p.applyClaim(c, s.Holder, at)
+	}
+	for _, g := range s.Answer.Grants {
+		if err := p.move(h, g.Budget, g.Units); err != nil {
+			return errors.Wrapf(err, "grant to %s", s.Holder.Host)
+		}
+	}
+	h.seq = s.Answer.Seq
+	h.last = s.Answer
+	if s.Gone && len(h.held) == 0 {
+		delete(p.holders, s.Holder)
+	}
+	return nil
+}
+
+func (p *Partition) applyClaim(c Claim, by Holder, at time.Time) {
+	k, ok := p.keys[c.Key]
+	switch {
+	case !ok:
+		p.keys[c.Key] = &key{requestID: c.RequestID, fingerprint: c.Fingerprint, holder: by, at: at, once: c.Once}
+	case k.billed:
+		k.replays++
+		k.at = at
+	default:
+		k.requestID, k.holder, k.at = c.RequestID, by, at
+	}
+}
+
+func (p *Partition) applyBill(h *holder, bill *Bill, by Holder, at time.Time) error {
+	if bill.Voided {
+		return nil
+	}
+	total, err := bill.Units.Add(bill.Withheld)
+	if err != nil {
+		return errors.Wrapf(ErrCorrupt, "bill of %s: %v", bill.RequestID, err)
+	}
+	if err := p.move(h, bill.Budget, -total); err != nil {
+		return errors.Wrapf(err, "bill of %s", bill.RequestID)
+	}
+	b := p.budget(bill.Budget)
+	b.spent += bill.Units
+	b.withheld += bill.Withheld
+	if bill.Key != "" {
+		p.applyBilledKey(bill, by, at)
+	}
+	return nil
+}
+
+func (p *Partition) applyBilledKey(bill *Bill, by Holder, at time.Time) {
+	k, ok := p.keys[bill.Key]
+	if bill.clearsClaim() {
+		if ok && !k.billed && k.requestID == bill.RequestID {
+			delete(p.keys, bill.Key)
+		}
+		return
+	}
+	if !ok {
+		k = &key{}
+		p.keys[bill.Key] = k
+	}
+	k.requestID, k.holder, k.at = bill.RequestID, by, at
+	k.once = k.once || bill.Once
+	k.billed = bill.Outcome != OutcomeUnknown
+	k.lost = !k.billed
+}
+
+// move changes what a holder has of a budget by units, which may be negative.
+func (p *Partition) move(h *holder, name string, units cicadabudget.Units) error {
+	b := p.budget(name)
+	before := h.held[name]
+	after := before + units
+	if after < 0 || units > b.available() {
+		return errors.Wrapf(ErrCorrupt, "budget %s: holder has %d, available %d, change %d",
+			name, before, b.available(), units)
+	}
+	b.held += units
+	switch {
+	case after == 0:
+		delete(h.held, name)
+	default:
+		h.held[name] = after
+	}
+	switch {
+	case before == 0 && after > 0:
+		b.holders++
+	case before > 0 && after == 0:
+		b.holders--
+	}
+	return nil
+}
+
+func (p *Partition) expireKeys() {
+	if len(p.keys) == 0 || p.seq%keyExpiryBatches != 0 {
+		return
+	}
+	for name, k := range p.keys {
+		if p.now.Sub(k.at) > p.cfg.KeyWindow {
+			delete(p.keys, name)
+		}
+	}
+}
+
+// keyExpiryBatches is the number of batches between two searches for old keys.
+const keyExpiryBatches = 64
+
+// Checkpoint returns the whole state.
+func (p *Partition) Checkpoint() *Checkpoint {
+	c := &Checkpoint{Incarnation: p.incarnation, Seq: p.seq, Time: p.now}
+	for _, f := range p.AllFigures() {
+		c.Budgets = append(c.Budgets, BudgetCheckpoint{
+			Budget: f.Budget, Allotted: f.Allotted, Spent: f.Spent, Withheld: f.Withheld,
+		})
+	}
+	for _, id := range p.Holders() {
+		h := p.holders[id]
+		hc := HolderCheckpoint{Holder: id, Last: h.last}
+		for name, units := range h.held {
+			hc.Held = append(hc.Held, Amount{Budget: name, Units: units})
+		}
+		c.Holders = append(c.Holders, hc)
+	}
+	for name, k := range p.keys {
+		c.Keys = append(c.Keys, KeyCheckpoint{
+			Key: name, RequestID: k.requestID, Fingerprint: k.fingerprint, Holder: k.holder,
+			At: k.at, Once: k.once, Billed: k.billed, Lost: k.lost, Replays: k.replays,
+		})
+	}
+	return c
+}
+
+// Restore returns the partition that c was taken of.
+func Restore(cfg Config, c *Checkpoint) (*Partition, error) {
+	p := New(cfg)
+	p.incarnation, p.seq, p.now = c.Incarnation, c.Seq, c.Time
+	for _, bc := range c.Budgets {
+		b := p.budget(bc.Budget)
+		b.allotted, b.spent, b.withheld = bc.Allotted, bc.Spent, bc.Withheld
+	}
+	for _, hc := range c.Holders {
+		h := p.holder(hc.Holder)
+		h.seq, h.last = hc.Last.Seq, hc.Last
+		for _, a := range hc.Held {
+			if err := p.move(h, a.Budget, a.Units); err != nil {
+				return nil, errors.Wrap(err, "restore checkpoint")
+			}
+		}
+	}
+	for _, kc := range c.Keys {
+		p.LoadKey(kc)
+	}
+	return p, nil
+}
+
+// EncodeCheckpoint returns c in the form kept in the object store.
+func EncodeCheckpoint(c *Checkpoint) ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	return data, errors.Wrap(err, "encode checkpoint")
+}
+
+// DecodeCheckpoint reads what EncodeCheckpoint wrote.
+func DecodeCheckpoint(data []byte) (*Checkpoint, error) {
+	var c Checkpoint
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return nil, errors.Wrap(err, "decode checkpoint")
+	}
+	return &c, nil
+}
--- /dev/null
+++ b/internal/cicadapeer/conn.go
@@ -0,0 +1,102 @@
+package cicadapeer
+
+import (
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/creachadair/jrpc2/channel"
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxMessage bounds one message, in bytes.
+	maxMessage = 8 << 20
+	// userTimeout ends a connection whose sent data nobody acknowledges.
+	userTimeout  = 5 * time.Second
+	keepAliveGap = 5 * time.Second
+)
+
+var errTooLarge = errors.Errorf("message over %d bytes", maxMessage)
+
+type (
+	// Traffic counts bytes on the wire, TLS included.
+	Traffic interface {
+		Add(delta int64)
+	}
+
+	countedConn struct {
+		net.Conn
+		in, out Traffic
+	}
+
+	// boundedChannel ends a connection on which a message is too large,
+	// before that message is read whole.
+	boundedChannel struct {
+		channel.Channel
+		r *boundedReader
+	}
+
+	boundedReader struct {
+		r    io.Reader
+		left int
+	}
+)
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Add(int64(n))
+	return n, err
+}
+
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
+func (c *boundedChannel) Recv() ([]byte, error) {
+	c.r.left = maxMessage
+	return c.Channel.Recv()
+}
+
+func newChannel(conn net.Conn) channel.Channel {
+	r := &boundedReader{r: conn}
+	return &boundedChannel{Channel: channel.Line(r, conn), r: r}
+}
+
+// controlSocket makes the kernel give up a connection whose data is not
+// acknowledged, as happens when something between the ends has lost it.
+func controlSocket(_, _ string, c syscall.RawConn) error {
+	var optErr error
+	err := c.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return errors.Wrap(err, "set user timeout")
+	}
+	return errors.Wrap(optErr, "set user timeout")
+}
+
+// Dialer returns a dialer whose connections end when the other side is silent.
+func Dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:         dialTimeout,
+		Control:         controlSocket,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveGap, Interval: keepAliveGap, Count: 3},
+	}
+}
+
+// dialTimeout bounds the making of a connection.
+const dialTimeout = 700 * time.Millisecond
--- /dev/null
+++ b/internal/cicadapeer/message.go
@@ -0,0 +1,120 @@
+// Package cicadapeer carries the fleet's own messages: JSON-RPC 2.0 by jrpc2,
+// a line each, over TCP with mutual TLS. The protocol's version is negotiated
+// as the TLS application protocol, so that processes of different versions
+// either understand each other or do not connect.
+package cicadapeer
+
+import (
+	"context"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaconfig"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/pkg/errors"
+)
+
+// Methods of the protocol.
+const (
+	methodExchange = "exchange"
+	methodBeat     = "beat"
+	methodAnswer   = "answer"
+	methodRecall   = "recall"
+	methodConfig   = "config"
+)
+
+// Protocol is the name and version of the protocol.
+const Protocol = "cicadadyke-peer/1"
+
+// Errors of the peer layer.
+var (
+	ErrUnreachable = errors.New("peer unreachable")
+	ErrRefused     = errors.New("peer refused the call")
+)
+
+// Fault is the reason why a home did not take an exchange.
+type Fault string
+
+// The faults of an exchange.
+const (
+	FaultNone        Fault = ""
+	FaultNotHome     Fault = "notHome"     // ask the home named in the reply
+	FaultUnavailable Fault = "unavailable" // repeat the same exchange later
+	FaultOutOfOrder  Fault = "outOfOrder"  // the holder's session has ended
+	FaultBad         Fault = "bad"         // the exchange breaks a rule
+)
+
+type (
+	// ExchangeItem is one exchange with the home of one partition.
+	ExchangeItem struct {
+		Partition cicadaledger.PartitionID `json:"p"`
+		Exchange  cicadaledger.Exchange    `json:"x"`
+	}
+
+	// ExchangeRequest carries exchanges for partitions with one home.
+	ExchangeRequest struct {
+		Items []ExchangeItem `json:"i"`
+	}
+
+	// ItemReply is the answer to one item, or the fault.
+	ItemReply struct {
+		Partition cicadaledger.PartitionID `json:"p"`
+		Answer    *cicadaledger.Answer     `json:"a,omitempty"`
+		Fault     Fault                    `json:"f,omitempty"`
+		// HomeAddr is the home's peer address with FaultNotHome, if known.
+		HomeAddr string `json:"h,omitempty"`
+	}
+
+	// ExchangeReply has one reply for each item, in their order.
+	ExchangeReply struct {
+		Items []ItemReply `json:"i"`
+	}
+
+	// Beat is a heartbeat, sent and answered alike.
+	Beat struct {
+		Host      cicadaledger.Holder `json:"host"`
+		ChangeSeq uint64              `json:"changeSeq"`
+		Leaving   bool                `json:"leaving,omitempty"`
+		// LeavingRunners are addresses of runners that refuse new work.
+		LeavingRunners []string `json:"leavingRunners,omitempty"`
+	}
+
+	// AnswerRequest asks for the kept answer of a request.
+	AnswerRequest struct {
+		RequestID string `json:"requestID"`
+	}
+
+	// AnswerReply is a kept answer. Found is false if there is none.
+	AnswerReply struct {
+		Found   bool       `json:"found"`
+		Running bool       `json:"running,omitempty"`
+		Kept    KeptAnswer `json:"kept,omitzero"`
+	}
+
+	// KeptAnswer is the whole answer of a request with an idempotency key.
+	KeptAnswer struct {
+		Status      int    `json:"status"`
+		ContentType string `json:"contentType"`
+		Body        []byte `json:"body"`
+	}
+
+	// RecallRequest asks a router to return what it has free of a budget.
+	RecallRequest struct {
+		Budgets []string `json:"budgets"`
+	}
+
+	// ConfigRequest asks for the configuration in force.
+	ConfigRequest struct {
+		Have uint64 `json:"have"`
+	}
+
+	// Empty is a reply without content.
+	Empty struct{}
+
+	// Handler serves the protocol's methods.
+	Handler interface {
+		Exchange(ctx context.Context, req *ExchangeRequest) (*ExchangeReply, error)
+		Beat(ctx context.Context, beat *Beat) (*Beat, error)
+		Answer(ctx context.Context, req *AnswerRequest) (*AnswerReply, error)
+		Recall(ctx context.Context, req *RecallRequest) (*Empty, error)
+		Config(ctx context.Context, req *ConfigRequest) (*cicadaconfig.Export, error)
+	}
+)
--- /dev/null
+++ b/internal/cicadaroute/choose.go
@@ -0,0 +1,172 @@
+package cicadaroute
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// affinityBound is how much more loaded than the upstream's mean, plus
+	// affinitySlack slots, the runner with a cached prefix may be.
+	affinityBound = 1.25
+	affinitySlack = 0.25
+)
+
+// The reasons for leaving a runner out.
+const (
+	outLeaving = "leaving"
+	outTried   = "tried"
+	outEjected = "ejected"
+	outBusy    = "busy"
+	outRemote  = "otherPlace"
+)
+
+// Choose returns the address of the runner for req. It makes no allocation
+// unless it fails.
+func (t *Table) Choose(req *Request, now time.Time) (string, error) {
+	list := t.upstreams[req.Upstream]
+	if len(list) == 0 {
+		return "", ErrNoRunner
+	}
+	ignoreEjection := t.tooManyEjected(list, now)
+	if req.LocalFirst {
+		if r := t.pick(list, req, true, ignoreEjection, now); r != nil {
+			return r.Address, nil
+		}
+	}
+	if r := t.pick(list, req, false, ignoreEjection, now); r != nil {
+		return r.Address, nil
+	}
+	for _, r := range list {
+		if why := r.leftOut(req, false, ignoreEjection, now); why == outBusy {
+			return "", ErrBusy
+		}
+	}
+	return "", ErrNoRunner
+}
+
+// pick draws among the runners that may be used, in one pass: the two drawn are
+// a uniform sample without a list of the eligible ones.
+func (t *Table) pick(list []*runner, req *Request, local, ignoreEjection bool, now time.Time) *runner {
+	var first, second, preferred *runner
+	var sum float64
+	var best uint64
+	n := 0
+	for _, r := range list {
+		if r.leftOut(req, local, ignoreEjection, now) != "" {
+			continue
+		}
+		n++
+		switch {
+		case n == 1:
+			first = r
+		case n == 2:
+			second = r
+		default:
+			if i := t.rng.IntN(n); i == 0 {
+				first = r
+			} else if i == 1 {
+				second = r
+			}
+		}
+		if req.Prefix == 0 {
+			continue
+		}
+		sum += r.load(now)
+		if w := affinityWeight(r, req.Prefix); preferred == nil || w > best {
+			preferred, best = r, w
+		}
+	}
+	if preferred != nil && preferred.load(now) <= affinityBound*sum/float64(n)+affinitySlack {
+		return preferred
+	}
+	return lessLoaded(first, second, now)
+}
+
+func affinityWeight(r *runner, prefix uint64) uint64 {
+	const mix = 0x9e3779b97f4a7c15
+	h := (xxhash.Sum64String(r.Address) ^ prefix) * mix
+	return h ^ h>>29
+}
+
+func lessLoaded(a, b *runner, now time.Time) *runner {
+	switch {
+	case a == nil:
+		return b
+	case b == nil || a.load(now) <= b.load(now):
+		return a
+	default:
+		return b
+	}
+}
+
+// leftOut tells why a runner may not be used, or returns an empty string.
+func (r *runner) leftOut(req *Request, local, ignoreEjection bool, now time.Time) string {
+	switch {
+	case r.leaving:
+		return outLeaving
+	case slices.Contains(req.Tried, r.Address):
+		return outTried
+	case !ignoreEjection && now.Before(r.ejectedUntil):
+		return outEjected
+	case r.load(now) >= r.limit(req.Patient):
+		return outBusy
+	case local && r.Place != req.Place:
+		return outRemote
+	case local && r.load(now) >= 1:
+		// A full runner near by is no better than a free one elsewhere.
+		return outBusy
+	default:
+		return ""
+	}
+}
+
+// limit is the load up to which a runner is given more.
+func (r *runner) limit(patient bool) float64 {
+	if patient {
+		return 1
+	}
+	return queueFactor
+}
+
+// tooManyEjected tells whether so many runners are ejected that the failures
+// are more likely of another cause.
+func (t *Table) tooManyEjected(list []*runner, now time.Time) bool {
+	n := 0
+	for _, r := range list {
+		if now.Before(r.ejectedUntil) {
+			n++
+		}
+	}
+	return float64(n) > maxEjectedShare*float64(len(list))
+}
+
+// Candidates describes the runners of an upstream as Choose sees them.
+func (t *Table) Candidates(req *Request, now time.Time) []Candidate {
+	list := t.upstreams[req.Upstream]
+	ignoreEjection := t.tooManyEjected(list, now)
+	out := make([]Candidate, 0, len(list))
+	for _, r := range list {
+		c := Candidate{
+			Name: r.Name, Place: r.Place, Load: r.load(now), InFlight: r.inFlight, ReportAgeMillis: -1,
+			LeftOut: r.leftOut(req, false, ignoreEjection, now),
+		}
+		if !r.reportedAt.IsZero() {
+			c.ReportAgeMillis = now.Sub(r.reportedAt).Milliseconds()
+		}
+		out = append(out, c)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// NameOf returns a runner's name, or its address if it is not known any more.
+func (t *Table) NameOf(addr string) string {
+	if r, ok := t.byAddr[addr]; ok {
+		return r.Name
+	}
+	return addr
+}
--- /dev/null
+++ b/internal/cicadarouter/claim.go
@@ -0,0 +1,162 @@
+package cicadarouter
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/cicadadyke/cicadadyke/internal/cicadarefusal"
+	"github.com/cicadadyke/cicadadyke/internal/cicadasession"
+	"github.com/cicadadyke/cicadadyke/internal/cicadatrail"
+	"github.com/pkg/errors"
+)
+
+const (
+	// claimWait bounds the wait for the home's word on an idempotent key. If
+	// it does not come the request runs; a second bill would be voided.
+	claimWait = 150 * time.Millisecond
+	// onceWait bounds the wait for a claim that has to be recorded first.
+	onceWait = 2 * time.Second
+	// fetchWait bounds the fetch of a kept answer from another router.
+	fetchWait = 500 * time.Millisecond
+)
+
+// claim asks the home of the budget whether the request's key is free. It
+// reports replayed if the caller got the answer of an earlier attempt.
+func (j *job) claim(ctx context.Context) (replayed bool, ref *cicadarefusal.Refusal) {
+	if j.key == "" {
+		return false, nil
+	}
+	c := cicadaledger.Claim{Key: j.key, RequestID: j.id, Fingerprint: j.fingerprint, Once: j.once}
+	v, err := j.askClaim(ctx, c)
+	if err != nil {
+		return false, j.claimFailed(c, err)
+	}
+	if v.State == cicadaledger.KeyBilled {
+		if j.replay(ctx, v) {
+			return true, nil
+		}
+		if !j.once {
+			c.Rerun = true
+			if v, err = j.askClaim(ctx, c); err != nil {
+				return false, j.claimFailed(c, err)
+			}
+		}
+	}
+	return false, j.judge(v)
+}
+
+func (j *job) askClaim(ctx context.Context, c cicadaledger.Claim) (cicadaledger.Verdict, error) {
+	wait := claimWait
+	if j.once {
+		wait = onceWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	v, err := j.r.session.Claim(ctx, j.budget, c)
+	ev := &cicadatrail.Claimed{Verdict: v.State}
+	if v.RequestID != j.id {
+		ev.FirstRequest = v.RequestID
+	}
+	if err != nil {
+		ev.Error = err.Error()
+	}
+	j.trail.Add(ev)
+	return v, err
+}
+
+// claimFailed decides without a verdict: a call that may run once is refused,
+// any other goes on.
+func (j *job) claimFailed(c cicadaledger.Claim, err error) *cicadarefusal.Refusal {
+	switch {
+	case errors.Is(err, cicadasession.ErrClosed):
+		return cicadarefusal.New(cicadarefusal.Stopping, cicadarefusal.NotRun, "the router takes no new work")
+	case j.once:
+		j.r.session.Withdraw(j.budget, c)
+		return cicadarefusal.New(cicadarefusal.ClaimNotRecorded, cicadarefusal.NotRun, "%v", err)
+	default:
+		j.claimed = true
+		j.r.metrics.Router.Add("claimsWithoutVerdict", 1)
+		return nil
+	}
+}
+
+// judge turns a verdict into a refusal, or lets the request pass.
+func (j *job) judge(v cicadaledger.Verdict) *cicadarefusal.Refusal {
+	switch v.State {
+	case cicadaledger.KeyGranted:
+		j.claimed = true
+		return nil
+	case cicadaledger.KeyRunning:
+		return cicadarefusal.New(cicadarefusal.KeyInUse, cicadarefusal.UnknownRan, "request %s at router %s", v.RequestID, v.Holder.Host)
+	case cicadaledger.KeyMismatch:
+		return cicadarefusal.New(cicadarefusal.KeyMismatch, cicadarefusal.NotRun, "the key belongs to request %s", v.RequestID)
+	case cicadaledger.KeyUnknown:
+		return cicadarefusal.New(cicadarefusal.OutcomeUnknown, cicadarefusal.UnknownRan, "request %s at router %s was lost", v.RequestID, v.Holder.Host)
+	case cicadaledger.KeyBilled:
+		return cicadarefusal.New(cicadarefusal.AlreadyRan, cicadarefusal.DidRun, "request %s; its answer is not kept any more", v.RequestID)
+	default:
+		return cicadarefusal.New(cicadarefusal.Internal, cicadarefusal.NotRun, "verdict %q", v.State)
+	}
+}
+
+// replay sends the kept answer of the request that the key was billed for.
+func (j *job) replay(ctx context.Context, v cicadaledger.Verdict) bool {
+	kept, err := j.fetch(ctx, v)
+	if err != nil || !kept.Found {
+		return false
+	}
+	j.w.Header().Set("Content-Type", kept.Kept.ContentType)
+	j.w.Header().Set("Idempotent-Replayed", "true")
+	j.w.WriteHeader(kept.Kept.Status)
+	n, _ := j.w.Write(kept.Kept.Body)
+	j.r.metrics.Router.Add("answersReplayed", 1)
+	j.trail.Add(&cicadatrail.Delivered{
+		Status: kept.Kept.Status, Bytes: int64(n), Note: "the kept answer of request " + v.RequestID + ", billed once",
+	})
+	return true
+}
+
+func (j *job) fetch(ctx context.Context, v cicadaledger.Verdict) (*cicadapeer.AnswerReply, error) {
+	if v.Holder == j.r.holder() {
+		return j.r.kept.get(v.RequestID), nil
+	}
+	host, ok := j.r.fleet.Host(v.Holder.Host)
+	if !ok || host.Incarnation != v.Holder.Incarnation {
+		return &cicadapeer.AnswerReply{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchWait)
+	defer cancel()
+	return j.r.peers.Answer(ctx, host.PeerAddr, &cicadapeer.AnswerRequest{RequestID: v.RequestID})
+}
+
+// withdraw frees the key of a request that is refused before it ran.
+func (j *job) withdraw() {
+	if !j.claimed {
+		return
+	}
+	j.r.session.Withdraw(j.budget, cicadaledger.Claim{
+		Key: j.key, RequestID: j.id, Fingerprint: j.fingerprint, Once: j.once,
+	})
+}
+
+// refusalOf turns an error of a reservation into a refusal.
+func (j *job) refusalOf(err error, units cicadabudget.Units) *cicadarefusal.Refusal {
+	f := j.r.session.FiguresOf(j.budget)
+	switch {
+	case errors.Is(err, cicadasession.ErrExhausted):
+		return cicadarefusal.New(cicadarefusal.BudgetExhausted, cicadarefusal.NotRun,
+			"budget %s has %d units left, the request may use %d", j.budget, f.Remaining, units)
+	case errors.Is(err, cicadasession.ErrShort):
+		return cicadarefusal.New(cicadarefusal.UnitsHeldElsewhere, cicadarefusal.NotRun,
+			"budget %s has %d units left, %d of them at other routers; the request may use %d",
+			j.budget, f.Remaining, f.HeldElsewhere, units)
+	case errors.Is(err, cicadasession.ErrClosed):
+		return cicadarefusal.New(cicadarefusal.Stopping, cicadarefusal.NotRun, "the router takes no new work")
+	default:
+		return cicadarefusal.New(cicadarefusal.HomeAway, cicadarefusal.NotRun,
+			"budget %s: this router holds %d units, the request may use %d, and the home gave no answer", j.budget, f.Held, units)
+	}
+}
--- /dev/null
+++ b/internal/cicadarouter/debug.go
@@ -0,0 +1,113 @@
+package cicadarouter
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadahome"
+	"github.com/cicadadyke/cicadadyke/internal/cicadamember"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaroute"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+)
+
+type (
+	// State is a whole router for operators.
+	State struct {
+		Host              cicadastore.Host                   `json:"host"`
+		Stopping          bool                               `json:"stopping"`
+		Ready             bool                               `json:"ready"`
+		ConfigSeq         uint64                             `json:"configSeq"`
+		ConfigFromPeers   bool                               `json:"configFromPeersOnly"`
+		Versions          map[string]uint64                  `json:"versions"`
+		CommitInterval    string                             `json:"commitInterval"`
+		Members           []cicadamember.HostView            `json:"members"`
+		Slices            []cicadabudget.SliceState          `json:"slices"`
+		Homes             []cicadahome.PartitionState        `json:"homes"`
+		Runners           map[string][]cicadaroute.Candidate `json:"runners"`
+		KeptAnswers       int                                `json:"keptAnswers"`
+		KeptAnswerBytes   int                                `json:"keptAnswerBytes"`
+		Trails            int                                `json:"trails"`
+		Goroutines        int                                `json:"goroutines"`
+		HeapBytes         uint64                             `json:"heapBytes"`
+		ProcessCPUSeconds float64                            `json:"processCPUSeconds"`
+		At                time.Time                          `json:"at"`
+	}
+)
+
+// State returns the router whole.
+func (r *Router) State() State {
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	answers, bytes := r.kept.size()
+	snap := r.watcher.Current()
+	return State{
+		Host:              r.self,
+		Stopping:          r.stopping.Load(),
+		Ready:             r.isReady(),
+		ConfigSeq:         snap.Seq(),
+		ConfigFromPeers:   r.watcher.FromPeers(),
+		Versions:          snap.Versions(),
+		CommitInterval:    r.fleet.CommitInterval().String(),
+		Members:           r.fleet.Members(),
+		Slices:            r.session.State(),
+		Homes:             r.home.State(),
+		Runners:           r.runnerState(),
+		KeptAnswers:       answers,
+		KeptAnswerBytes:   bytes,
+		Trails:            r.trails.Len(),
+		Goroutines:        runtime.NumGoroutine(),
+		HeapBytes:         mem.HeapAlloc,
+		ProcessCPUSeconds: ProcessCPU().Seconds(),
+		At:                time.Now(),
+	}
+}
+
+func (r *Router) runnerState() map[string][]cicadaroute.Candidate {
+	r.tableMu.Lock()
+	defer r.tableMu.Unlock()
+	out := make(map[string][]cicadaroute.Candidate)
+	for _, name := range r.table.Upstreams() {
+		out[name] = r.table.Candidates(&cicadaroute.Request{Upstream: name, Place: r.cfg.Place}, time.Now())
+	}
+	return out
+}
+
+func (r *Router) operatorMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, r.metrics.String())
+	})
+	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		_ = enc.Encode(r.State())
+	})
+	mux.HandleFunc("GET /debug/requests/{id}", r.serveExplain)
+	mux.HandleFunc("GET /readyz", r.serveReady)
+	return r.operatorsOnly(mux)
+}
+
+// serveExplain answers why a request went as it did, as JSON or with
+// ?format=text for a terminal.
+func (r *Router) serveExplain(w http.ResponseWriter, req *http.Request) {
+	view, ok := r.trails.View(req.PathValue("id"))
+	if !ok {
+		http.Error(w, "this router has no record of the request", http.StatusNotFound)
+		return
+	}
+	if req.URL.Query().Get("format") == "text" {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = io.WriteString(w, view.WriteText())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(view)
+}
--- /dev/null
+++ b/internal/cicadarouter/peer.go
@@ -0,0 +1,48 @@
+package cicadarouter
+
+import (
+	"context"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaconfig"
+	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+)
+
+// peerHandler serves the calls of peers.
+type peerHandler struct{ r *Router }
+
+var _ cicadapeer.Handler = (*peerHandler)(nil)
+
+// Exchange serves the homes on this host.
+func (h *peerHandler) Exchange(ctx context.Context, req *cicadapeer.ExchangeRequest) (*cicadapeer.ExchangeReply, error) {
+	return h.r.home.Exchange(ctx, req), nil
+}
+
+// Beat takes a heartbeat and answers with this host's.
+func (h *peerHandler) Beat(_ context.Context, b *cicadapeer.Beat) (*cicadapeer.Beat, error) {
+	h.r.fleet.Heard(b)
+	return h.r.fleet.Beat(), nil
+}
+
+// Answer returns a kept answer.
+func (h *peerHandler) Answer(_ context.Context, req *cicadapeer.AnswerRequest) (*cicadapeer.AnswerReply, error) {
+	return h.r.kept.get(req.RequestID), nil
+}
+
+// Recall makes the session return idle units.
+func (h *peerHandler) Recall(_ context.Context, req *cicadapeer.RecallRequest) (*cicadapeer.Empty, error) {
+	h.r.session.Recall(req.Budgets)
+	return &cicadapeer.Empty{}, nil
+}
+
+// Config returns the configuration in force, if it is newer than the asker's.
+func (h *peerHandler) Config(_ context.Context, req *cicadapeer.ConfigRequest) (*cicadaconfig.Export, error) {
+	snap := h.r.watcher.Current()
+	if snap.Seq() <= req.Have {
+		return &cicadaconfig.Export{Seq: snap.Seq()}, nil
+	}
+	return snap.Export(), nil
+}
+
+func (r *Router) askConfig(ctx context.Context, addr string) (*cicadaconfig.Export, error) {
+	return r.peers.Config(ctx, addr, &cicadapeer.ConfigRequest{Have: r.watcher.Current().Seq()})
+}
--- /dev/null
+++ b/internal/cicadasession/manager.go
@@ -0,0 +1,346 @@
+// Package cicadasession is the router's side of the budgets: it holds slices,
+// reserves and settles units for requests, and exchanges asks, returns, bills
+// and claims with the homes of the partitions.
+//
+// For each partition one goroutine keeps one exchange open at a time and
+// repeats it unchanged, to this home or its successor, until it is answered.
+// The manager's lock guards the slices and every partition's queue; it is never
+// held during a call.
+package cicadasession
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/pkg/errors"
+)
+
+// Errors of a session.
+var (
+	// ErrExhausted means that the region has not enough units left.
+	ErrExhausted = errors.New("the budget is exhausted")
+	// ErrShort means that units are left but could not be had in time.
+	ErrShort = errors.New("units are held by other routers")
+	// ErrHomeAway means that the home of the budget did not answer in time.
+	ErrHomeAway = errors.New("the home of the budget does not answer")
+	// ErrSessionEnded means that the home knows no session of this process:
+	// what it held has been given to others.
+	ErrSessionEnded = errors.New("the home has ended the session")
+	// ErrClosed means that the router is stopping.
+	ErrClosed = errors.New("the router is stopping")
+)
+
+const (
+	// horizonIntervals is how many commit intervals a slice should last.
+	horizonIntervals = 8
+	// minHorizon is the least time that a slice should last.
+	minHorizon = 2 * time.Second
+	// scarceFor is how long the home's word that a budget is short holds.
+	scarceFor = 3 * time.Second
+	// askAgain is the pause before a waiting request's ask is repeated.
+	askAgain = 60 * time.Millisecond
+)
+
+type (
+	// Homes sends exchanges to the home of a partition, wherever it is.
+	Homes interface {
+		// Exchange returns the answer, or an error if no home answered. The
+		// exchange may have taken effect all the same.
+		Exchange(ctx context.Context, item *cicadapeer.ExchangeItem) (*cicadaledger.Answer, error)
+	}
+
+	// Counter counts events by name.
+	Counter interface {
+		Add(name string, delta int64)
+	}
+
+	// Config sets up a Manager.
+	Config struct {
+		Homes         Homes
+		Self          cicadaledger.Holder
+		Region        string
+		FlushInterval func() time.Duration // between exchanges that nothing waits for
+		Log           log.Interface
+		Counts        Counter
+		Now           func() time.Time
+	}
+
+	// Manager holds this router's slices.
+	Manager struct {
+		cfg  Config
+		stop chan struct{}
+		wg   sync.WaitGroup
+
+		mu       sync.Mutex // guards the fields below
+		slices   *cicadabudget.Slices
+		parts    map[cicadaledger.PartitionID]*part
+		waiting  map[string]*waitList
+		shortage map[string]shortage
+		closing  bool
+	}
+
+	// waitList is the requests that wait for units of one budget.
+	waitList struct {
+		units   []cicadabudget.Units
+		changed chan struct{} // closed and replaced at each answer
+	}
+
+	shortage struct {
+		cicadaledger.Shortage
+		at time.Time
+	}
+
+	// Figures are what this router last learned of a budget.
+	Figures struct {
+		Held          cicadabudget.Units `json:"held"`
+		Remaining     cicadabudget.Units `json:"remaining"`
+		HeldElsewhere cicadabudget.Units `json:"heldElsewhere"`
+		LearnedAt     time.Time          `json:"learnedAt"`
+	}
+)
+
+// New returns a manager without slices.
+func New(cfg Config) *Manager {
+	horizon := max(minHorizon, horizonIntervals*cfg.FlushInterval())
+	return &Manager{
+		cfg:      cfg,
+		stop:     make(chan struct{}),
+		slices:   cicadabudget.NewSlices(horizon),
+		parts:    make(map[cicadaledger.PartitionID]*part),
+		waiting:  make(map[string]*waitList),
+		shortage: make(map[string]shortage),
+	}
+}
+
+// Reserve takes units of a budget, waiting up to wait for the home to grant
+// them. It returns ErrExhausted at once when the home says that the region has
+// not enough left.
+func (m *Manager) Reserve(
+	ctx context.Context, budget string, units cicadabudget.Units, wait time.Duration,
+) (cicadabudget.Reservation, error) {
+	deadline := m.cfg.Now().Add(wait)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	asked := false
+	for {
+		if m.closing {
+			return cicadabudget.Reservation{}, ErrClosed
+		}
+		r, short := m.slices.Reserve(budget, units, m.cfg.Now())
+		if short == nil {
+			m.refill(budget)
+			return r, nil
+		}
+		if asked && m.isExhausted(budget, units) {
+			return cicadabudget.Reservation{}, ErrExhausted
+		}
+		left := deadline.Sub(m.cfg.Now())
+		if left <= 0 || ctx.Err() != nil {
+			return cicadabudget.Reservation{}, m.whyShort(budget)
+		}
+		asked = m.await(ctx, budget, units, left) || asked
+	}
+}
+
+// await waits for the next answer on a budget, with the lock released. It
+// reports whether there was one.
+func (m *Manager) await(ctx context.Context, budget string, units cicadabudget.Units, left time.Duration) bool {
+	w, ok := m.waiting[budget]
+	if !ok {
+		w = &waitList{changed: make(chan struct{})}
+		m.waiting[budget] = w
+	}
+	w.units = append(w.units, units)
+	changed := w.changed
+	m.partOf(budget).wakeUp()
+	m.mu.Unlock()
+	answered := false
+	timer := time.NewTimer(left)
+	select {
+	case <-changed:
+		answered = true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	timer.Stop()
+	m.mu.Lock()
+	w.remove(units)
+	if len(w.units) == 0 && m.waiting[budget] == w {
+		delete(m.waiting, budget)
+	}
+	return answered
+}
+
+func (w *waitList) remove(units cicadabudget.Units) {
+	for i, u := range w.units {
+		if u == units {
+			w.units = append(w.units[:i], w.units[i+1:]...)
+			return
+		}
+	}
+}
+
+// isExhausted tells whether the home said a moment ago that no router could
+// have these units.
+func (m *Manager) isExhausted(budget string, units cicadabudget.Units) bool {
+	s, ok := m.shortage[budget]
+	return ok && m.cfg.Now().Sub(s.at) < scarceFor && s.Remaining-m.slices.Pending(budget) < units
+}
+
+func (m *Manager) whyShort(budget string) error {
+	s, ok := m.shortage[budget]
+	switch {
+	case !ok || m.cfg.Now().Sub(s.at) >= scarceFor:
+		return ErrHomeAway
+	case s.HeldElsewhere > 0:
+		return ErrShort
+	default:
+		return ErrExhausted
+	}
+}
+
+// refill wakes the partition if a budget fell below its low-water mark.
+func (m *Manager) refill(budget string) {
+	if m.slices.IsLow(budget, m.cfg.Now()) {
+		m.partOf(budget).wakeUp()
+	}
+}
+
+// Settle ends a reservation with the request's bill. The channel is closed once
+// the home has recorded the bill.
+func (m *Manager) Settle(r cicadabudget.Reservation, bill cicadaledger.Bill) (<-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.slices.Settle(r, bill.Units+bill.Withheld); err != nil {
+		m.cfg.Counts.Add("impossibleStates", 1)
+		return nil, err
+	}
+	recorded := make(chan struct{})
+	if bill.Units == 0 && bill.Withheld == 0 && bill.Key == "" {
+		close(recorded)
+		return recorded, nil
+	}
+	p := m.partOf(r.Budget())
+	p.bills = append(p.bills, pendingBill{bill: bill, recorded: recorded})
+	p.wakeUp()
+	return recorded, nil
+}
+
+// Claim asks the home whether a request with a key may run. The claim stays
+// queued if ctx ends first; its verdict is then lost, not the claim.
+func (m *Manager) Claim(ctx context.Context, budget string, c cicadaledger.Claim) (cicadaledger.Verdict, error) {
+	verdict := make(chan cicadaledger.Verdict, 1)
+	m.mu.Lock()
+	if m.closing {
+		m.mu.Unlock()
+		return cicadaledger.Verdict{}, ErrClosed
+	}
+	p := m.partOf(budget)
+	p.claims = append(p.claims, pendingClaim{claim: c, verdict: verdict})
+	p.wakeUp()
+	m.mu.Unlock()
+	select {
+	case v := <-verdict:
+		return v, nil
+	case <-ctx.Done():
+		return cicadaledger.Verdict{}, ErrHomeAway
+	}
+}
+
+// Withdraw gives up a claim whose verdict did not come, because the request
+// will not run. It is billed as not run, which clears the claim.
+func (m *Manager) Withdraw(budget string, c cicadaledger.Claim) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.partOf(budget)
+	for i, pc := range p.claims {
+		if pc.claim == c {
+			p.claims = append(p.claims[:i], p.claims[i+1:]...)
+			return
+		}
+	}
+	p.bills = append(p.bills, pendingBill{bill: cicadaledger.Bill{
+		RequestID: c.RequestID, Budget: budget, Key: c.Key, Once: c.Once, Outcome: cicadaledger.OutcomeNotRun,
+	}, recorded: make(chan struct{})})
+	p.wakeUp()
+}
+
+// Recall makes the manager return what it has free of some budgets.
+func (m *Manager) Recall(budgets []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, b := range budgets {
+		if m.slices.Held(b) == 0 {
+			continue
+		}
+		m.slices.SetScarce(b, true)
+		m.shortage[b] = shortage{Shortage: m.shortage[b].Shortage, at: m.cfg.Now()}
+		m.partOf(b).wakeUp()
+	}
+}
+
+// FiguresOf returns what the manager knows of a budget.
+func (m *Manager) FiguresOf(budget string) Figures {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.shortage[budget]
+	return Figures{
+		Held: m.slices.Held(budget), Remaining: s.Remaining, HeldElsewhere: s.HeldElsewhere, LearnedAt: s.at,
+	}
+}
+
+// State lists the slices.
+func (m *Manager) State() []cicadabudget.SliceState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.slices.State()
+}
+
+// partOf returns the partition of a budget and starts its goroutine at the
+// first use. The caller holds m.mu.
+func (m *Manager) partOf(budget string) *part {
+	id := cicadaledger.PartitionOf(m.cfg.Region, budget)
+	p, ok := m.parts[id]
+	if !ok {
+		p = newPart(m, id)
+		m.parts[id] = p
+		m.wg.Add(1)
+		go p.run()
+	}
+	return p
+}
+
+// Close returns every unit and ends the sessions. Requests have ended before.
+// It gives up when ctx ends; the units stay recorded as held by this process.
+func (m *Manager) Close(ctx context.Context) error {
+	m.mu.Lock()
+	m.closing = true
+	for _, p := range m.parts {
+		p.wakeUp()
+	}
+	m.mu.Unlock()
+	ended := make(chan struct{})
+	go func() {
+		m.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		close(m.stop)
+		<-ended
+		return errors.Wrap(ErrHomeAway, "not every unit was returned")
+	}
+}
+
+// Abandon ends the sessions without a word to the homes, as a crash does.
+func (m *Manager) Abandon() {
+	close(m.stop)
+	m.wg.Wait()
+}
--- /dev/null
+++ b/internal/cicadastandin/enginehttp.go
@@ -0,0 +1,306 @@
+package cicadastandin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaupstream"
+	"github.com/tmaxmax/go-sse"
+)
+
+// maxEngineBody bounds a request to the stand-in, in bytes.
+const maxEngineBody = 4 << 20
+
+// HeaderOrganisation tells the engine whose request it runs, for its records.
+const HeaderOrganisation = "X-Organisation"
+
+type (
+	chatBody struct {
+		Model     string `json:"model"`
+		Stream    bool   `json:"stream"`
+		MaxTokens int    `json:"max_tokens"` // wire-name of the chat-completions form
+		Messages  []struct {
+			Content string `json:"content"`
+		} `json:"messages"`
+	}
+
+	chatChoice struct {
+		Index        int          `json:"index"`
+		Delta        *chatMessage `json:"delta,omitempty"`
+		Message      *chatMessage `json:"message,omitempty"`
+		FinishReason *string      `json:"finish_reason"` // wire-name of the chat-completions form
+	}
+
+	chatMessage struct {
+		Role    string `json:"role,omitempty"`
+		Content string `json:"content"`
+	}
+
+	chatReply struct {
+		ID      string                `json:"id"`
+		Object  string                `json:"object"`
+		Model   string                `json:"model"`
+		Choices []chatChoice          `json:"choices"`
+		Usage   *cicadaupstream.Usage `json:"usage,omitempty"`
+	}
+)
+
+// Handler serves the engine's interface, with the faults to set at
+// PUT /control/faults and its records at GET /control/records.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+cicadaupstream.PathChat, e.serveChat)
+	mux.HandleFunc("GET "+cicadaupstream.PathRequests+"{id}/events", e.serveResume)
+	mux.HandleFunc("GET "+cicadaupstream.PathRequests+"{id}", e.serveRecord)
+	mux.HandleFunc("DELETE "+cicadaupstream.PathRequests+"{id}", e.serveCancel)
+	mux.HandleFunc("GET "+cicadaupstream.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+		e.mu.Lock()
+		load := e.load()
+		e.mu.Unlock()
+		writeReply(w, load, nil)
+	})
+	mux.HandleFunc("GET /control/records", func(w http.ResponseWriter, _ *http.Request) {
+		writeReply(w, e.Records(), nil)
+	})
+	mux.HandleFunc("PUT /control/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f EngineFaults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		e.SetFaults(f)
+	})
+	return mux
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	faults, load := e.faults, e.load()
+	e.mu.Unlock()
+	w.Header().Set(cicadaupstream.HeaderRunning, strconv.Itoa(load.Running))
+	w.Header().Set(cicadaupstream.HeaderWaiting, strconv.Itoa(load.Waiting))
+	if faults.Draining {
+		w.Header().Set(cicadaupstream.HeaderLeaving, "1")
+		w.Header().Set(cicadaupstream.HeaderNotRun, "1")
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	if faults.Hang {
+		<-r.Context().Done()
+		return
+	}
+	var body chatBody
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEngineBody)).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	g := e.begin(chatRequest(r, &body))
+	if body.Stream {
+		e.stream(w, r, g, body.Model, 0)
+		return
+	}
+	e.whole(w, r, g, body.Model)
+}
+
+func chatRequest(r *http.Request, body *chatBody) *engineRequest {
+	attempt, _ := strconv.Atoi(r.Header.Get(cicadaupstream.HeaderAttempt))
+	parts := make([]string, len(body.Messages))
+	for i, m := range body.Messages {
+		parts[i] = m.Content
+	}
+	id := r.Header.Get(cicadaupstream.HeaderRequestID)
+	if id == "" {
+		id = fmt.Sprintf("direct-%d", time.Now().UnixNano())
+	}
+	return &engineRequest{
+		id:           id,
+		attempt:      attempt,
+		key:          r.Header.Get(cicadaupstream.HeaderKey),
+		router:       r.Header.Get(cicadaupstream.HeaderHolder),
+		organisation: r.Header.Get(HeaderOrganisation),
+		live:         r.Header.Get(cicadaupstream.HeaderPriority) != "batch",
+		prompt:       strings.Join(parts, " "),
+		maxTokens:    body.MaxTokens,
+	}
+}
+
+func (e *Engine) attach(g *generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g.readers++
+}
+
+// stream sends the chunks from offset on, as they are made.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, model string, offset int) {
+	e.attach(g)
+	defer e.detach(g)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	rc := http.NewResponseController(w)
+	_ = rc.Flush()
+	for i := offset; ; i++ {
+		ok, stall := e.awaitToken(r, g, i)
+		if stall {
+			<-r.Context().Done()
+			return
+		}
+		if !ok {
+			break
+		}
+		reply := chatReply{ID: g.record.RequestID, Object: "chat.completion.chunk", Model: model, Choices: []chatChoice{
+			{Delta: &chatMessage{Content: Token(g.tag, i)}},
+		}}
+		if e.sendChunk(w, g, i, &reply) != nil {
+			return
+		}
+		_ = rc.Flush()
+	}
+	e.finishStream(w, r, g, model)
+	_ = rc.Flush()
+}
+
+// awaitToken waits until token i is made. It reports false after the last one,
+// and stall if the stream has to go silent here.
+func (e *Engine) awaitToken(r *http.Request, g *generation, i int) (ok, stall bool) {
+	for {
+		e.mu.Lock()
+		if n := e.faults.StallAfter; n > 0 && i >= n && !g.stalled {
+			g.stalled = true
+			e.mu.Unlock()
+			return false, true
+		}
+		made, state, changed := g.made, g.record.State, g.changed
+		e.mu.Unlock()
+		switch {
+		case i < made:
+			return true, false
+		case state != StateRunning:
+			return false, false
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return false, true
+		}
+	}
+}
+
+func (e *Engine) sendChunk(w http.ResponseWriter, g *generation, offset int, reply *chatReply) error {
+	data, err := json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	repeat := e.faults.RepeatChunks
+	e.mu.Unlock()
+	msg := &sse.Message{ID: sse.ID(cicadaupstream.EventID(g.record.Attempt, int64(offset)))}
+	msg.AppendData(string(data))
+	if _, err := msg.WriteTo(w); err != nil {
+		return err
+	}
+	if repeat {
+		_, err = msg.WriteTo(w)
+	}
+	return err
+}
+
+func (e *Engine) finishStream(w http.ResponseWriter, r *http.Request, g *generation, model string) {
+	e.mu.Lock()
+	rec := g.record
+	e.mu.Unlock()
+	if rec.State != StateWhole || r.Context().Err() != nil {
+		return
+	}
+	stop := "stop"
+	last := chatReply{ID: rec.RequestID, Object: "chat.completion.chunk", Model: model, Choices: []chatChoice{
+		{Delta: &chatMessage{}, FinishReason: &stop},
+	}}
+	usage := chatReply{ID: rec.RequestID, Object: "chat.completion.chunk", Model: model, Choices: []chatChoice{}, Usage: usageOf(&rec)}
+	if e.sendChunk(w, g, g.length, &last) != nil || e.sendChunk(w, g, g.length+1, &usage) != nil {
+		return
+	}
+	done := &sse.Message{}
+	done.AppendData(cicadaupstream.Done)
+	_, _ = done.WriteTo(w)
+}
+
+func usageOf(rec *EngineRecord) *cicadaupstream.Usage {
+	return &cicadaupstream.Usage{
+		PromptTokens:     rec.PromptTokens,
+		CompletionTokens: rec.CompletionTokens,
+		TotalTokens:      rec.PromptTokens + rec.CompletionTokens,
+	}
+}
+
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, g *generation, model string) {
+	e.attach(g)
+	defer e.detach(g)
+	var text strings.Builder
+	for i := 0; ; i++ {
+		ok, stall := e.awaitToken(r, g, i)
+		if stall {
+			<-r.Context().Done()
+			return
+		}
+		if !ok {
+			break
+		}
+		text.WriteString(Token(g.tag, i))
+	}
+	e.mu.Lock()
+	rec := g.record
+	e.mu.Unlock()
+	stop := "stop"
+	writeReply(w, chatReply{ID: rec.RequestID, Object: "chat.completion", Model: model, Usage: usageOf(&rec), Choices: []chatChoice{
+		{Message: &chatMessage{Role: "assistant", Content: text.String()}, FinishReason: &stop},
+	}}, nil)
+}
+
+func (e *Engine) lookup(r *http.Request) (*generation, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g, ok := e.requests[r.PathValue("id")]
+	return g, ok
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	g, ok := e.lookup(r)
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if !ok || err != nil || offset < 0 {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	if offset <= g.length {
+		e.stream(w, r, g, "", offset)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	e.finishStream(w, r, g, "")
+}
+
+func (e *Engine) serveRecord(w http.ResponseWriter, r *http.Request) {
+	g, ok := e.lookup(r)
+	if !ok {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	e.mu.Lock()
+	rec := g.record.Record
+	e.mu.Unlock()
+	writeReply(w, rec, nil)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	g, ok := e.lookup(r)
+	if !ok {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	g.cancel()
+	e.end(g, StateCancelled)
+	e.serveRecord(w, r)
+}
--- /dev/null
+++ b/internal/cicadastandin/plain.go
@@ -0,0 +1,128 @@
+package cicadastandin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaupstream"
+)
+
+type (
+	// PlainConfig sets up a Plain service.
+	PlainConfig struct {
+		Name  string
+		Delay time.Duration // of each call
+	}
+
+	// PlainFaults are the ways in which the service misbehaves now.
+	PlainFaults struct {
+		Hang     bool `json:"hang"`     // runs the call and never answers
+		Draining bool `json:"draining"` // refuses new work
+	}
+
+	// Plain is the stand-in for a service beside the model engines, some of
+	// whose calls may not be repeated. It keeps a record of each call it ran.
+	Plain struct {
+		cfg PlainConfig
+
+		mu      sync.Mutex // guards the fields below
+		faults  PlainFaults
+		running int
+		calls   []PlainCall
+	}
+
+	// PlainCall is one call that ran.
+	PlainCall struct {
+		RequestID string    `json:"requestID"`
+		Key       string    `json:"key"`
+		Method    string    `json:"method"`
+		Path      string    `json:"path"`
+		Body      string    `json:"body"`
+		At        time.Time `json:"at"`
+	}
+)
+
+// NewPlain returns an idle service.
+func NewPlain(cfg PlainConfig) *Plain { return &Plain{cfg: cfg} }
+
+// SetFaults replaces the present faults.
+func (p *Plain) SetFaults(f PlainFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Calls returns every call that ran, in order.
+func (p *Plain) Calls() []PlainCall {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]PlainCall(nil), p.calls...)
+}
+
+// Handler serves any call, the load report, and the controls.
+func (p *Plain) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+cicadaupstream.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		load := cicadaupstream.Load{Running: p.running, Leaving: p.faults.Draining}
+		p.mu.Unlock()
+		writeReply(w, load, nil)
+	})
+	mux.HandleFunc("GET /control/calls", func(w http.ResponseWriter, _ *http.Request) {
+		writeReply(w, p.Calls(), nil)
+	})
+	mux.HandleFunc("PUT /control/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f PlainFaults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.SetFaults(f)
+	})
+	mux.HandleFunc("/", p.serveCall)
+	return mux
+}
+
+func (p *Plain) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEngineBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	faults := p.faults
+	if faults.Draining {
+		p.mu.Unlock()
+		w.Header().Set(cicadaupstream.HeaderLeaving, "1")
+		w.Header().Set(cicadaupstream.HeaderNotRun, "1")
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	p.running++
+	p.calls = append(p.calls, PlainCall{
+		RequestID: r.Header.Get(cicadaupstream.HeaderRequestID), Key: r.Header.Get(cicadaupstream.HeaderKey),
+		Method: r.Method, Path: r.URL.Path, Body: string(body), At: time.Now(),
+	})
+	n := len(p.calls)
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		p.running--
+		p.mu.Unlock()
+	}()
+	if faults.Hang {
+		<-r.Context().Done()
+		return
+	}
+	time.Sleep(p.cfg.Delay)
+	w.Header().Set("X-Call-Number", strconv.Itoa(n))
+	writeReply(w, struct {
+		Service string `json:"service"`
+		Path    string `json:"path"`
+		Echo    string `json:"echo"`
+	}{p.cfg.Name, r.URL.Path, string(body)}, nil)
+}
