--- a/internal/cicadacmd/command.go
+++ b/internal/cicadacmd/command.go
@@ -5,13 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
-	"github.com/apex/log/handlers/text"
+	"github.com/apex/log/handlers/logfmt"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaconfig"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadoc"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
@@ -51,6 +52,7 @@
 	// environment is what the verbs share.
 	environment struct {
 		io       IO
+		examples fs.FS
 		root     *ff.FlagSet
 		logLevel *string
 		logForm  *string
@@ -75,16 +77,17 @@
 	return fail(ExitUsage, errors.Errorf(format, args...))
 }
 
-// Main runs the command line and returns the exit code.
-func Main(args []string) int {
+// Main runs the command line and returns the exit code. Examples holds the
+// documents that the demonstration uses.
+func Main(args []string, examples fs.FS) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return Run(ctx, args, IO{Out: os.Stdout, Err: os.Stderr})
+	return Run(ctx, args, examples, IO{Out: os.Stdout, Err: os.Stderr})
 }
 
 // Run runs the command line with the given arguments and returns the exit code.
-func Run(ctx context.Context, args []string, stdio IO) int {
-	env := &environment{io: stdio, root: ff.NewFlagSet("cicadadyke")}
+func Run(ctx context.Context, args []string, examples fs.FS, stdio IO) int {
+	env := &environment{io: stdio, examples: examples, root: ff.NewFlagSet("cicadadyke")}
 	env.logLevel = env.root.StringEnumLong("log-level", "least severity of log lines", "info", "debug", "warn", "error")
 	env.logForm = env.root.StringEnumLong("log-format", "form of log lines", "text", "json")
 	root := &ff.Command{
@@ -152,5 +155,5 @@
 	if *env.logForm == "json" {
 		return &log.Logger{Handler: json.New(env.io.Err), Level: level}
 	}
-	return &log.Logger{Handler: text.New(env.io.Err), Level: level}
+	return &log.Logger{Handler: logfmt.New(env.io.Err), Level: level}
 }
--- /dev/null
+++ b/internal/cicadademo/world.go
@@ -0,0 +1,317 @@
+// Package cicadademo runs a small fleet in one process, over real loopback
+// sockets: platform and upstream stand-ins, routers in every place, callers
+// that retry, and the faults of an ordinary bad day. A judge then works out
+// from the stand-ins' own records whether the promises held.
+package cicadademo
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaconfig"
+	"github.com/cicadadyke/cicadadyke/internal/cicadadoc"
+	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/cicadadyke/cicadadyke/internal/cicadarouter"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastandin"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+)
+
+const (
+	operatorToken = "demo-operator"
+	sharedKey     = "shared key of the demo's routers"
+	headerTimeout = 5 * time.Second
+)
+
+type (
+	// WorldConfig sets up a World.
+	WorldConfig struct {
+		Files          fs.FS // with the documents below
+		Documents      []string
+		RoutersByPlace int
+		Seed           uint64
+		Log            log.Interface
+		Platform       cicadastandin.PlatformConfig
+		Pace           time.Duration
+		// Prepaid replaces the budgets of the documents, by fleet-wide name.
+		Prepaid map[string]cicadabudget.Units
+	}
+
+	// World is a fleet with its surroundings.
+	World struct {
+		cfg      WorldConfig
+		identity *cicadapeer.Identity
+		platform *cicadastandin.Platform
+		baseURL  string
+		engines  []*cicadastandin.Engine
+		plains   []*cicadastandin.Plain
+		servers  []*http.Server
+		docs     map[string]*cicadadoc.Document
+
+		mu      sync.Mutex // guards the fields below
+		routers []*cicadarouter.Router
+		all     []*cicadarouter.Router
+		topUps  []topUp
+	}
+
+	// topUp is a change of a budget's prepaid total.
+	topUp struct {
+		budget  string
+		prepaid cicadabudget.Units
+		at      time.Time // before it can have had an effect
+	}
+)
+
+// NewWorld starts stand-ins and routers and applies the documents.
+func NewWorld(ctx context.Context, cfg WorldConfig) (*World, error) {
+	id, err := cicadapeer.SharedIdentity(sharedKey)
+	if err != nil {
+		return nil, err
+	}
+	w := &World{cfg: cfg, identity: id, docs: make(map[string]*cicadadoc.Document)}
+	w.platform = cicadastandin.NewPlatform(cfg.Platform)
+	addr, err := w.serve(w.platform.Handler())
+	if err != nil {
+		return nil, err
+	}
+	w.baseURL = "http://" + addr
+	var first *cicadadoc.Document
+	for _, name := range cfg.Documents {
+		doc, err := w.loadDocument(name)
+		if err != nil {
+			return w, err
+		}
+		if first == nil {
+			first = doc
+		}
+	}
+	if err := w.startRouters(first); err != nil {
+		return w, err
+	}
+	for _, doc := range w.docs {
+		if err := w.Apply(ctx, doc); err != nil {
+			return w, err
+		}
+	}
+	return w, w.awaitReady(ctx)
+}
+
+func (w *World) serve(h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	w.servers = append(w.servers, s)
+	go func() { _ = s.Serve(ln) }()
+	return ln.Addr().String(), nil
+}
+
+// loadDocument reads a document and starts its runners on free ports.
+func (w *World) loadDocument(name string) (*cicadadoc.Document, error) {
+	text, err := fs.ReadFile(w.cfg.Files, name)
+	if err != nil {
+		return nil, errors.Wrap(err, "read document")
+	}
+	src, err := cicadadoc.Decode(name, text)
+	if err != nil {
+		return nil, err
+	}
+	doc := src.Document()
+	for i := range doc.Upstreams {
+		u := &doc.Upstreams[i]
+		for k := range u.Runners {
+			if u.Runners[k].Address, err = w.startRunner(u, &u.Runners[k]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for i := range doc.Budgets {
+		b := &doc.Budgets[i]
+		if units, ok := w.cfg.Prepaid[cicadadoc.BudgetID(doc.Service, b.Name)]; ok {
+			b.Prepaid = units
+		}
+	}
+	w.docs[doc.Service] = doc
+	return doc, nil
+}
+
+func (w *World) startRunner(u *cicadadoc.Upstream, r *cicadadoc.Runner) (string, error) {
+	if u.Kind == cicadadoc.KindPlainService {
+		p := cicadastandin.NewPlain(cicadastandin.PlainConfig{Name: r.Name, Delay: w.cfg.Pace})
+		w.plains = append(w.plains, p)
+		return w.serve(p.Handler())
+	}
+	e := cicadastandin.NewEngine(cicadastandin.EngineConfig{
+		Name: r.Name, Capacity: r.Capacity, Pace: w.cfg.Pace, LoadLag: 200 * time.Millisecond,
+	})
+	w.engines = append(w.engines, e)
+	return w.serve(e.Handler())
+}
+
+func (w *World) startRouters(doc *cicadadoc.Document) error {
+	for _, place := range doc.Places {
+		for n := range w.cfg.RoutersByPlace {
+			if _, err := w.StartRouter(fmt.Sprintf("%s-%d", place.Name, n+1), place); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// StartRouter starts one more router.
+func (w *World) StartRouter(name string, place cicadadoc.Place) (*cicadarouter.Router, error) {
+	metrics := cicadarouter.NewMetrics()
+	cfg := cicadarouter.Config{
+		Name: name, Place: place.Name, Region: place.Region, OperatorToken: operatorToken, Identity: w.identity,
+		Log: w.cfg.Log, Metrics: metrics, Seed: w.cfg.Seed,
+		Platform: cicadastore.NewClient(cicadastore.ClientConfig{BaseURL: w.baseURL, Counts: metrics.Platform}),
+	}
+	for _, l := range []*net.Listener{&cfg.Callers, &cfg.Operators, &cfg.Peers} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		*l = ln
+	}
+	r := cicadarouter.New(cfg)
+	if err := r.Start(); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.routers = append(w.routers, r)
+	w.all = append(w.all, r)
+	return r, nil
+}
+
+// Apply brings a document into force through its YAML form, as the command
+// line does.
+func (w *World) Apply(ctx context.Context, doc *cicadadoc.Document) error {
+	text, err := yaml.Marshal(doc)
+	if err != nil {
+		return errors.Wrap(err, "write document")
+	}
+	src, err := cicadadoc.Decode(doc.Service, text)
+	if err != nil {
+		return err
+	}
+	at := time.Now()
+	client := cicadastore.NewClient(cicadastore.ClientConfig{BaseURL: w.baseURL})
+	defer client.Close()
+	res, err := cicadaconfig.Apply(ctx, client, src)
+	if err != nil {
+		return err
+	}
+	doc.BasedOn = res.Version
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, b := range doc.Budgets {
+		w.topUps = append(w.topUps, topUp{budget: cicadadoc.BudgetID(doc.Service, b.Name), prepaid: b.Prepaid, at: at})
+	}
+	return nil
+}
+
+// TopUp raises some budgets of a service by an apply.
+func (w *World) TopUp(ctx context.Context, service string, add map[string]cicadabudget.Units) error {
+	doc, ok := w.docs[service]
+	if !ok {
+		return errors.Errorf("no service %q", service)
+	}
+	for i := range doc.Budgets {
+		doc.Budgets[i].Prepaid += add[doc.Budgets[i].Name]
+	}
+	return w.Apply(ctx, doc)
+}
+
+func (w *World) awaitReady(ctx context.Context) error {
+	for _, r := range w.Routers() {
+		for len(r.Snapshot().Services()) < len(w.docs) {
+			select {
+			case <-ctx.Done():
+				return errors.Wrap(ctx.Err(), "routers not ready")
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// Routers returns the routers that run.
+func (w *World) Routers() []*cicadarouter.Router {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*cicadarouter.Router(nil), w.routers...)
+}
+
+// Platform returns the platform stand-in.
+func (w *World) Platform() *cicadastandin.Platform { return w.platform }
+
+// Engines returns the engine stand-ins.
+func (w *World) Engines() []*cicadastandin.Engine { return w.engines }
+
+// remove takes a router off the balancer and out of the running ones.
+func (w *World) remove(r *cicadarouter.Router) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, x := range w.routers {
+		if x == r {
+			w.routers = append(w.routers[:i], w.routers[i+1:]...)
+			return
+		}
+	}
+}
+
+// StopRouter stops a router as planned. The balancer sends it callers until it
+// has read that the router is not ready.
+func (w *World) StopRouter(ctx context.Context, r *cicadarouter.Router) error {
+	time.AfterFunc(balancerLag, func() { w.remove(r) })
+	return r.Stop(ctx)
+}
+
+// KillRouter ends a router as a crash does.
+func (w *World) KillRouter(r *cicadarouter.Router) {
+	time.AfterFunc(balancerLag, func() { w.remove(r) })
+	r.Kill()
+}
+
+// balancerLag is how late the balancer notices that a router is gone.
+const balancerLag = 300 * time.Millisecond
+
+// Close stops every router as planned, and the stand-ins.
+func (w *World) Close(ctx context.Context) error {
+	var first error
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for _, r := range w.Routers() {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := r.Stop(ctx); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				if first == nil {
+					first = err
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	return first
+}
+
+// CloseStandins ends the stand-ins' servers.
+func (w *World) CloseStandins() {
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+}
--- a/internal/cicadafleet/exchange.go
+++ b/internal/cicadafleet/exchange.go
@@ -82,6 +82,34 @@
 	return nil, errors.Wrapf(cicadapeer.ErrUnreachable, "no home for partition %s", item.Partition)
 }
 
+// Claim asks the home of a partition for the key of an idempotent request, or
+// gives it back. It makes no home: without one there is no verdict.
+func (f *Fleet) Claim(ctx context.Context, req *cicadapeer.ClaimRequest) (cicadaledger.Verdict, error) {
+	addrs := f.candidates(req.Partition)
+	for i := 0; i < len(addrs) && i < claimHops; i++ {
+		reply, err := f.callClaim(ctx, addrs[i], req)
+		switch {
+		case err != nil:
+			return cicadaledger.Verdict{}, err
+		case reply.Fault == cicadapeer.FaultNone:
+			return reply.Verdict, nil
+		case reply.Fault == cicadapeer.FaultNotHome:
+			f.forgetHome(req.Partition, addrs[i])
+		}
+	}
+	return cicadaledger.Verdict{}, errors.Wrapf(cicadapeer.ErrUnreachable, "no home for partition %s", req.Partition)
+}
+
+// claimHops bounds the hosts that a claim is sent to.
+const claimHops = 2
+
+func (f *Fleet) callClaim(ctx context.Context, addr string, req *cicadapeer.ClaimRequest) (*cicadapeer.ClaimReply, error) {
+	if addr == f.cfg.Self.PeerAddr {
+		return f.home.Claim(req), nil
+	}
+	return f.cfg.Client.Claim(ctx, addr, req)
+}
+
 // faultUnreachable stands for a call without an answer.
 const faultUnreachable cicadapeer.Fault = "unreachable"
 
@@ -93,7 +121,12 @@
 	if addr, ok := f.homes[id]; ok {
 		out = append(out, addr)
 	}
-	ranked := cicadamember.Rank(f.table.Live(time.Now()), id)
+	now := time.Now()
+	ranked := cicadamember.Rank(f.table.Live(now), id)
+	if len(ranked) == 0 {
+		// The whole fleet is stopping: a leaving host still takes returns.
+		ranked = cicadamember.Rank(f.table.Leaving(now), id)
+	}
 	for i := range min(candidates, len(ranked)) {
 		out = append(out, ranked[i].PeerAddr)
 	}
--- a/internal/cicadafleet/fleet.go
+++ b/internal/cicadafleet/fleet.go
@@ -24,11 +24,11 @@
 	// announcements of this host.
 	listInterval = time.Second
 	// beatInterval is the time between heartbeats to a neighbour.
-	beatInterval = 500 * time.Millisecond
+	beatInterval = time.Second
 	// beatTimeout bounds the wait for a neighbour's answer.
 	beatTimeout = 400 * time.Millisecond
 	// neighbours is the number of hosts that get this host's heartbeats.
-	neighbours = 3
+	neighbours = 2
 	// storeWritesPerSecond is the share of the platform's writes that the
 	// homes of the whole fleet use for commits.
 	storeWritesPerSecond = 150
@@ -40,6 +40,7 @@
 	// LocalHome serves exchanges for partitions whose home is this host.
 	LocalHome interface {
 		Exchange(ctx context.Context, req *cicadapeer.ExchangeRequest) *cicadapeer.ExchangeReply
+		Claim(req *cicadapeer.ClaimRequest) *cicadapeer.ClaimReply
 	}
 
 	// Counter counts events by name.
--- a/internal/cicadahome/checkpoint.go
+++ b/internal/cicadahome/checkpoint.go
@@ -20,8 +20,11 @@
 // maintain writes the checkpoints that are due, at most one at a time, so that
 // the committer is never away for long.
 func (h *Home) maintain() {
+	now := time.Now()
+	h.mu.Lock()
 	var due *owned
 	for _, o := range h.parts {
+		h.forgetClaims(o, now)
 		if o.sinceCheck == 0 {
 			continue
 		}
@@ -32,6 +35,7 @@
 			due = o
 		}
 	}
+	h.mu.Unlock()
 	if due != nil {
 		h.checkpoint(due)
 	}
@@ -42,12 +46,15 @@
 func (h *Home) checkpoint(o *owned) {
 	ctx, cancel := context.WithTimeout(h.ctx, commitTimeout)
 	defer cancel()
-	data, err := cicadaledger.EncodeCheckpoint(o.ledger.Checkpoint())
+	h.mu.Lock()
+	check := o.ledger.Checkpoint()
+	h.mu.Unlock()
+	data, err := cicadaledger.EncodeCheckpoint(check)
 	if err != nil {
 		h.impossible(err)
 		return
 	}
-	name := fmt.Sprintf("checkpoint/%s/%d-%d", o.id, o.fence.Incarnation, o.ledger.Seq())
+	name := fmt.Sprintf("checkpoint/%s/%d-%d", o.id, o.fence.Incarnation, check.Seq)
 	if err := h.cfg.Platform.PutObject(ctx, name, data); err != nil {
 		h.cfg.Counts.Add("checkpointsFailed", 1)
 		return
@@ -61,15 +68,24 @@
 		// commit conflicts if it is the new one, and the partition is read
 		// again.
 		h.cfg.Counts.Add("checkpointsFailed", 1)
-		delete(h.parts, o.id)
+		h.forget(o.id)
 		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	o.fence, o.version = fence, version
 	o.sinceCheck = 0
 	o.checkedAt = time.Now()
 	h.cfg.Counts.Add("checkpoints", 1)
 }
 
+// forget drops a partition; the next exchange for it takes it over again.
+func (h *Home) forget(id cicadaledger.PartitionID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.parts, id)
+}
+
 // releaseAll gives the fence rows up in one transaction. If that fails, the
 // successor finds this process ended and takes over all the same.
 func (h *Home) releaseAll() {
@@ -96,40 +112,16 @@
 	h.cfg.Counts.Add("homesReleased", int64(len(txn.Writes)))
 }
 
-// State returns the partitions of this home. While the committer waits for the
-// platform it returns what was asked last.
+// State returns the partitions of this home.
 func (h *Home) State() []PartitionState {
-	select {
-	case h.stateAsked <- struct{}{}:
-	default:
-	}
-	select {
-	case state := <-h.stateTold:
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.state = state
-		return state
-	case <-time.After(stateWait):
-	case <-h.done:
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.state
-}
-
-// stateWait bounds how long State waits for the committer.
-const stateWait = 200 * time.Millisecond
-
-func (h *Home) tellState() {
 	state := make([]PartitionState, 0, len(h.parts))
 	for _, o := range h.parts {
 		state = append(state, h.partitionState(o))
 	}
 	sort.Slice(state, func(i, j int) bool { return state[i].Partition.Number < state[j].Partition.Number })
-	select {
-	case h.stateTold <- state:
-	case <-time.After(stateWait):
-	}
+	return state
 }
 
 func (h *Home) partitionState(o *owned) PartitionState {
--- a/internal/cicadahome/commit.go
+++ b/internal/cicadahome/commit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
@@ -39,7 +41,7 @@
 	answers := h.stage(subs, now)
 	err := h.commitStaged(now)
 	for _, a := range answers {
-		_, mine := h.parts[a.sub.item.Partition]
+		mine := h.part(a.sub.item.Partition) != nil
 		switch {
 		case err != nil:
 			a.sub.fail(cicadapeer.FaultUnavailable, "")
@@ -55,6 +57,8 @@
 
 // stage decides each exchange. A repeated one gets its recorded answer.
 func (h *Home) stage(subs []*submission, now time.Time) []served {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	var out []served
 	for _, s := range subs {
 		o, ok := h.parts[s.item.Partition]
@@ -72,13 +76,14 @@
 			out = append(out, served{sub: s, answer: *known})
 			continue
 		}
-		answer, err := o.ledger.Stage(&s.item.Exchange, now)
+		answer, err := o.ledger.Stage(&s.item.Exchange, func(budget string) bool { return o.isDry(budget, now) }, now)
 		if err != nil {
 			h.cfg.Log.WithError(err).Error("exchange refused")
 			h.cfg.Counts.Add("exchangesBad", 1)
 			s.fail(cicadapeer.FaultBad, "")
 			continue
 		}
+		endClaims(o, &s.item.Exchange)
 		out = append(out, served{sub: s, answer: answer})
 	}
 	return out
@@ -86,12 +91,11 @@
 
 // recallShort asks the other holders of a short budget for their idle units.
 func (h *Home) recallShort(a served) {
-	o := h.parts[a.sub.item.Partition]
 	for _, sh := range a.answer.Scarce {
 		if sh.HeldElsewhere == 0 {
 			continue
 		}
-		for id := range o.ledger.HeldBy(sh.Budget) {
+		for _, id := range h.holdersOf(a.sub.item.Partition, sh.Budget) {
 			if id != a.sub.item.Exchange.Holder {
 				h.cfg.Fleet.Recall(id, []string{sh.Budget})
 			}
@@ -99,17 +103,21 @@
 	}
 }
 
+func (h *Home) holdersOf(id cicadaledger.PartitionID, budget string) []cicadaledger.Holder {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o, ok := h.parts[id]
+	if !ok {
+		return nil
+	}
+	return slices.Collect(maps.Keys(o.ledger.HeldBy(budget)))
+}
+
 // commitStaged writes the staged steps of all partitions as one record. A
 // partition whose fence was lost is dropped and the rest written without it.
 // An error means that the outcome is unknown because the home ends.
 func (h *Home) commitStaged(now time.Time) error {
-	var batches []cicadaledger.Batch
-	for _, o := range h.parts {
-		if b := o.ledger.Cut(o.fence.Incarnation, now); b != nil {
-			batches = append(batches, *b)
-			o.sinceCheck++
-		}
-	}
+	batches := h.cut(now)
 	for len(batches) > 0 {
 		lost, err := h.writeRecord(batches, nil, onceWrites(batches))
 		if err != nil {
@@ -123,13 +131,26 @@
 	return nil
 }
 
+func (h *Home) cut(now time.Time) []cicadaledger.Batch {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var batches []cicadaledger.Batch
+	for _, o := range h.parts {
+		if b := o.ledger.Cut(o.fence.Incarnation, now); b != nil {
+			batches = append(batches, *b)
+			o.sinceCheck++
+		}
+	}
+	return batches
+}
+
 // drop forgets partitions that another process is the home of by now.
 func (h *Home) drop(batches []cicadaledger.Batch, lost map[cicadaledger.PartitionID]bool) []cicadaledger.Batch {
 	var rest []cicadaledger.Batch
 	for id := range lost {
 		h.cfg.Log.WithField("partition", id.String()).Info("superseded as home")
 		h.cfg.Counts.Add("homesLost", 1)
-		delete(h.parts, id)
+		h.forget(id)
 	}
 	for _, b := range batches {
 		if !lost[b.Partition] {
@@ -155,7 +176,7 @@
 		Writes:     append([]cicadastore.Write{{Ref: row, Value: value}}, writes...),
 	}
 	for _, b := range batches {
-		o := h.parts[b.Partition]
+		o := h.part(b.Partition)
 		txn.Conditions = append(txn.Conditions, cicadastore.Condition{Ref: fenceRef(b.Partition), Version: o.version})
 	}
 	conflict, err := h.commitUntilKnown(txn, row)
@@ -216,21 +237,12 @@
 	h.mu.Unlock()
 }
 
+// isDry tells whether a budget was found fully allotted a moment ago.
+func (o *owned) isDry(budget string, now time.Time) bool { return now.Before(o.dry[budget]) }
+
 // allot raises the region's allotment of the budgets that the exchanges lack.
 func (h *Home) allot(subs []*submission, now time.Time) {
-	short := make(map[string]cicadaledger.Amount)
-	owner := make(map[string]*owned)
-	for _, s := range subs {
-		o := h.parts[s.item.Partition]
-		for _, a := range o.ledger.Shortfall(&s.item.Exchange) {
-			if now.Before(o.dry[a.Budget]) {
-				continue
-			}
-			sum := short[a.Budget]
-			short[a.Budget] = cicadaledger.Amount{Budget: a.Budget, Units: sum.Units + a.Units}
-			owner[a.Budget] = o
-		}
-	}
+	short, owner := h.shortfalls(subs, now)
 	if len(short) == 0 {
 		return
 	}
@@ -247,6 +259,29 @@
 	}
 }
 
+// shortfalls sums what the exchanges lack of each budget, and finds its owner.
+func (h *Home) shortfalls(subs []*submission, now time.Time) (map[string]cicadaledger.Amount, map[string]*owned) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	short := make(map[string]cicadaledger.Amount)
+	owner := make(map[string]*owned)
+	for _, s := range subs {
+		o, ok := h.parts[s.item.Partition]
+		if !ok {
+			continue
+		}
+		for _, a := range o.ledger.Shortfall(&s.item.Exchange) {
+			if o.isDry(a.Budget, now) {
+				continue
+			}
+			sum := short[a.Budget]
+			short[a.Budget] = cicadaledger.Amount{Budget: a.Budget, Units: sum.Units + a.Units}
+			owner[a.Budget] = o
+		}
+	}
+	return short, owner
+}
+
 // allotAttempts bounds how often an allotment is tried for waiting exchanges.
 const allotAttempts = 3
 
@@ -306,6 +341,8 @@
 		h.drop(batches, lost)
 		return errFenced
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for i := range batches {
 		o := h.parts[batches[i].Partition]
 		if err := o.ledger.Apply(&batches[i]); err != nil {
--- a/internal/cicadahome/home.go
+++ b/internal/cicadahome/home.go
@@ -75,19 +75,18 @@
 		done     chan struct{}
 		ctx      context.Context
 		cancel   context.CancelFunc
-		// stateAsked and stateTold carry a request for the state and its answer.
-		stateAsked chan struct{}
-		stateTold  chan []PartitionState
 
 		// The committer owns the fields below.
 		nextRow   uint64
-		parts     map[cicadaledger.PartitionID]*owned
 		acquiring map[cicadaledger.PartitionID][]*submission
 		lastRun   time.Time
 		released  bool
 
-		mu    sync.Mutex // guards state
-		state []PartitionState
+		// mu guards the fields below and all that parts lead to. Only the
+		// committer changes parts and ledgers; it holds mu while it does, and
+		// never during a call to the platform.
+		mu    sync.Mutex
+		parts map[cicadaledger.PartitionID]*owned
 		// rowFloor is the first log row that may still be written, read by
 		// take-overs in progress.
 		rowFloor uint64
@@ -125,7 +124,8 @@
 		checkedAt  time.Time
 		err        error // why the take-over failed
 		homeAddr   string
-		dry        map[string]time.Time // budgets found fully allotted, until when
+		claims     map[string]volatileClaim // keys of idempotent requests that run
+		dry        map[string]time.Time     // budgets found fully allotted, until when
 	}
 )
 
@@ -145,9 +145,6 @@
 		parts:     make(map[cicadaledger.PartitionID]*owned),
 		acquiring: make(map[cicadaledger.PartitionID][]*submission),
 		rowFloor:  1,
-
-		stateAsked: make(chan struct{}, 1),
-		stateTold:  make(chan []PartitionState),
 	}
 }
 
@@ -224,8 +221,6 @@
 			h.finishAcquire(o)
 		case s := <-h.submit:
 			h.cycle(s)
-		case <-h.stateAsked:
-			h.tellState()
 		case <-tick.C:
 			h.maintain()
 		}
@@ -241,7 +236,7 @@
 		if s.ctx.Err() != nil {
 			continue
 		}
-		if _, ok := h.parts[s.item.Partition]; !ok {
+		if h.part(s.item.Partition) == nil {
 			h.acquire(s)
 			continue
 		}
@@ -252,6 +247,13 @@
 	}
 }
 
+// part returns a partition of this home, or nil.
+func (h *Home) part(id cicadaledger.PartitionID) *owned {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.parts[id]
+}
+
 // pace keeps the commit interval, which bounds the fleet's writes.
 func (h *Home) pace() {
 	wait := h.cfg.CommitInterval() - time.Since(h.lastRun)
--- a/internal/cicadahome/once.go
+++ b/internal/cicadahome/once.go
@@ -24,20 +24,7 @@
 // loadOnceKeys reads the rows of claimed keys that the ledger does not know
 // (any more), before the claims are decided.
 func (h *Home) loadOnceKeys(subs []*submission) error {
-	var refs []cicadastore.Ref
-	owner := make(map[string]*owned)
-	for _, s := range subs {
-		o := h.parts[s.item.Partition]
-		if o == nil {
-			continue
-		}
-		for _, c := range s.item.Exchange.Claims {
-			if c.Once && !o.ledger.KnowsKey(c.Key) {
-				refs = append(refs, onceRef(c.Key))
-				owner[c.Key] = o
-			}
-		}
-	}
+	refs, owner := h.unknownKeys(subs)
 	if len(refs) == 0 {
 		return nil
 	}
@@ -47,6 +34,8 @@
 	if err != nil {
 		return err
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for _, row := range rows {
 		if row.Version == 0 {
 			continue
@@ -63,6 +52,27 @@
 	return nil
 }
 
+// unknownKeys lists the rows of claimed keys that no ledger knows.
+func (h *Home) unknownKeys(subs []*submission) ([]cicadastore.Ref, map[string]*owned) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var refs []cicadastore.Ref
+	owner := make(map[string]*owned)
+	for _, s := range subs {
+		o, ok := h.parts[s.item.Partition]
+		if !ok {
+			continue
+		}
+		for _, c := range s.item.Exchange.Claims {
+			if c.Once && !o.ledger.KnowsKey(c.Key) {
+				refs = append(refs, onceRef(c.Key))
+				owner[c.Key] = o
+			}
+		}
+	}
+	return refs, owner
+}
+
 // onceWrites returns the rows of keys that batches claim or bill.
 func onceWrites(batches []cicadaledger.Batch) []cicadastore.Write {
 	var out []cicadastore.Write
--- a/internal/cicadahome/takeover.go
+++ b/internal/cicadahome/takeover.go
@@ -38,7 +38,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(h.ctx, takeoverTimeout)
 		defer cancel()
-		o := &owned{id: id, dry: make(map[string]time.Time), checkedAt: time.Now()}
+		o := newOwned(id)
 		o.err = h.takeOver(ctx, o)
 		select {
 		case h.acquired <- o:
@@ -47,6 +47,13 @@
 	}()
 }
 
+func newOwned(id cicadaledger.PartitionID) *owned {
+	return &owned{
+		id: id, checkedAt: time.Now(),
+		dry: make(map[string]time.Time), claims: make(map[string]volatileClaim),
+	}
+}
+
 // finishAcquire serves or refuses the exchanges that waited for a take-over.
 func (h *Home) finishAcquire(o *owned) {
 	waiting := h.acquiring[o.id]
@@ -64,7 +71,9 @@
 		return
 	}
 	h.cfg.Counts.Add("homesTaken", 1)
+	h.mu.Lock()
 	h.parts[o.id] = o
+	h.mu.Unlock()
 	var live []*submission
 	for _, s := range waiting {
 		if s.ctx.Err() == nil {
--- a/internal/cicadaledger/apply.go
+++ b/internal/cicadaledger/apply.go
@@ -73,12 +73,13 @@
 
 // Stage decides x and applies the step ahead of its commit. The answer may be
 // told only once the batch that Cut returns is committed; if that fails, the
-// whole partition has to be dropped and read again.
-func (p *Partition) Stage(x *Exchange, now time.Time) (Answer, error) {
+// whole partition has to be dropped and read again. IsDry tells whether a budget
+// has nothing left to allot.
+func (p *Partition) Stage(x *Exchange, isDry func(budget string) bool, now time.Time) (Answer, error) {
 	if err := p.check(x); err != nil {
 		return Answer{}, err
 	}
-	return p.StageStep(p.Decide(x, now), now)
+	return p.StageStep(p.Decide(x, isDry, now), now)
 }
 
 // check refuses an exchange that gives up more than its holder has.
@@ -217,6 +218,7 @@
 		p.keys[bill.Key] = k
 	}
 	k.requestID, k.holder, k.at = bill.RequestID, by, at
+	k.fingerprint = bill.Fingerprint
 	k.once = k.once || bill.Once
 	k.billed = bill.Outcome != OutcomeUnknown
 	k.lost = !k.billed
@@ -311,7 +313,7 @@
 
 // EncodeCheckpoint returns c in the form kept in the object store.
 func EncodeCheckpoint(c *Checkpoint) ([]byte, error) {
-	data, err := cbor.Marshal(c)
+	data, err := encoding.Marshal(c)
 	return data, errors.Wrap(err, "encode checkpoint")
 }
 
--- a/internal/cicadaledger/batch.go
+++ b/internal/cicadaledger/batch.go
@@ -129,6 +129,9 @@
 		Remaining cicadabudget.Units `cbor:"2,keyasint" json:"r"`
 		// HeldElsewhere is the part of Remaining that other routers hold.
 		HeldElsewhere cicadabudget.Units `cbor:"3,keyasint" json:"e"`
+		// Final tells that the whole prepaid total is allotted: nothing can be
+		// added to Remaining without a top-up or another region's return.
+		Final bool `cbor:"4,keyasint,omitempty" json:"f,omitempty"`
 	}
 
 	// Verdict is the answer to one claim.
@@ -192,9 +195,21 @@
 	return b.Units == 0 && (b.Outcome == OutcomeNotRun || b.Outcome == OutcomeCut)
 }
 
+// encoding keeps times to the microsecond: the order of bills and top-ups within
+// a second matters to an audit.
+var encoding = newEncoding()
+
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
 // EncodeRecord returns r in the form kept in the platform's tables.
 func EncodeRecord(r *Record) ([]byte, error) {
-	data, err := cbor.Marshal(r)
+	data, err := encoding.Marshal(r)
 	return data, errors.Wrap(err, "encode record")
 }
 
--- a/internal/cicadaledger/partition.go
+++ b/internal/cicadaledger/partition.go
@@ -220,7 +220,7 @@
 
 // Decide works out the effect of x on the present state. It changes nothing:
 // the step takes effect by Apply with its batch.
-func (p *Partition) Decide(x *Exchange, now time.Time) Step {
+func (p *Partition) Decide(x *Exchange, isDry func(budget string) bool, now time.Time) Step {
 	s := Step{Holder: x.Holder, Returns: x.Returns, Answer: Answer{Seq: x.Seq}, Gone: x.Closing}
 	freed := make(map[string]cicadabudget.Units)
 	for _, r := range x.Returns {
@@ -242,7 +242,7 @@
 			s.Claims = append(s.Claims, c)
 		}
 	}
-	p.decideGrants(x, freed, &s.Answer)
+	p.decideGrants(x, freed, isDry, &s.Answer)
 	return s
 }
 
@@ -292,17 +292,38 @@
 	return v
 }
 
-func (p *Partition) decideGrants(x *Exchange, freed map[string]cicadabudget.Units, a *Answer) {
+// Look tells what the ledger knows of a claim, without recording it.
+func (p *Partition) Look(c Claim, by Holder, now time.Time) Verdict {
+	return p.decideClaim(c, by, make(map[string]*key), now)
+}
+
+// NoteRerun counts a run, at no charge, of a request that is billed already.
+func (p *Partition) NoteRerun(name string) {
+	if k, ok := p.keys[name]; ok {
+		k.replays++
+	}
+}
+
+// IsBilled tells whether a request key has its bill.
+func (p *Partition) IsBilled(name string) bool {
+	k, ok := p.keys[name]
+	return ok && k.billed
+}
+
+func (p *Partition) decideGrants(
+	x *Exchange, freed map[string]cicadabudget.Units, isDry func(budget string) bool, a *Answer,
+) {
 	granted := make(map[string]cicadabudget.Units)
 	for _, ask := range x.Asks {
 		b := p.budget(ask.Budget)
 		available := b.available() + freed[ask.Budget] - granted[ask.Budget]
-		units := grant(ask, available, b.holders)
+		dry := isDry(ask.Budget)
+		units := grant(ask, available, b.holders, dry)
 		if units > 0 {
 			granted[ask.Budget] += units
 			a.Grants = append(a.Grants, Amount{Budget: ask.Budget, Units: units})
 		}
-		if units >= max(ask.Min, ask.Want) {
+		if units >= max(ask.Min, ask.Want) || (units > 0 && units >= ask.Min && !dry) {
 			continue
 		}
 		own := p.holder(x.Holder).held[ask.Budget]
@@ -310,24 +331,23 @@
 			Budget:        ask.Budget,
 			Remaining:     b.allotted - b.spent - b.withheld,
 			HeldElsewhere: b.held - own,
+			Final:         dry,
 		})
 	}
 }
 
-// grant shares what is available: in full while there is plenty, and near the
+// grant shares what is available. While more can be allotted an ask is met as
+// far as possible. Once the budget is dry a router gets a share, and near the
 // end just what the waiting request lacks, so that the last units are not held
 // by one router while another refuses.
-func grant(ask Ask, available cicadabudget.Units, holders int) cicadabudget.Units {
+func grant(ask Ask, available cicadabudget.Units, holders int, dry bool) cicadabudget.Units {
 	want := max(ask.Min, ask.Want)
-	if available <= 0 {
+	if available <= 0 || ask.Min > available {
 		return 0
 	}
-	share := available / cicadabudget.Units(scarceShare*max(holders, 1))
-	if want <= share {
-		return want
-	}
-	if ask.Min > available {
-		return 0
+	if !dry {
+		return min(want, available)
 	}
+	share := available / cicadabudget.Units(scarceShare*max(holders, 1))
 	return max(ask.Min, min(share, want))
 }
--- a/internal/cicadaload/caller.go
+++ b/internal/cicadaload/caller.go
@@ -31,7 +31,7 @@
 	Cut     Verdict = "cut"     // ended early, and said so
 	Silent  Verdict = "silent"  // ended early without a word
 	Refused Verdict = "refused" // a problem document
-	Lost    Verdict = "lost"    // no answer: the connection failed
+	Lost    Verdict = "lost"    // no answer, or part of it: the connection failed
 )
 
 type (
@@ -187,8 +187,8 @@
 	ended, cut := false, false
 	for ev, err := range sse.Read(io.LimitReader(r, maxReply), nil) {
 		if err != nil {
-			res.Detail = err.Error()
-			break
+			res.Verdict, res.Detail = Lost, err.Error()
+			return
 		}
 		if ev.Type == "error" {
 			cut = true
--- a/internal/cicadamember/members.go
+++ b/internal/cicadamember/members.go
@@ -108,6 +108,17 @@
 	return out
 }
 
+// Leaving lists the hosts that still run and take no new work, by name.
+func (t *Table) Leaving(now time.Time) []cicadastore.Host {
+	var out []cicadastore.Host
+	for _, v := range t.All(now) {
+		if v.State == cicadastore.HostLeaving && !v.Suspected {
+			out = append(out, v.Host)
+		}
+	}
+	return out
+}
+
 // All lists every known host, by name.
 func (t *Table) All(now time.Time) []HostView {
 	out := make([]HostView, 0, len(t.hosts))
--- a/internal/cicadapeer/client.go
+++ b/internal/cicadapeer/client.go
@@ -69,6 +69,11 @@
 	return call[ExchangeReply](ctx, c, addr, methodExchange, req)
 }
 
+// Claim asks a home for the key of an idempotent request.
+func (c *Client) Claim(ctx context.Context, addr string, req *ClaimRequest) (*ClaimReply, error) {
+	return call[ClaimReply](ctx, c, addr, methodClaim, req)
+}
+
 // Beat sends a heartbeat and returns the peer's own.
 func (c *Client) Beat(ctx context.Context, addr string, beat *Beat) (*Beat, error) {
 	return call[Beat](ctx, c, addr, methodBeat, beat)
--- a/internal/cicadapeer/conn.go
+++ b/internal/cicadapeer/conn.go
@@ -32,8 +32,8 @@
 		in, out Traffic
 	}
 
-	// boundedChannel ends a connection on which a message is too large,
-	// before that message is read whole.
+	// boundedChannel compresses messages. It ends a connection on which a
+	// message is too large, before that message is read whole.
 	boundedChannel struct {
 		channel.Channel
 		r *boundedReader
@@ -66,14 +66,22 @@
 	return n, err
 }
 
+func (c *boundedChannel) Send(msg []byte) error {
+	return c.Channel.Send(compress(msg))
+}
+
 func (c *boundedChannel) Recv() ([]byte, error) {
 	c.r.left = maxMessage
-	return c.Channel.Recv()
+	data, err := c.Channel.Recv()
+	if err != nil {
+		return nil, err
+	}
+	return decompress(data)
 }
 
 func newChannel(conn net.Conn) channel.Channel {
 	r := &boundedReader{r: conn}
-	return &boundedChannel{Channel: channel.Line(r, conn), r: r}
+	return &boundedChannel{Channel: channel.Header("")(r, conn), r: r}
 }
 
 // controlSocket makes the kernel give up a connection whose data is not
--- a/internal/cicadapeer/message.go
+++ b/internal/cicadapeer/message.go
@@ -1,5 +1,6 @@
 // Package cicadapeer carries the fleet's own messages: JSON-RPC 2.0 by jrpc2,
-// a line each, over TCP with mutual TLS. The protocol's version is negotiated
+// each compressed by zstd with a fixed dictionary, over TCP with mutual TLS. The
+// protocol's version is negotiated
 // as the TLS application protocol, so that processes of different versions
 // either understand each other or do not connect.
 package cicadapeer
@@ -15,6 +16,7 @@
 // Methods of the protocol.
 const (
 	methodExchange = "exchange"
+	methodClaim    = "claim"
 	methodBeat     = "beat"
 	methodAnswer   = "answer"
 	methodRecall   = "recall"
@@ -68,13 +70,30 @@
 		Items []ItemReply `json:"i"`
 	}
 
+	// ClaimRequest asks the home for the key of an idempotent request, or
+	// gives it back. The home answers from memory: if it forgets, a second bill
+	// for the key is voided all the same.
+	ClaimRequest struct {
+		Partition cicadaledger.PartitionID `json:"p"`
+		Holder    cicadaledger.Holder      `json:"h"`
+		Claim     cicadaledger.Claim       `json:"c"`
+		Release   bool                     `json:"e,omitempty"`
+	}
+
+	// ClaimReply is the home's verdict, or the fault.
+	ClaimReply struct {
+		Verdict  cicadaledger.Verdict `json:"v,omitzero"`
+		Fault    Fault                `json:"f,omitempty"`
+		HomeAddr string               `json:"h,omitempty"`
+	}
+
 	// Beat is a heartbeat, sent and answered alike.
 	Beat struct {
-		Host      cicadaledger.Holder `json:"host"`
-		ChangeSeq uint64              `json:"changeSeq"`
-		Leaving   bool                `json:"leaving,omitempty"`
+		Host      cicadaledger.Holder `json:"h"`
+		ChangeSeq uint64              `json:"c"`
+		Leaving   bool                `json:"l,omitempty"`
 		// LeavingRunners are addresses of runners that refuse new work.
-		LeavingRunners []string `json:"leavingRunners,omitempty"`
+		LeavingRunners []string `json:"r,omitempty"`
 	}
 
 	// AnswerRequest asks for the kept answer of a request.
@@ -112,6 +131,7 @@
 	// Handler serves the protocol's methods.
 	Handler interface {
 		Exchange(ctx context.Context, req *ExchangeRequest) (*ExchangeReply, error)
+		Claim(ctx context.Context, req *ClaimRequest) (*ClaimReply, error)
 		Beat(ctx context.Context, beat *Beat) (*Beat, error)
 		Answer(ctx context.Context, req *AnswerRequest) (*AnswerReply, error)
 		Recall(ctx context.Context, req *RecallRequest) (*Empty, error)
--- a/internal/cicadapeer/server.go
+++ b/internal/cicadapeer/server.go
@@ -126,6 +126,7 @@
 	h := s.cfg.Handler
 	return handler.Map{
 		methodExchange: handler.New(limited(limit, h.Exchange)),
+		methodClaim:    handler.New(limited(limit, h.Claim)),
 		methodBeat:     handler.New(limited(limit, h.Beat)),
 		methodAnswer:   handler.New(limited(limit, h.Answer)),
 		methodRecall:   handler.New(limited(limit, h.Recall)),
--- a/internal/cicadarouter/attempt.go
+++ b/internal/cicadarouter/attempt.go
@@ -234,6 +234,9 @@
 		bill.Units = min(bill.Units, most)
 		bill.Withheld = most - bill.Units
 	}
+	if bill.Units == 0 && bill.Withheld == 0 && !j.once {
+		j.withdraw()
+	}
 	recorded, err := j.r.session.Settle(j.reservation, bill)
 	if err != nil {
 		j.r.cfg.Log.WithError(err).WithField("requestId", j.id).Error("request not settled; please report this")
--- a/internal/cicadarouter/chat.go
+++ b/internal/cicadarouter/chat.go
@@ -1,6 +1,7 @@
 package cicadarouter
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -150,14 +151,29 @@
 	if c.maxTokens > j.rules.MaxTokens {
 		return cicadarefusal.New(cicadarefusal.TooManyTokens, cicadarefusal.NotRun, "%d asked, %d allowed", c.maxTokens, j.rules.MaxTokens)
 	}
-	// A token is at least one byte.
 	for _, m := range c.messages {
-		j.promptBound += cicadabudget.Units(len(m) + perMessageTokens)
+		j.promptBound += promptBound(m)
 	}
 	j.outputBound = cicadabudget.Units(c.maxTokens)
 	return j.readKey(body)
 }
 
+// promptBound returns the most tokens that a message can be: a token is at least
+// one byte of its content. A message with other fields than plain text, such as
+// parts or tool calls, is bounded by its whole encoding.
+func promptBound(message json.RawMessage) cicadabudget.Units {
+	var plain struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	dec := json.NewDecoder(bytes.NewReader(message))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&plain); err != nil {
+		return cicadabudget.Units(len(message) + perMessageTokens)
+	}
+	return cicadabudget.Units(len(plain.Content) + perMessageTokens)
+}
+
 // serviceOf finds the service that serves a model and knows the caller's key.
 func (j *job) serviceOf(model string) (*cicadaconfig.Service, *cicadarefusal.Refusal) {
 	ref := cicadarefusal.New(cicadarefusal.UnknownModel, cicadarefusal.NotRun, "no service serves %q", model)
--- a/internal/cicadarouter/claim.go
+++ b/internal/cicadarouter/claim.go
@@ -16,11 +16,13 @@
 const (
 	// claimWait bounds the wait for the home's word on an idempotent key. If
 	// it does not come the request runs; a second bill would be voided.
-	claimWait = 150 * time.Millisecond
+	claimWait = 200 * time.Millisecond
 	// onceWait bounds the wait for a claim that has to be recorded first.
 	onceWait = 2 * time.Second
-	// fetchWait bounds the fetch of a kept answer from another router.
-	fetchWait = 500 * time.Millisecond
+	// joinWait bounds the wait for a running attempt with the same key, and
+	// fetchWait the fetch of its answer from another router.
+	joinWait  = 400 * time.Millisecond
+	fetchWait = 800 * time.Millisecond
 )
 
 // claim asks the home of the budget whether the request's key is free. It
@@ -34,16 +36,21 @@
 	if err != nil {
 		return false, j.claimFailed(c, err)
 	}
-	if v.State == cicadaledger.KeyBilled {
-		if j.replay(ctx, v) {
-			return true, nil
-		}
-		if !j.once {
-			c.Rerun = true
-			if v, err = j.askClaim(ctx, c); err != nil {
-				return false, j.claimFailed(c, err)
-			}
-		}
+	if v.State != cicadaledger.KeyBilled && v.State != cicadaledger.KeyRunning {
+		return false, j.judge(v)
+	}
+	state := j.replay(ctx, v)
+	if state == replayDone {
+		return true, nil
+	}
+	if j.once || state == replayRunning {
+		return false, j.judge(v)
+	}
+	// The answer is lost with its router, and the request is idempotent: it may
+	// run again. A second bill for the key would be voided.
+	c.Rerun = true
+	if v, err = j.askClaim(ctx, c); err != nil {
+		return false, j.claimFailed(c, err)
 	}
 	return false, j.judge(v)
 }
@@ -55,7 +62,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	v, err := j.r.session.Claim(ctx, j.budget, c)
+	ask := j.r.session.Claim
+	if j.once {
+		ask = j.r.session.ClaimOnce
+	}
+	v, err := ask(ctx, j.budget, c)
 	ev := &cicadatrail.Claimed{Verdict: v.State}
 	if v.RequestID != j.id {
 		ev.FirstRequest = v.RequestID
@@ -77,7 +88,6 @@
 		j.r.session.Withdraw(j.budget, c)
 		return cicadarefusal.New(cicadarefusal.ClaimNotRecorded, cicadarefusal.NotRun, "%v", err)
 	default:
-		j.claimed = true
 		j.r.metrics.Router.Add("claimsWithoutVerdict", 1)
 		return nil
 	}
@@ -102,11 +112,26 @@
 	}
 }
 
-// replay sends the kept answer of the request that the key was billed for.
-func (j *job) replay(ctx context.Context, v cicadaledger.Verdict) bool {
+// replayState tells what became of an earlier attempt's answer.
+type replayState int
+
+const (
+	replayDone    replayState = iota // the caller has it
+	replayRunning                    // the attempt goes on
+	replayGone                       // nobody has it
+)
+
+// replay joins the attempt that has the request's key: it waits a while for its
+// end and sends the kept answer.
+func (j *job) replay(ctx context.Context, v cicadaledger.Verdict) replayState {
 	kept, err := j.fetch(ctx, v)
-	if err != nil || !kept.Found {
-		return false
+	switch {
+	case errors.Is(err, cicadapeer.ErrUnreachable):
+		return replayGone
+	case err != nil || kept.Running:
+		return replayRunning
+	case !kept.Found:
+		return replayGone
 	}
 	j.w.Header().Set("Content-Type", kept.Kept.ContentType)
 	j.w.Header().Set("Idempotent-Replayed", "true")
@@ -116,19 +141,19 @@
 	j.trail.Add(&cicadatrail.Delivered{
 		Status: kept.Kept.Status, Bytes: int64(n), Note: "the kept answer of request " + v.RequestID + ", billed once",
 	})
-	return true
+	return replayDone
 }
 
 func (j *job) fetch(ctx context.Context, v cicadaledger.Verdict) (*cicadapeer.AnswerReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchWait)
+	defer cancel()
 	if v.Holder == j.r.holder() {
-		return j.r.kept.get(v.RequestID), nil
+		return j.r.kept.await(ctx, v.RequestID), nil
 	}
 	host, ok := j.r.fleet.Host(v.Holder.Host)
 	if !ok || host.Incarnation != v.Holder.Incarnation {
 		return &cicadapeer.AnswerReply{}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchWait)
-	defer cancel()
 	return j.r.peers.Answer(ctx, host.PeerAddr, &cicadapeer.AnswerRequest{RequestID: v.RequestID})
 }
 
@@ -137,9 +162,12 @@
 	if !j.claimed {
 		return
 	}
-	j.r.session.Withdraw(j.budget, cicadaledger.Claim{
-		Key: j.key, RequestID: j.id, Fingerprint: j.fingerprint, Once: j.once,
-	})
+	c := cicadaledger.Claim{Key: j.key, RequestID: j.id, Fingerprint: j.fingerprint, Once: j.once}
+	if j.once {
+		j.r.session.Withdraw(j.budget, c)
+		return
+	}
+	j.r.session.Release(j.budget, c)
 }
 
 // refusalOf turns an error of a reservation into a refusal.
--- a/internal/cicadarouter/job.go
+++ b/internal/cicadarouter/job.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
 	"fmt"
 	"net/http"
 	"time"
@@ -121,8 +121,8 @@
 	if len(raw) > maxKeyLength || !isPrintable(raw) {
 		return cicadarefusal.New(cicadarefusal.KeyInvalid, cicadarefusal.NotRun, "the key has %d bytes", len(raw))
 	}
-	j.key = digest(j.budget, raw)
-	j.fingerprint = digest(j.req.Method, j.req.URL.RequestURI(), string(body))
+	j.key = digest(keyDigestSize, j.budget, raw)
+	j.fingerprint = digest(fingerprintSize, j.req.Method, j.req.URL.RequestURI(), string(body))
 	return nil
 }
 
@@ -135,13 +135,20 @@
 	return true
 }
 
-// digest returns a short digest of parts, with their borders kept.
-func digest(parts ...string) string {
+const (
+	// keyDigestSize and fingerprintSize are lengths of digests, in bytes. A key
+	// must not meet another by chance; a fingerprint finds mistakes only.
+	keyDigestSize   = 16
+	fingerprintSize = 6
+)
+
+// digest returns a digest of parts, with their borders kept.
+func digest(size int, parts ...string) string {
 	h := sha256.New()
 	for _, p := range parts {
 		fmt.Fprintf(h, "%d:%s", len(p), p)
 	}
-	return hex.EncodeToString(h.Sum(nil)[:16])
+	return base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:size])
 }
 
 // context returns the context that the request runs under. A request with a key
@@ -172,6 +179,15 @@
 	if ref == nil {
 		ref = j.reserve(ctx)
 	}
+	if ref == nil && j.key != "" && !j.claimed {
+		// The reservation has made sure of a home that can give a verdict.
+		if replayed, ref = j.claim(ctx); replayed || ref != nil {
+			j.unreserve()
+		}
+		if replayed {
+			return
+		}
+	}
 	if ref != nil {
 		j.withdraw()
 		j.refuse(ref)
@@ -207,6 +223,13 @@
 	return j.refusalOf(err, units)
 }
 
+// unreserve frees a reservation of which nothing was used.
+func (j *job) unreserve() {
+	if _, err := j.r.session.Settle(j.reservation, j.bill(0, 0, cicadaledger.OutcomeNotRun)); err != nil {
+		j.r.cfg.Log.WithError(err).WithField("requestId", j.id).Error("reservation not freed; please report this")
+	}
+}
+
 // bill returns the request's bill with the units that it used.
 func (j *job) bill(units, withheld cicadabudget.Units, out cicadaledger.Outcome) cicadaledger.Bill {
 	return cicadaledger.Bill{
--- a/internal/cicadarouter/kept.go
+++ b/internal/cicadarouter/kept.go
@@ -1,6 +1,7 @@
 package cicadarouter
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 	keptAnswer struct {
 		requestID string
 		at        time.Time
+		ended     chan struct{} // closed when the request has ended
 		running   bool
 		answer    cicadapeer.KeptAnswer
 	}
@@ -41,7 +43,7 @@
 func (s *answerStore) begin(requestID string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.byID[requestID] = &keptAnswer{requestID: requestID, running: true}
+	s.byID[requestID] = &keptAnswer{requestID: requestID, running: true, ended: make(chan struct{})}
 }
 
 // end keeps a whole answer, or forgets a request that has none.
@@ -52,6 +54,7 @@
 	if !ok {
 		return
 	}
+	close(k.ended)
 	if answer == nil || len(answer.Body) > keptEach {
 		delete(s.byID, requestID)
 		return
@@ -91,6 +94,23 @@
 	return &cicadapeer.AnswerReply{Found: true, Kept: k.answer}
 }
 
+// await returns what is kept of a request, waiting a while for its end.
+func (s *answerStore) await(ctx context.Context, requestID string) *cicadapeer.AnswerReply {
+	s.mu.Lock()
+	k, ok := s.byID[requestID]
+	s.mu.Unlock()
+	if !ok {
+		return &cicadapeer.AnswerReply{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinWait)
+	defer cancel()
+	select {
+	case <-k.ended:
+	case <-ctx.Done():
+	}
+	return s.get(requestID)
+}
+
 // size returns the number of answers and their bytes.
 func (s *answerStore) size() (answers, bytes int) {
 	s.mu.Lock()
--- a/internal/cicadarouter/peer.go
+++ b/internal/cicadarouter/peer.go
@@ -17,15 +17,20 @@
 	return h.r.home.Exchange(ctx, req), nil
 }
 
+// Claim answers for the keys of idempotent requests.
+func (h *peerHandler) Claim(_ context.Context, req *cicadapeer.ClaimRequest) (*cicadapeer.ClaimReply, error) {
+	return h.r.home.Claim(req), nil
+}
+
 // Beat takes a heartbeat and answers with this host's.
 func (h *peerHandler) Beat(_ context.Context, b *cicadapeer.Beat) (*cicadapeer.Beat, error) {
 	h.r.fleet.Heard(b)
 	return h.r.fleet.Beat(), nil
 }
 
-// Answer returns a kept answer.
-func (h *peerHandler) Answer(_ context.Context, req *cicadapeer.AnswerRequest) (*cicadapeer.AnswerReply, error) {
-	return h.r.kept.get(req.RequestID), nil
+// Answer returns a kept answer, waiting a while for a request that runs.
+func (h *peerHandler) Answer(ctx context.Context, req *cicadapeer.AnswerRequest) (*cicadapeer.AnswerReply, error) {
+	return h.r.kept.await(ctx, req.RequestID), nil
 }
 
 // Recall makes the session return idle units.
--- a/internal/cicadasession/manager.go
+++ b/internal/cicadasession/manager.go
@@ -52,6 +52,8 @@
 		// Exchange returns the answer, or an error if no home answered. The
 		// exchange may have taken effect all the same.
 		Exchange(ctx context.Context, item *cicadapeer.ExchangeItem) (*cicadaledger.Answer, error)
+		// Claim asks the home for the key of an idempotent request.
+		Claim(ctx context.Context, req *cicadapeer.ClaimRequest) (cicadaledger.Verdict, error)
 	}
 
 	// Counter counts events by name.
@@ -189,13 +191,13 @@
 // have these units.
 func (m *Manager) isExhausted(budget string, units cicadabudget.Units) bool {
 	s, ok := m.shortage[budget]
-	return ok && m.cfg.Now().Sub(s.at) < scarceFor && s.Remaining-m.slices.Pending(budget) < units
+	return ok && s.Final && m.cfg.Now().Sub(s.at) < scarceFor && s.Remaining-m.slices.Pending(budget) < units
 }
 
 func (m *Manager) whyShort(budget string) error {
 	s, ok := m.shortage[budget]
 	switch {
-	case !ok || m.cfg.Now().Sub(s.at) >= scarceFor:
+	case !ok || !s.Final || m.cfg.Now().Sub(s.at) >= scarceFor:
 		return ErrHomeAway
 	case s.HeldElsewhere > 0:
 		return ErrShort
@@ -221,7 +223,7 @@
 		return nil, err
 	}
 	recorded := make(chan struct{})
-	if bill.Units == 0 && bill.Withheld == 0 && bill.Key == "" {
+	if bill.Units == 0 && bill.Withheld == 0 && !bill.Once {
 		close(recorded)
 		return recorded, nil
 	}
@@ -231,9 +233,39 @@
 	return recorded, nil
 }
 
-// Claim asks the home whether a request with a key may run. The claim stays
-// queued if ctx ends first; its verdict is then lost, not the claim.
+// Claim asks the home whether an idempotent request with a key may run. The home
+// answers from memory.
 func (m *Manager) Claim(ctx context.Context, budget string, c cicadaledger.Claim) (cicadaledger.Verdict, error) {
+	v, err := m.cfg.Homes.Claim(ctx, m.claimRequest(budget, c))
+	return v, errors.Wrap(err, "claim")
+}
+
+func (m *Manager) claimRequest(budget string, c cicadaledger.Claim) *cicadapeer.ClaimRequest {
+	return &cicadapeer.ClaimRequest{Partition: cicadaledger.PartitionOf(m.cfg.Region, budget), Holder: m.cfg.Self, Claim: c}
+}
+
+// releaseTimeout bounds the return of a claim that is not needed any more.
+const releaseTimeout = time.Second
+
+// Release gives the key of an idempotent request back that will not be billed.
+func (m *Manager) Release(budget string, c cicadaledger.Claim) {
+	req := m.claimRequest(budget, c)
+	req.Release = true
+	m.wg.Add(1)
+	go func() {
+		defer m.wg.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if _, err := m.cfg.Homes.Claim(ctx, req); err != nil {
+			m.cfg.Counts.Add("releasesFailed", 1)
+		}
+	}()
+}
+
+// ClaimOnce asks the home to record that a request that may run at most once is
+// about to run. The claim stays queued if ctx ends first; its verdict is then
+// lost, not the claim.
+func (m *Manager) ClaimOnce(ctx context.Context, budget string, c cicadaledger.Claim) (cicadaledger.Verdict, error) {
 	verdict := make(chan cicadaledger.Verdict, 1)
 	m.mu.Lock()
 	if m.closing {
@@ -252,7 +284,7 @@
 	}
 }
 
-// Withdraw gives up a claim whose verdict did not come, because the request
+// Withdraw gives up a recorded claim whose verdict did not come, because the request
 // will not run. It is billed as not run, which clears the claim.
 func (m *Manager) Withdraw(budget string, c cicadaledger.Claim) {
 	m.mu.Lock()
