Shorter peer messages: holders and partitions as text

Cause: an exchange took 171 bytes and its reply 89 after compression, a claim 130 and 101; holders and partitions were objects whose parts did not match the request ids beside them.

Change: a holder is written as host-incarnation, the form that request ids begin with, a partition as region/number; a granted verdict repeats nothing; session tickets of TLS stay for now.

--- a/internal/cicadademo/demo.go
+++ b/internal/cicadademo/demo.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"io/fs"
+	"maps"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -61,6 +65,7 @@
 		FirstToken    cicadaload.Quantiles       `json:"firstToken"`
 		TokenGap      cicadaload.Quantiles       `json:"tokenGap"`
 		ControlBytes  float64                    `json:"controlBytesANodeASecond"`
+		PeerCalls     map[string]float64         `json:"peerCallsANodeASecond"`
 		StoreWrites   float64                    `json:"storeTransactionsASecond"`
 		StoreRows     float64                    `json:"storeRowsWrittenASecond"`
 		StoreReads    float64                    `json:"storeReadsASecond"`
@@ -187,6 +192,13 @@
 	for _, r := range w.all {
 		bytes += r.Metrics().ControlBytes()
 	}
+	rep.PeerCalls = make(map[string]float64)
+	for _, r := range w.all {
+		r.Metrics().PeerCalls.Do(func(kv expvar.KeyValue) {
+			n := cicadarouter.Count(r.Metrics().PeerCalls, kv.Key)
+			rep.PeerCalls[kv.Key] += float64(n) / float64(rep.Routers) / rep.Seconds
+		})
+	}
 	rep.ControlBytes = float64(bytes) / float64(rep.Routers) / rep.Seconds
 	counts := w.platform.Counts()
 	rep.StoreWrites = float64(cicadarouter.Count(counts, "commits")) / rep.Seconds
@@ -273,6 +285,15 @@
 	return errors.New("no bill to forge")
 }
 
+// perSecond prints rates by name, in the order of the names.
+func perSecond(rates map[string]float64) string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(rates)) {
+		out = append(out, fmt.Sprintf("%s %.1f", name, rates[name]))
+	}
+	return strings.Join(out, ", ")
+}
+
 // WriteTable prints the report for people.
 func (rep *Report) WriteTable(out io.Writer) error {
 	f := &rep.Findings
@@ -297,6 +318,7 @@
 	line("once-only calls run twice, falsely \"not run\"", "%d, %d", f.TransfersTwice, f.FalseNotRun)
 	line("false refusals", "%d %v", f.FalseRefusals, f.FalseRefusalCodes)
 	line("control bytes a node a second", "%.0f", rep.ControlBytes)
+	line("calls to peers a node a second", "%s", perSecond(rep.PeerCalls))
 	line("store transactions, rows, reads a second", "%.1f, %.1f, %.1f", rep.StoreWrites, rep.StoreRows, rep.StoreReads)
 	line("first token p50, p95, p99", "%.1f, %.1f, %.1f ms", rep.FirstToken.P50, rep.FirstToken.P95, rep.FirstToken.P99)
 	line("token gap p50, p95, p99", "%.1f, %.1f, %.1f ms", rep.TokenGap.P50, rep.TokenGap.P95, rep.TokenGap.P99)
--- a/internal/cicadafleet/exchange.go
+++ b/internal/cicadafleet/exchange.go
@@ -155,9 +155,9 @@
 	case r := <-s.reply:
 		return r
 	case <-ctx.Done():
-		return cicadapeer.ItemReply{Partition: item.Partition, Fault: faultUnreachable}
+		return cicadapeer.ItemReply{Fault: faultUnreachable}
 	case <-f.ctx.Done():
-		return cicadapeer.ItemReply{Partition: item.Partition, Fault: faultUnreachable}
+		return cicadapeer.ItemReply{Fault: faultUnreachable}
 	}
 }
 
@@ -226,8 +226,8 @@
 	}
 	reply, err := s.f.callHome(s.addr, req)
 	for i, e := range batch {
-		r := cicadapeer.ItemReply{Partition: e.item.Partition, Fault: faultUnreachable}
-		if err == nil && i < len(reply.Items) && reply.Items[i].Partition == e.item.Partition {
+		r := cicadapeer.ItemReply{Fault: faultUnreachable}
+		if err == nil && len(reply.Items) == len(batch) {
 			r = reply.Items[i]
 			if r.Fault == cicadapeer.FaultNone && r.Answer == nil {
 				r.Fault = cicadapeer.FaultBad
--- a/internal/cicadahome/commit.go
+++ b/internal/cicadahome/commit.go
@@ -49,7 +49,7 @@
 			a.sub.fail(cicadapeer.FaultNotHome, "")
 		default:
 			answer := a.answer
-			a.sub.send(cicadapeer.ItemReply{Partition: a.sub.item.Partition, Answer: &answer})
+			a.sub.send(cicadapeer.ItemReply{Answer: &answer})
 			h.recallShort(a)
 		}
 	}
--- a/internal/cicadahome/home.go
+++ b/internal/cicadahome/home.go
@@ -187,16 +187,16 @@
 		select {
 		case out.Items[i] = <-s.reply:
 		case <-ctx.Done():
-			out.Items[i] = cicadapeer.ItemReply{Partition: s.item.Partition, Fault: cicadapeer.FaultUnavailable}
+			out.Items[i] = cicadapeer.ItemReply{Fault: cicadapeer.FaultUnavailable}
 		case <-h.done:
-			out.Items[i] = cicadapeer.ItemReply{Partition: s.item.Partition, Fault: cicadapeer.FaultNotHome}
+			out.Items[i] = cicadapeer.ItemReply{Fault: cicadapeer.FaultNotHome}
 		}
 	}
 	return out
 }
 
 func (s *submission) fail(f cicadapeer.Fault, homeAddr string) {
-	s.send(cicadapeer.ItemReply{Partition: s.item.Partition, Fault: f, HomeAddr: homeAddr})
+	s.send(cicadapeer.ItemReply{Fault: f, HomeAddr: homeAddr})
 }
 
 func (s *submission) send(r cicadapeer.ItemReply) {
--- a/internal/cicadaledger/batch.go
+++ b/internal/cicadaledger/batch.go
@@ -20,6 +20,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,8 +50,8 @@
 	// Holder is one start of one router process. A restarted router is a new
 	// holder.
 	Holder struct {
-		Host        string `cbor:"1,keyasint" json:"host"`
-		Incarnation uint64 `cbor:"2,keyasint" json:"incarnation"`
+		Host        string `cbor:"1,keyasint"`
+		Incarnation uint64 `cbor:"2,keyasint"`
 	}
 
 	// Amount is a number of units of one budget.
@@ -136,10 +138,10 @@
 
 	// Verdict is the answer to one claim.
 	Verdict struct {
-		Key       string    `cbor:"1,keyasint" json:"k"`
+		Key       string    `cbor:"1,keyasint" json:"k,omitempty"`
 		State     KeyStatus `cbor:"2,keyasint" json:"s"`
 		RequestID string    `cbor:"3,keyasint,omitempty" json:"r,omitempty"`
-		Holder    Holder    `cbor:"4,keyasint" json:"h"`
+		Holder    Holder    `cbor:"4,keyasint" json:"h,omitzero"`
 	}
 
 	// Step is the recorded effect of one exchange.
@@ -155,8 +157,8 @@
 
 	// PartitionID names a partition of the budgets in one region.
 	PartitionID struct {
-		Region string `cbor:"1,keyasint" json:"region"`
-		Number int    `cbor:"2,keyasint" json:"number"`
+		Region string `cbor:"1,keyasint"`
+		Number int    `cbor:"2,keyasint"`
 	}
 
 	// Batch is one change of a partition. Incarnation is that of its home,
@@ -227,6 +229,53 @@
 	return PartitionID{Region: region, Number: int(xxhash.Sum64String(budget) % Partitions)}
 }
 
+// MarshalText returns the holder as host-incarnation, the form that request ids
+// begin with.
+func (h Holder) MarshalText() ([]byte, error) {
+	if h == (Holder{}) {
+		return nil, nil
+	}
+	return []byte(h.Host + "-" + strconv.FormatUint(h.Incarnation, 36)), nil
+}
+
+// UnmarshalText reads what MarshalText wrote.
+func (h *Holder) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		*h = Holder{}
+		return nil
+	}
+	s := string(text)
+	i := strings.LastIndexByte(s, '-')
+	if i < 0 {
+		return errors.Errorf("%q is no holder", s)
+	}
+	incarnation, err := strconv.ParseUint(s[i+1:], 36, 64)
+	if err != nil {
+		return errors.Wrapf(err, "%q is no holder", s)
+	}
+	*h = Holder{Host: s[:i], Incarnation: incarnation}
+	return nil
+}
+
+// RequestID returns the id of the holder's n-th request.
+func (h Holder) RequestID(n uint64) string {
+	return h.Host + "-" + strconv.FormatUint(h.Incarnation, 36) + "-" + strconv.FormatUint(n, 36)
+}
+
+// MarshalText returns the partition's key in the platform's tables.
+func (id PartitionID) MarshalText() ([]byte, error) { return []byte(id.String()), nil }
+
+// UnmarshalText reads what MarshalText wrote.
+func (id *PartitionID) UnmarshalText(text []byte) error {
+	region, number, _ := strings.Cut(string(text), "/")
+	n, err := strconv.Atoi(number)
+	if err != nil || n < 0 || n >= Partitions {
+		return errors.Errorf("%q is no partition", text)
+	}
+	*id = PartitionID{Region: region, Number: n}
+	return nil
+}
+
 // String returns the partition's key in the platform's tables.
 func (id PartitionID) String() string {
 	return fmt.Sprintf("%s/%03d", id.Region, id.Number)
--- a/internal/cicadaledger/partition.go
+++ b/internal/cicadaledger/partition.go
@@ -268,7 +268,7 @@
 	if k == nil {
 		k = p.keys[c.Key]
 	}
-	granted := Verdict{Key: c.Key, State: KeyGranted, RequestID: c.RequestID, Holder: by}
+	granted := Verdict{State: KeyGranted}
 	if k == nil {
 		claimed[c.Key] = &key{requestID: c.RequestID, fingerprint: c.Fingerprint, holder: by, once: c.Once, at: now}
 		return granted
--- a/internal/cicadaload/caller.go
+++ b/internal/cicadaload/caller.go
@@ -57,6 +57,7 @@
 		Ran        string // of a refusal
 		RequestID  string
 		Replayed   bool
+		Streamed   bool
 		RetryAfter time.Duration
 		FirstToken time.Duration // from sending to the first content
 		Total      time.Duration
@@ -138,6 +139,7 @@
 	case resp.StatusCode != http.StatusOK:
 		readProblem(resp.Body, &res)
 	case strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
+		res.Streamed = true
 		readStream(resp.Body, s, begin, &res)
 	default:
 		readWhole(resp.Body, s, begin, &res)
--- a/internal/cicadaload/run.go
+++ b/internal/cicadaload/run.go
@@ -99,8 +99,10 @@
 	if r.Verdict != Whole {
 		return
 	}
-	record(s.first, r.FirstToken)
 	record(s.total, r.Total)
+	if r.Streamed && !r.Replayed {
+		record(s.first, r.FirstToken)
+	}
 	for _, g := range r.Gaps {
 		record(s.gap, g)
 	}
--- a/internal/cicadapeer/client.go
+++ b/internal/cicadapeer/client.go
@@ -26,6 +26,12 @@
 	ClientConfig struct {
 		Identity *Identity
 		In, Out  Traffic
+		Calls    Counter // by method
+	}
+
+	// Counter counts events by name.
+	Counter interface {
+		Add(name string, delta int64)
 	}
 
 	// Client calls peers by address. It keeps one connection to each and
@@ -102,6 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.cfg.Calls.Add(method, 1)
 	var out R
 	err = rpc.CallResult(ctx, method, params, &out)
 	var rpcErr *jrpc2.Error
--- a/internal/cicadapeer/compress.go
+++ b/internal/cicadapeer/compress.go
@@ -21,18 +21,16 @@
 	`{"jsonrpc":"2.0","id":"12","method":"recall","params":{"budgets":["` +
 	`{"jsonrpc":"2.0","id":"123","method":"answer","params":{"requestID":"` +
 	`{"jsonrpc":"2.0","id":"1234","result":{"found":true,"kept":{"status":200,"contentType":"application/json","body":"` +
-	`{"jsonrpc":"2.0","id":"12345","result":{"v":{"k":"","s":"running","r":"","h":{"host":"","incarnation":17}}}}` +
-	`{"jsonrpc":"2.0","id":"12345","result":{"v":{"k":"","s":"granted","r":"","h":{"host":"","incarnation":17}}}}` +
-	`{"jsonrpc":"2.0","id":"12345","method":"claim","params":{"p":{"region":"","number":12},"h":{"host":"","incarnation":179},` +
-	`"c":{"k":"0123456789abcdef","r":"","f":"0123456789abcdef"}}}` +
-	`{"jsonrpc":"2.0","id":"12","method":"beat","params":{"h":{"host":"","incarnation":179},"c":1}}` +
-	`{"jsonrpc":"2.0","id":"12","result":{"h":{"host":"","incarnation":179},"c":1}}` +
-	`{"jsonrpc":"2.0","id":"123","result":{"i":[{"p":{"region":"","number":123},"a":{"s":12,"x":[{"b":"","r":,"e":,"f":true}],"c":[{"b":"","u":` +
-	`{"jsonrpc":"2.0","id":"123","result":{"i":[{"p":{"region":"","number":123},"a":{"s":12,"g":[{"b":"","u":` +
-	`{"jsonrpc":"2.0","id":"123","result":{"i":[{"p":{"region":"","number":123},"a":{"s":12}}]}}` +
-	`{"jsonrpc":"2.0","id":"123","method":"exchange","params":{"i":[{"p":{"region":"","number":123},"x":{"h":{"host":"","incarnation":1796},` +
-	`"s":12,"a":[{"b":"","w":12,"m":12}],"t":[{"b":"","u":12}],"b":[{"r":"","b":"","k":"","u":12,"o":"cancelled","g":"` +
-	`"b":[{"r":"","b":"","u":12,"o":"whole"},{"r":"","b":"","k":"","u":12,"o":"whole","g":"`
+	`{"jsonrpc":"2.0","id":"12345","result":{"v":{"k":"","s":"running","r":"","h":""}}}` +
+	`{"jsonrpc":"2.0","id":"12345","result":{"v":{"s":"granted"}}}` +
+	`{"jsonrpc":"2.0","id":"12","method":"beat","params":{"h":"","c":1}}{"jsonrpc":"2.0","id":"12","result":{"h":"","c":1}}` +
+	`{"jsonrpc":"2.0","id":"123","result":{"i":[{"a":{"s":12,"x":[{"b":"","r":,"e":,"f":true}],"c":[{"b":"","u":` +
+	`{"jsonrpc":"2.0","id":"123","result":{"i":[{"a":{"s":12,"g":[{"b":"","u":12}]}}]}}` +
+	`{"jsonrpc":"2.0","id":"123","result":{"i":[{"a":{"s":12}}]}}` +
+	`{"jsonrpc":"2.0","id":"12345","method":"claim","params":{"p":"/123","h":"","c":{"k":"","r":"","f":"` +
+	`{"jsonrpc":"2.0","id":"123","method":"exchange","params":{"i":[{"p":"/123","x":{"h":"","s":12,` +
+	`"a":[{"b":"","m":12,"w":12}],"t":[{"b":"","u":12}],"b":[{"r":"","b":"","k":"","u":12,"o":"cancelled","g":"` +
+	`"}]}}]}}"b":[{"r":"","b":"","u":12,"o":"whole"}]}}]}}"b":[{"r":"","b":"","k":"","u":12,"o":"whole","g":"`
 
 // The codecs are shared by all connections: each message stands for itself, so
 // that a connection costs no compression state.
--- a/internal/cicadapeer/message.go
+++ b/internal/cicadapeer/message.go
@@ -58,9 +58,8 @@
 
 	// ItemReply is the answer to one item, or the fault.
 	ItemReply struct {
-		Partition cicadaledger.PartitionID `json:"p"`
-		Answer    *cicadaledger.Answer     `json:"a,omitempty"`
-		Fault     Fault                    `json:"f,omitempty"`
+		Answer *cicadaledger.Answer `json:"a,omitempty"`
+		Fault  Fault                `json:"f,omitempty"`
 		// HomeAddr is the home's peer address with FaultNotHome, if known.
 		HomeAddr string `json:"h,omitempty"`
 	}
--- a/internal/cicadarouter/claim.go
+++ b/internal/cicadarouter/claim.go
@@ -67,10 +67,7 @@
 		ask = j.r.session.ClaimOnce
 	}
 	v, err := ask(ctx, j.budget, c)
-	ev := &cicadatrail.Claimed{Verdict: v.State}
-	if v.RequestID != j.id {
-		ev.FirstRequest = v.RequestID
-	}
+	ev := &cicadatrail.Claimed{Verdict: v.State, FirstRequest: v.RequestID}
 	if err != nil {
 		ev.Error = err.Error()
 	}
--- a/internal/cicadarouter/job.go
+++ b/internal/cicadarouter/job.go
@@ -59,7 +59,7 @@
 
 // newJob begins a request's trail and gives it an id.
 func (r *Router) newJob(w http.ResponseWriter, req *http.Request) *job {
-	id := fmt.Sprintf("%s-%x-%x", r.cfg.Name, r.cfg.Incarnation, r.requests.Add(1))
+	id := r.holder().RequestID(r.requests.Add(1))
 	w.Header().Set(headerRequestID, id)
 	j := &job{r: r, w: w, req: req, id: id, trail: cicadatrail.New(id, time.Now())}
 	r.trails.Begin(j.trail)
@@ -138,7 +138,7 @@
 const (
 	// keyDigestSize and fingerprintSize are lengths of digests, in bytes. A key
 	// must not meet another by chance; a fingerprint finds mistakes only.
-	keyDigestSize   = 16
+	keyDigestSize   = 12
 	fingerprintSize = 6
 )
 
@@ -242,7 +242,9 @@
 func (j *job) headers() http.Header {
 	h := http.Header{}
 	h.Set("Content-Type", "application/json")
-	h.Set(cicadaupstream.HeaderHolder, fmt.Sprintf("%s.%d", j.r.cfg.Name, j.r.cfg.Incarnation))
+	if holder, err := j.r.holder().MarshalText(); err == nil {
+		h.Set(cicadaupstream.HeaderHolder, string(holder))
+	}
 	h.Set("X-Organisation", j.svc.Name()+"/"+j.org.Name)
 	h.Set(cicadaupstream.HeaderPriority, string(j.priority()))
 	if key := j.req.Header.Get(headerKey); key != "" {
--- a/internal/cicadarouter/metrics.go
+++ b/internal/cicadarouter/metrics.go
@@ -16,6 +16,7 @@
 	ConfigSeq    expvar.Int
 	Router       *expvar.Map // events of requests
 	Refusals     *expvar.Map // by code
+	PeerCalls    *expvar.Map // calls to peers, by method
 	Session      *expvar.Map
 	Home         *expvar.Map
 	Fleet        *expvar.Map
@@ -28,6 +29,7 @@
 	return &Metrics{
 		Router:    new(expvar.Map).Init(),
 		Refusals:  new(expvar.Map).Init(),
+		PeerCalls: new(expvar.Map).Init(),
 		Session:   new(expvar.Map).Init(),
 		Home:      new(expvar.Map).Init(),
 		Fleet:     new(expvar.Map).Init(),
@@ -40,10 +42,10 @@
 func (m *Metrics) String() string {
 	return fmt.Sprintf(`{"uptimeSeconds":%.1f,"processCPUSeconds":%.3f,`+
 		`"peerBytesIn":%s,"peerBytesOut":%s,"configSeq":%s,`+
-		`"requests":%s,"refusals":%s,"session":%s,"home":%s,"fleet":%s,"platform":%s}`,
+		`"requests":%s,"refusals":%s,"peerCalls":%s,"session":%s,"home":%s,"fleet":%s,"platform":%s}`,
 		time.Since(m.startedAt).Seconds(), ProcessCPU().Seconds(),
 		m.PeerBytesIn.String(), m.PeerBytesOut.String(), m.ConfigSeq.String(),
-		m.Router, m.Refusals, m.Session, m.Home, m.Fleet, m.Platform)
+		m.Router, m.Refusals, m.PeerCalls, m.Session, m.Home, m.Fleet, m.Platform)
 }
 
 // ControlBytes returns the bytes exchanged with peers, both ways.
--- a/internal/cicadarouter/router.go
+++ b/internal/cicadarouter/router.go
@@ -126,7 +126,7 @@
 
 func (r *Router) build() {
 	m := r.metrics
-	r.peers = cicadapeer.NewClient(cicadapeer.ClientConfig{Identity: r.cfg.Identity, In: &m.PeerBytesIn, Out: &m.PeerBytesOut})
+	r.peers = cicadapeer.NewClient(cicadapeer.ClientConfig{Identity: r.cfg.Identity, In: &m.PeerBytesIn, Out: &m.PeerBytesOut, Calls: m.PeerCalls})
 	r.runners = cicadaupstream.New(cicadaupstream.Config{OnLoad: r.heardLoad})
 	r.watcher = cicadaconfig.NewWatcher(cicadaconfig.WatcherConfig{
 		Platform: r.cfg.Platform, Log: r.cfg.Log, FromPeers: r.configFromPeers,
