--- a/internal/cicadabudget/slices.go
+++ b/internal/cicadabudget/slices.go
@@ -279,7 +279,7 @@
 }
 
 func (sl *slice) empty() bool {
-	return sl.free == 0 && sl.reserved == 0 && sl.pending == 0
+	return sl.free == 0 && sl.reserved == 0 && sl.pending == 0 && len(sl.open) == 0
 }
 
 // target is the free amount that lasts for the horizon at the observed rate.
--- /dev/null
+++ b/internal/cicadabudget/slices_test.go
@@ -0,0 +1,194 @@
+package cicadabudget_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+)
+
+const (
+	budget  = "svc/acme"
+	horizon = 2 * time.Second
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func every(string) bool { return true }
+
+func TestUnitsArithmetic(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		do   func() (cicadabudget.Units, error)
+		want cicadabudget.Units
+		err  error
+	}{
+		{"sum", func() (cicadabudget.Units, error) { return cicadabudget.Units(3).Add(4) }, 7, nil},
+		{"overflow", func() (cicadabudget.Units, error) { return cicadabudget.MaxUnits.Add(1) }, 0, cicadabudget.ErrOverflow},
+		{"negative addend", func() (cicadabudget.Units, error) { return cicadabudget.Units(3).Add(-1) }, 0, cicadabudget.ErrNegative},
+		{"difference", func() (cicadabudget.Units, error) { return cicadabudget.Units(4).Sub(3) }, 1, nil},
+		{"below zero", func() (cicadabudget.Units, error) { return cicadabudget.Units(3).Sub(4) }, 0, cicadabudget.ErrNegative},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got, err := tc.do()
+			if diff := cmp.Diff(tc.want, got); diff != "" || !errors.Is(err, tc.err) {
+				t.Errorf("(-want +got)\n%s error %v, want %v", diff, err, tc.err)
+			}
+		})
+	}
+}
+
+func TestReserveAndSettle(t *testing.T) {
+	s := cicadabudget.NewSlices(horizon)
+	s.Granted(budget, 100)
+	r, short := s.Reserve(budget, 60, start)
+	if short != nil {
+		t.Fatalf("short of %+v with 100 free", short)
+	}
+	_, short = s.Reserve(budget, 60, start)
+	if diff := cmp.Diff(&cicadabudget.Short{Free: 40, Missing: 20}, short); diff != "" {
+		t.Errorf("second reservation (-want +got)\n%s", diff)
+	}
+	if err := s.Settle(r, 61); !errors.Is(err, cicadabudget.ErrOverReservation) {
+		t.Errorf("settled more than reserved: %v", err)
+	}
+	if err := s.Settle(r, 25); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Settle(r, 25); !errors.Is(err, cicadabudget.ErrNoReservation) {
+		t.Errorf("settled twice: %v", err)
+	}
+	got := []cicadabudget.Units{s.Free(budget), s.Pending(budget), s.Held(budget)}
+	if diff := cmp.Diff([]cicadabudget.Units{75, 25, 100}, got); diff != "" {
+		t.Errorf("free, pending, held (-want +got)\n%s", diff)
+	}
+	s.Acknowledged(budget, 25)
+	if diff := cmp.Diff(cicadabudget.Units(75), s.Held(budget)); diff != "" {
+		t.Errorf("held after the acknowledgement (-want +got)\n%s", diff)
+	}
+}
+
+func TestScarceSliceGivesIdleUnitsBack(t *testing.T) {
+	s := cicadabudget.NewSlices(horizon)
+	s.Granted(budget, 100)
+	if _, short := s.Reserve(budget, 30, start); short != nil {
+		t.Fatal("short")
+	}
+	if got := s.TakeIdle(every, start); len(got) != 0 {
+		t.Errorf("gave %v back while in use", got)
+	}
+	s.SetScarce(budget, true)
+	want := []cicadabudget.Ask{{Budget: budget, Want: 70}}
+	if diff := cmp.Diff(want, s.TakeIdle(every, start)); diff != "" {
+		t.Errorf("idle units (-want +got)\n%s", diff)
+	}
+	if got := s.Asks(start); len(got) != 0 {
+		t.Errorf("asks %v for later while the budget is scarce", got)
+	}
+}
+
+func TestIdleSliceIsReturnedWhole(t *testing.T) {
+	s := cicadabudget.NewSlices(horizon)
+	s.Granted(budget, 100)
+	r, _ := s.Reserve(budget, 10, start)
+	if err := s.Settle(r, 10); err != nil {
+		t.Fatal(err)
+	}
+	want := []cicadabudget.Ask{{Budget: budget, Want: 90}}
+	if diff := cmp.Diff(want, s.TakeIdle(every, start.Add(20*time.Second))); diff != "" {
+		t.Errorf("idle units (-want +got)\n%s", diff)
+	}
+}
+
+func TestRefillFollowsTheDrawRate(t *testing.T) {
+	s := cicadabudget.NewSlices(horizon)
+	s.Granted(budget, 8200)
+	now := start
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		r, short := s.Reserve(budget, 40, now)
+		if short != nil {
+			break
+		}
+		if err := s.Settle(r, 40); err != nil {
+			t.Fatal(err)
+		}
+	}
+	asks := s.Asks(now)
+	if len(asks) != 1 {
+		t.Fatalf("no refill asked after 800 units a second: %+v", s.State())
+	}
+	// 800 units a second over a horizon of 2 s, within a factor of two.
+	if asks[0].Want < 800 || asks[0].Want > 3200 {
+		t.Errorf("asked for %d units, want about 1600", asks[0].Want)
+	}
+}
+
+// init fixes the seed, so that every run gives the same verdict.
+func init() {
+	_ = flag.Set("rapid.seed", "20261203")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// TestUnitsAreNeverMade checks that no sequence of calls gives the router more
+// than it was granted.
+func TestUnitsAreNeverMade(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := cicadabudget.NewSlices(horizon)
+		var granted, left cicadabudget.Units // left: acknowledged as spent or returned
+		var open []cicadabudget.Reservation
+		var pending cicadabudget.Units
+		now := start
+		t.Repeat(map[string]func(*rapid.T){
+			"grant": func(t *rapid.T) {
+				u := cicadabudget.Units(rapid.Int64Range(1, 500).Draw(t, "units"))
+				s.Granted(budget, u)
+				granted += u
+			},
+			"reserve": func(t *rapid.T) {
+				u := cicadabudget.Units(rapid.Int64Range(0, 300).Draw(t, "units"))
+				if r, short := s.Reserve(budget, u, now); short == nil {
+					open = append(open, r)
+				}
+			},
+			"settle": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip("nothing is open")
+				}
+				r := open[0]
+				open = open[1:]
+				used := cicadabudget.Units(rapid.Int64Range(0, int64(r.Units())).Draw(t, "used"))
+				if err := s.Settle(r, used); err != nil {
+					t.Fatal(err)
+				}
+				pending += used
+			},
+			"return": func(t *rapid.T) {
+				s.SetScarce(budget, rapid.Bool().Draw(t, "scarce"))
+				for _, a := range s.TakeIdle(every, now) {
+					pending += a.Want
+				}
+			},
+			"acknowledge": func(*rapid.T) {
+				s.Acknowledged(budget, pending)
+				left += pending
+				pending = 0
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "millis")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				if s.Held(budget)+left != granted {
+					t.Fatalf("held %d and left %d of %d granted", s.Held(budget), left, granted)
+				}
+				if s.Free(budget) < 0 {
+					t.Fatalf("%d free", s.Free(budget))
+				}
+			},
+		})
+	})
+}
--- a/internal/cicadacmd/router.go
+++ b/internal/cicadacmd/router.go
@@ -110,7 +110,7 @@
 			BaseURL: v.platform, Token: v.platformToken, Counts: metrics.Platform,
 		}),
 	}
-	if err := listenAll(&cfg, v.listen, v.operators, v.peers); err != nil {
+	if err := listenAll(ctx, &cfg, v.listen, v.operators, v.peers); err != nil {
 		return err
 	}
 	r := cicadarouter.New(cfg)
@@ -130,12 +130,13 @@
 	return &cicadarouter.TLSFiles{CertFile: cert, KeyFile: key}
 }
 
-func listenAll(cfg *cicadarouter.Config, callers, operators, peers string) error {
+func listenAll(ctx context.Context, cfg *cicadarouter.Config, callers, operators, peers string) error {
+	var lc net.ListenConfig
 	for _, l := range []struct {
 		addr string
 		into *net.Listener
 	}{{callers, &cfg.Callers}, {operators, &cfg.Operators}, {peers, &cfg.Peers}} {
-		ln, err := net.Listen("tcp", l.addr)
+		ln, err := lc.Listen(ctx, "tcp", l.addr)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", l.addr)
 		}
--- a/internal/cicadacmd/standin.go
+++ b/internal/cicadacmd/standin.go
@@ -42,6 +42,7 @@
 	if v.platform == "" && len(files) == 0 {
 		return usagef("give --platform, a FILE, or both")
 	}
+	var lc net.ListenConfig
 	var servers []*http.Server
 	defer func() {
 		for _, s := range servers {
@@ -49,7 +50,7 @@
 		}
 	}()
 	serve := func(addr string, h http.Handler) error {
-		ln, err := net.Listen("tcp", addr)
+		ln, err := lc.Listen(ctx, "tcp", addr)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", addr)
 		}
--- a/internal/cicadademo/callers.go
+++ b/internal/cicadademo/callers.go
@@ -29,6 +29,8 @@
 	longestBackoff = 500 * time.Millisecond
 	maxTokens      = 64
 	promptWords    = 12
+	// oncePath is a call of the example's front office that may run once.
+	oncePath = "/transferts" //nolint:misspell // the service's own French word
 )
 
 type (
@@ -212,7 +214,7 @@
 }
 
 func (c *callers) sendTransfer(ctx context.Context, service, org string, t *transfer) {
-	url := c.target() + "/services/" + service + "/transferts"
+	url := c.target() + "/services/" + service + oncePath
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(`{"order":"`+t.key+`"}`)))
 	if err != nil {
 		return
--- a/internal/cicadademo/world.go
+++ b/internal/cicadademo/world.go
@@ -104,8 +104,14 @@
 	return w, w.awaitReady(ctx)
 }
 
+// listen opens a free loopback port.
+func listen() (net.Listener, error) {
+	var lc net.ListenConfig
+	return lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+}
+
 func (w *World) serve(h http.Handler) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := listen()
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
@@ -177,7 +183,7 @@
 		Platform: cicadastore.NewClient(cicadastore.ClientConfig{BaseURL: w.baseURL, Counts: metrics.Platform}),
 	}
 	for _, l := range []*net.Listener{&cfg.Callers, &cfg.Operators, &cfg.Peers} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := listen()
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
--- a/internal/cicadaledger/apply.go
+++ b/internal/cicadaledger/apply.go
@@ -226,7 +226,7 @@
 
 // move changes what a holder has of a budget by units, which may be negative.
 func (p *Partition) move(h *holder, name string, units cicadabudget.Units) error {
-	b := p.budget(name)
+	b := p.peek(name)
 	before := h.held[name]
 	after := before + units
 	if after < 0 || units > b.available() {
@@ -234,11 +234,9 @@
 			name, before, b.available(), units)
 	}
 	b.held += units
-	switch {
-	case after == 0:
+	h.held[name] = after
+	if after == 0 {
 		delete(h.held, name)
-	default:
-		h.held[name] = after
 	}
 	switch {
 	case before == 0 && after > 0:
--- /dev/null
+++ b/internal/cicadaledger/ledger_test.go
@@ -0,0 +1,279 @@
+package cicadaledger_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+)
+
+const (
+	region = "qc-est"
+	budget = "svc/acme"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	id    = cicadaledger.PartitionOf(region, budget)
+	cfg   = cicadaledger.Config{ID: id, KeyWindow: 15 * time.Minute, RunWindow: time.Minute}
+	r1    = cicadaledger.Holder{Host: "r1", Incarnation: 7}
+	r2    = cicadaledger.Holder{Host: "r2", Incarnation: 9}
+)
+
+func notDry(string) bool { return false }
+func isDry(string) bool  { return true }
+
+// newPartition returns a partition with an allotment.
+func newPartition(t *testing.T, allotted cicadabudget.Units) *cicadaledger.Partition {
+	t.Helper()
+	p := cicadaledger.New(cfg)
+	apply(t, p, p.AllotBatch(1, []cicadaledger.Amount{{Budget: budget, Units: allotted}}, start))
+	return p
+}
+
+func apply(t *testing.T, p *cicadaledger.Partition, b *cicadaledger.Batch) {
+	t.Helper()
+	if err := p.Apply(b); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// stage stages x and returns its answer, with the batch cut.
+func stage(t *testing.T, p *cicadaledger.Partition, x *cicadaledger.Exchange, dry func(string) bool, now time.Time) cicadaledger.Answer {
+	t.Helper()
+	a, err := p.Stage(x, dry, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Cut(1, now)
+	return a
+}
+
+func ask(h cicadaledger.Holder, seq uint64, least, want cicadabudget.Units) *cicadaledger.Exchange {
+	return &cicadaledger.Exchange{Holder: h, Seq: seq, Asks: []cicadaledger.Ask{{Budget: budget, Min: least, Want: want}}}
+}
+
+func bill(h cicadaledger.Holder, seq uint64, b cicadaledger.Bill) *cicadaledger.Exchange {
+	b.Budget = budget
+	return &cicadaledger.Exchange{Holder: h, Seq: seq, Bills: []cicadaledger.Bill{b}}
+}
+
+func granted(a *cicadaledger.Answer) (sum cicadabudget.Units) {
+	for _, g := range a.Grants {
+		sum += g.Units
+	}
+	return sum
+}
+
+func TestGrantsBeforeAndAfterDry(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		dry         func(string) bool
+		least, want cicadabudget.Units
+		grant       cicadabudget.Units
+		scarce      bool
+	}{
+		{"plenty is granted in full", notDry, 0, 90, 90, false},
+		{"more than there is, with more to allot", notDry, 10, 500, 100, false},
+		{"dry, a share for later requests", isDry, 0, 90, 50, true},
+		{"dry, the waiting request comes first", isDry, 80, 90, 80, true},
+		{"dry, nothing for a request that cannot be covered", isDry, 101, 101, 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a := stage(t, newPartition(t, 100), ask(r1, 1, tc.least, tc.want), tc.dry, start)
+			if diff := cmp.Diff(tc.grant, granted(&a)); diff != "" {
+				t.Errorf("granted (-want +got)\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.scarce, len(a.Scarce) > 0); diff != "" {
+				t.Errorf("scarce (-want +got)\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestRepeatedExchangeHasOneEffect(t *testing.T) {
+	p := newPartition(t, 100)
+	x := ask(r1, 1, 0, 30)
+	first := stage(t, p, x, notDry, start)
+	again, err := p.Known(x)
+	if err != nil || again == nil {
+		t.Fatalf("the repeated exchange is not known: %v, %v", again, err)
+	}
+	if diff := cmp.Diff(first, *again); diff != "" {
+		t.Errorf("answer to the repetition (-first +again)\n%s", diff)
+	}
+	if diff := cmp.Diff(cicadabudget.Units(70), p.Figures(budget).Available); diff != "" {
+		t.Errorf("available (-want +got)\n%s", diff)
+	}
+	for _, seq := range []uint64{0, 3} {
+		if _, err := p.Known(&cicadaledger.Exchange{Holder: r1, Seq: seq}); !errors.Is(err, cicadaledger.ErrOutOfOrder) {
+			t.Errorf("exchange %d after 1: %v", seq, err)
+		}
+	}
+}
+
+func TestHolderCannotGiveUpWhatItDoesNotHave(t *testing.T) {
+	p := newPartition(t, 100)
+	stage(t, p, ask(r1, 1, 0, 30), notDry, start)
+	for name, x := range map[string]*cicadaledger.Exchange{
+		"bill":          bill(r1, 2, cicadaledger.Bill{RequestID: "a", Units: 31, Outcome: cicadaledger.OutcomeWhole}),
+		"negative bill": bill(r1, 2, cicadaledger.Bill{RequestID: "a", Units: -1, Outcome: cicadaledger.OutcomeWhole}),
+		"withheld":      bill(r1, 2, cicadaledger.Bill{RequestID: "a", Units: 30, Withheld: 1, Outcome: cicadaledger.OutcomeCut}),
+		"return":        {Holder: r1, Seq: 2, Returns: []cicadaledger.Amount{{Budget: budget, Units: 31}}},
+		"stranger":      bill(r2, 1, cicadaledger.Bill{RequestID: "a", Units: 1, Outcome: cicadaledger.OutcomeWhole}),
+	} {
+		before := p.Figures(budget)
+		if _, err := p.Stage(x, notDry, start); !errors.Is(err, cicadaledger.ErrBadExchange) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if diff := cmp.Diff(before, p.Figures(budget)); diff != "" {
+			t.Errorf("%s changed the state (-before +after)\n%s", name, diff)
+		}
+	}
+}
+
+func TestSecondBillOfAKeyIsVoided(t *testing.T) {
+	p := newPartition(t, 100)
+	stage(t, p, ask(r1, 1, 0, 30), notDry, start)
+	stage(t, p, ask(r2, 1, 0, 30), notDry, start)
+	whole := cicadaledger.Bill{RequestID: "r1-a", Key: "k", Fingerprint: "f", Units: 20, Outcome: cicadaledger.OutcomeWhole}
+	stage(t, p, bill(r1, 2, whole), notDry, start)
+	second := whole
+	second.RequestID = "r2-a"
+	a := stage(t, p, bill(r2, 2, second), notDry, start)
+	if diff := cmp.Diff([]cicadaledger.Amount{{Budget: budget, Units: 20}}, a.Credits); diff != "" {
+		t.Errorf("credits (-want +got)\n%s", diff)
+	}
+	want := cicadaledger.Figures{Budget: budget, Allotted: 100, Spent: 20, Held: 40, Available: 40, Holders: 2}
+	if diff := cmp.Diff(want, p.Figures(budget)); diff != "" {
+		t.Errorf("figures (-want +got)\n%s", diff)
+	}
+	v := p.Look(cicadaledger.Claim{Key: "k", RequestID: "r2-b", Fingerprint: "f"}, r2, start)
+	if diff := cmp.Diff(cicadaledger.Verdict{Key: "k", State: cicadaledger.KeyBilled, RequestID: "r1-a", Holder: r1}, v); diff != "" {
+		t.Errorf("verdict (-want +got)\n%s", diff)
+	}
+}
+
+func TestCutAnswerIsNotBilledAndFreesItsKey(t *testing.T) {
+	p := newPartition(t, 100)
+	stage(t, p, ask(r1, 1, 0, 50), notDry, start)
+	stage(t, p, bill(r1, 2, cicadaledger.Bill{RequestID: "a", Key: "k", Withheld: 12, Outcome: cicadaledger.OutcomeCut}), notDry, start)
+	want := cicadaledger.Figures{Budget: budget, Allotted: 100, Withheld: 12, Held: 38, Available: 50, Holders: 1}
+	if diff := cmp.Diff(want, p.Figures(budget)); diff != "" {
+		t.Errorf("figures (-want +got)\n%s", diff)
+	}
+	v := p.Look(cicadaledger.Claim{Key: "k", RequestID: "b"}, r1, start)
+	if diff := cmp.Diff(cicadaledger.KeyGranted, v.State); diff != "" {
+		t.Errorf("verdict (-want +got)\n%s", diff)
+	}
+}
+
+func TestClaimsOfCallsThatRunOnce(t *testing.T) {
+	claim := func(request, fingerprint string) cicadaledger.Claim {
+		return cicadaledger.Claim{Key: "k", RequestID: request, Fingerprint: fingerprint, Once: true}
+	}
+	exchange := func(seq uint64, c cicadaledger.Claim) *cicadaledger.Exchange {
+		return &cicadaledger.Exchange{Holder: r1, Seq: seq, Claims: []cicadaledger.Claim{c}}
+	}
+	lost := cicadaledger.Bill{RequestID: "a", Key: "k", Once: true, Fingerprint: "f", Outcome: cicadaledger.OutcomeUnknown}
+	for _, tc := range []struct {
+		name string
+		then func(t *testing.T, p *cicadaledger.Partition)
+		at   time.Time
+		c    cicadaledger.Claim
+		want cicadaledger.KeyStatus
+	}{
+		{"same request asks again", nil, start, claim("a", "f"), cicadaledger.KeyGranted},
+		{"another attempt while it runs", nil, start, claim("b", "f"), cicadaledger.KeyRunning},
+		{"other content", nil, start, claim("b", "g"), cicadaledger.KeyMismatch},
+		{"long after, without a bill", nil, start.Add(time.Hour), claim("b", "f"), cicadaledger.KeyUnknown},
+		{"its process has ended", func(_ *testing.T, p *cicadaledger.Partition) { p.MarkGone(r1) }, start, claim("b", "f"), cicadaledger.KeyUnknown},
+		{"its outcome is unknown", func(t *testing.T, p *cicadaledger.Partition) {
+			t.Helper()
+			stage(t, p, bill(r1, 2, lost), notDry, start)
+		}, start, claim("b", "f"), cicadaledger.KeyUnknown},
+		{"it did not run", func(t *testing.T, p *cicadaledger.Partition) {
+			t.Helper()
+			notRun := lost
+			notRun.Outcome = cicadaledger.OutcomeNotRun
+			stage(t, p, bill(r1, 2, notRun), notDry, start)
+		}, start, claim("b", "f"), cicadaledger.KeyGranted},
+		{"it is billed, rerun asked", func(t *testing.T, p *cicadaledger.Partition) {
+			t.Helper()
+			whole := lost
+			whole.Outcome = cicadaledger.OutcomeWhole
+			stage(t, p, bill(r1, 2, whole), notDry, start)
+		}, start, cicadaledger.Claim{Key: "k", RequestID: "b", Fingerprint: "f", Once: true, Rerun: true}, cicadaledger.KeyBilled},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPartition(t, 100)
+			a := stage(t, p, exchange(1, claim("a", "f")), notDry, start)
+			if diff := cmp.Diff(cicadaledger.KeyGranted, a.Verdicts[0].State); diff != "" {
+				t.Fatalf("first claim (-want +got)\n%s", diff)
+			}
+			if tc.then != nil {
+				tc.then(t, p)
+			}
+			if diff := cmp.Diff(tc.want, p.Look(tc.c, r2, tc.at).State); diff != "" {
+				t.Errorf("second claim (-want +got)\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestTwoClaimsInOneBatchGrantOne(t *testing.T) {
+	p := newPartition(t, 10)
+	a := stage(t, p, &cicadaledger.Exchange{Holder: r1, Seq: 1, Claims: []cicadaledger.Claim{
+		{Key: "k", RequestID: "a", Fingerprint: "f", Once: true},
+		{Key: "k", RequestID: "b", Fingerprint: "f", Once: true},
+	}}, notDry, start)
+	got := []cicadaledger.KeyStatus{a.Verdicts[0].State, a.Verdicts[1].State}
+	if diff := cmp.Diff([]cicadaledger.KeyStatus{cicadaledger.KeyGranted, cicadaledger.KeyRunning}, got); diff != "" {
+		t.Errorf("verdicts (-want +got)\n%s", diff)
+	}
+}
+
+func TestTextForms(t *testing.T) {
+	for _, h := range []cicadaledger.Holder{{}, {Host: "salle-levis-1", Incarnation: 1796330600340}} {
+		text, err := h.MarshalText()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back cicadaledger.Holder
+		if err := back.UnmarshalText(text); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(h, back); diff != "" {
+			t.Errorf("holder %s (-want +got)\n%s", text, diff)
+		}
+	}
+	var p cicadaledger.PartitionID
+	if err := p.UnmarshalText([]byte(id.String())); err != nil || p != id {
+		t.Errorf("partition %s came back as %v: %v", id, p, err)
+	}
+	for _, bad := range []string{"", "qc-est", "qc-est/512", "qc-est/-1", "qc-est/x"} {
+		if err := p.UnmarshalText([]byte(bad)); err == nil {
+			t.Errorf("%q passed as a partition", bad)
+		}
+	}
+}
+
+func TestAllotLeavesRoomForOtherRegions(t *testing.T) {
+	row := cicadaledger.BudgetRow{Prepaid: 800}
+	var got []cicadabudget.Units
+	for _, step := range []struct {
+		region string
+		need   cicadabudget.Units
+	}{{"east", 10}, {"west", 10}, {"east", 500}, {"west", 500}, {"west", 1}} {
+		got = append(got, row.Allot(step.region, step.need))
+	}
+	if diff := cmp.Diff([]cicadabudget.Units{100, 87, 500, 113, 0}, got); diff != "" {
+		t.Errorf("allotments (-want +got)\n%s", diff)
+	}
+	if row.TotalAllotted() != row.Prepaid {
+		t.Errorf("allotted %d of %d", row.TotalAllotted(), row.Prepaid)
+	}
+}
--- a/internal/cicadaledger/partition.go
+++ b/internal/cicadaledger/partition.go
@@ -121,7 +121,7 @@
 
 // Figures returns the amounts of one budget.
 func (p *Partition) Figures(name string) Figures {
-	b := p.budget(name)
+	b := p.peek(name)
 	return Figures{
 		Budget: name, Allotted: b.allotted, Spent: b.spent, Withheld: b.withheld,
 		Held: b.held, Available: b.available(), Holders: b.holders,
@@ -173,6 +173,15 @@
 	return b
 }
 
+// peek returns a budget for reading. A budget that was never allotted is empty,
+// and asking for it leaves nothing behind.
+func (p *Partition) peek(name string) *budget {
+	if b, ok := p.budgets[name]; ok {
+		return b
+	}
+	return &budget{}
+}
+
 func (p *Partition) holder(id Holder) *holder {
 	h, ok := p.holders[id]
 	if !ok {
@@ -192,7 +201,7 @@
 	var out []Amount
 	for _, a := range x.Asks {
 		want := max(a.Min, a.Want)
-		if have := p.budget(a.Budget).available(); want > have {
+		if have := p.peek(a.Budget).available(); want > have {
 			out = append(out, Amount{Budget: a.Budget, Units: want - have})
 		}
 	}
@@ -315,7 +324,7 @@
 ) {
 	granted := make(map[string]cicadabudget.Units)
 	for _, ask := range x.Asks {
-		b := p.budget(ask.Budget)
+		b := p.peek(ask.Budget)
 		available := b.available() + freed[ask.Budget] - granted[ask.Budget]
 		dry := isDry(ask.Budget)
 		units := grant(ask, available, b.holders, dry)
@@ -326,7 +335,10 @@
 		if units >= max(ask.Min, ask.Want) || (units > 0 && units >= ask.Min && !dry) {
 			continue
 		}
-		own := p.holder(x.Holder).held[ask.Budget]
+		var own cicadabudget.Units
+		if h, ok := p.holders[x.Holder]; ok {
+			own = h.held[ask.Budget]
+		}
 		a.Scarce = append(a.Scarce, Shortage{
 			Budget:        ask.Budget,
 			Remaining:     b.allotted - b.spent - b.withheld,
--- a/internal/cicadapeer/client.go
+++ b/internal/cicadapeer/client.go
@@ -201,5 +201,5 @@
 	}
 	rpc := p.rpc
 	p.rpc = nil
-	go rpc.Close() // waits for the reader, which may be blocked
+	go func() { _ = rpc.Close() }() // waits for the reader, which may be blocked
 }
--- a/internal/cicadapeer/server.go
+++ b/internal/cicadapeer/server.go
@@ -109,7 +109,7 @@
 func (s *Server) serve(conn net.Conn) {
 	defer s.wg.Done()
 	defer s.remove(conn)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	tc := tls.Server(&countedConn{Conn: conn, in: s.cfg.In, out: s.cfg.Out}, s.cfg.Identity.config())
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
--- a/internal/cicadaroute/choose.go
+++ b/internal/cicadaroute/choose.go
@@ -60,10 +60,10 @@
 			continue
 		}
 		n++
-		switch {
-		case n == 1:
+		switch n {
+		case 1:
 			first = r
-		case n == 2:
+		case 2:
 			second = r
 		default:
 			if i := t.rng.IntN(n); i == 0 {
--- a/internal/cicadarouter/attempt.go
+++ b/internal/cicadarouter/attempt.go
@@ -139,13 +139,13 @@
 	defer r.tableMu.Unlock()
 	failed := false
 	switch f := failure.(type) {
-	case *cicadaupstream.NotSent, *cicadaupstream.Silent, *cicadaupstream.Broken:
+	case *cicadaupstream.NotSentError, *cicadaupstream.SilentError, *cicadaupstream.BrokenError:
 		failed = true
-	case *cicadaupstream.Refused:
+	case *cicadaupstream.RefusedError:
 		if f.Leaving {
 			r.table.SetLeaving(addr)
 		}
-	case *cicadaupstream.Rejected, nil:
+	case *cicadaupstream.RejectedError, nil:
 	}
 	r.table.Finished(addr, failed, time.Now())
 }
@@ -155,14 +155,14 @@
 func (a *attempts) after(ctx context.Context, addr string, failure cicadaupstream.Failure) *outcome {
 	j := a.j
 	switch f := failure.(type) {
-	case *cicadaupstream.NotSent, *cicadaupstream.Refused:
+	case *cicadaupstream.NotSentError, *cicadaupstream.RefusedError:
 		// Nothing ran: another runner may be tried at no risk.
-	case *cicadaupstream.Rejected:
+	case *cicadaupstream.RejectedError:
 		return &outcome{
 			bill:    j.bill(0, 0, cicadaledger.OutcomeNotRun),
 			refusal: cicadarefusal.New(cicadarefusal.UpstreamRejected, cicadarefusal.UnknownRan, "status %d: %s", f.Status, f.Body),
 		}
-	case *cicadaupstream.Silent, *cicadaupstream.Broken:
+	case *cicadaupstream.SilentError, *cicadaupstream.BrokenError:
 		a.mayHaveRun = true
 		if j.once {
 			return a.unknown(failure)
--- a/internal/cicadarouter/stream.go
+++ b/internal/cicadarouter/stream.go
@@ -64,7 +64,7 @@
 	case errors.Is(err, errCallerLeft) || (j.key == "" && j.req.Context().Err() != nil):
 		return j.cancelled(call, s.Usage(), s.Offset()), nil
 	}
-	var broken *cicadaupstream.Broken
+	var broken *cicadaupstream.BrokenError
 	if !j.started && errors.As(err, &broken) {
 		return nil, broken
 	}
--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -55,31 +55,31 @@
 )
 
 type (
-	// Failure is why an attempt gave no whole answer. It is one of *NotSent,
-	// *Refused, *Silent, *Broken and *Rejected.
+	// Failure is why an attempt gave no whole answer. It is one of *NotSentError,
+	// *RefusedError, *SilentError, *BrokenError and *RejectedError.
 	Failure interface {
 		error
 		isFailure()
 	}
 
-	// NotSent means that no byte of the request left this host.
-	NotSent struct{ cause error }
+	// NotSentError means that no byte of the request left this host.
+	NotSentError struct{ cause error }
 
-	// Refused means that the runner says it did not run the request.
-	Refused struct {
+	// RefusedError means that the runner says it did not run the request.
+	RefusedError struct {
 		Status  int
 		Leaving bool
 	}
 
-	// Silent means that the request was sent and nothing came back in time,
+	// SilentError means that the request was sent and nothing came back in time,
 	// or the connection ended before an answer began.
-	Silent struct{ cause error }
+	SilentError struct{ cause error }
 
-	// Broken means that the answer began and did not come to its end.
-	Broken struct{ cause error }
+	// BrokenError means that the answer began and did not come to its end.
+	BrokenError struct{ cause error }
 
-	// Rejected means that the runner answered with an error of the request.
-	Rejected struct {
+	// RejectedError means that the runner answered with an error of the request.
+	RejectedError struct {
 		Status int
 		Body   []byte
 	}
@@ -127,17 +127,17 @@
 	}
 )
 
-func (e *NotSent) Error() string  { return "not sent: " + e.cause.Error() }
-func (e *Refused) Error() string  { return "refused with status " + strconv.Itoa(e.Status) }
-func (e *Silent) Error() string   { return "no answer: " + e.cause.Error() }
-func (e *Broken) Error() string   { return "answer broken off: " + e.cause.Error() }
-func (e *Rejected) Error() string { return "rejected with status " + strconv.Itoa(e.Status) }
+func (e *NotSentError) Error() string  { return "not sent: " + e.cause.Error() }
+func (e *RefusedError) Error() string  { return "refused with status " + strconv.Itoa(e.Status) }
+func (e *SilentError) Error() string   { return "no answer: " + e.cause.Error() }
+func (e *BrokenError) Error() string   { return "answer broken off: " + e.cause.Error() }
+func (e *RejectedError) Error() string { return "rejected with status " + strconv.Itoa(e.Status) }
 
-func (*NotSent) isFailure()  {}
-func (*Refused) isFailure()  {}
-func (*Silent) isFailure()   {}
-func (*Broken) isFailure()   {}
-func (*Rejected) isFailure() {}
+func (*NotSentError) isFailure()  {}
+func (*RefusedError) isFailure()  {}
+func (*SilentError) isFailure()   {}
+func (*BrokenError) isFailure()   {}
+func (*RejectedError) isFailure() {}
 
 // New returns a client. A connection that stays silent is ended by the
 // request's own timeouts, and the next request opens a new one.
@@ -171,7 +171,7 @@
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
 		cancel(nil)
-		return nil, &NotSent{cause: err}
+		return nil, &NotSentError{cause: err}
 	}
 	timer := time.AfterFunc(call.FirstByte, func() { cancel(errFirstByte) })
 	resp, err := c.http.Do(req)
@@ -182,9 +182,9 @@
 		}
 		cancel(nil)
 		if sent.Load() {
-			return nil, &Silent{cause: err}
+			return nil, &SilentError{cause: err}
 		}
-		return nil, &NotSent{cause: err}
+		return nil, &NotSentError{cause: err}
 	}
 	c.readLoad(call.Addr, resp.Header)
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
@@ -240,12 +240,12 @@
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 	if resp.Header.Get(HeaderNotRun) != "" {
-		return &Refused{Status: resp.StatusCode, Leaving: resp.Header.Get(HeaderLeaving) != ""}
+		return &RefusedError{Status: resp.StatusCode, Leaving: resp.Header.Get(HeaderLeaving) != ""}
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
-		return &Broken{cause: errors.Errorf("status %d", resp.StatusCode)}
+		return &BrokenError{cause: errors.Errorf("status %d", resp.StatusCode)}
 	}
-	return &Rejected{Status: resp.StatusCode, Body: body}
+	return &RejectedError{Status: resp.StatusCode, Body: body}
 }
 
 // PollLoad asks a runner for its load.
@@ -298,5 +298,5 @@
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errFirstByte) || (errors.As(err, &ne) && ne.Timeout())
 }
 
-// BrokenBy returns a Broken with a cause.
-func BrokenBy(cause error) *Broken { return &Broken{cause: cause} }
+// BrokenBy returns a BrokenError with a cause.
+func BrokenBy(cause error) *BrokenError { return &BrokenError{cause: cause} }
--- a/internal/cicadaupstream/stream.go
+++ b/internal/cicadaupstream/stream.go
@@ -90,15 +90,15 @@
 
 // Run delivers every chunk once and in order, and returns nil after the end
 // marker. A stream that breaks is taken up again at the offset reached; when
-// that fails the error is a *Broken. An error of deliver ends the stream.
+// that fails the error is a *BrokenError. An error of deliver ends the stream.
 func (s *Stream) Run(ctx context.Context, resp *http.Response, deliver func(Chunk) error) error {
 	for {
 		err := s.read(resp, deliver)
-		var broken *Broken
+		var broken *BrokenError
 		if err == nil || !errors.As(err, &broken) || ctx.Err() != nil {
 			return err
 		}
-		next, resumeErr := s.resume(ctx)
+		next, resumeErr := s.resume(ctx) //nolint:bodyclose // read closes it
 		if resumeErr != nil {
 			return err
 		}
@@ -113,7 +113,7 @@
 	defer watchdog.Stop()
 	for ev, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEvent}) {
 		if err != nil {
-			return &Broken{cause: err}
+			return &BrokenError{cause: err}
 		}
 		// A slow caller is not the runner's fault.
 		watchdog.Stop()
@@ -125,7 +125,7 @@
 		}
 		watchdog.Reset(s.cfg.Progress)
 	}
-	return &Broken{cause: errors.New("stream ended without its end marker")}
+	return &BrokenError{cause: errors.New("stream ended without its end marker")}
 }
 
 // take matches an event to this attempt and its offset. A chunk of another
@@ -137,12 +137,12 @@
 		s.dropped++
 		return nil
 	case numbered && offset > s.next:
-		return &Broken{cause: errors.Errorf("chunk %d is missing", s.next)}
+		return &BrokenError{cause: errors.Errorf("chunk %d is missing", s.next)}
 	}
 	chunk := Chunk{Offset: s.next, Data: ev.Data}
 	var body chunkBody
 	if err := json.Unmarshal([]byte(ev.Data), &body); err != nil {
-		return &Broken{cause: errors.Wrap(err, "chunk is no JSON")}
+		return &BrokenError{cause: errors.Wrap(err, "chunk is no JSON")}
 	}
 	chunk.Usage = body.Usage
 	if body.Usage != nil {
