Tests of documents, configuration and homes; a superseded home sends on

Cause: a test that lets a successor take a partition over found that the old home answered the router's next exchange with "out of order", which ends the router's session, although it merely knew less than its successor. A duration of the wrong form was reported without its place.

Change: a home reads its fence row before it ends a session, and names the new home if it was superseded. Durations report line and column.

--- a/internal/cicadadoc/decode.go
+++ b/internal/cicadadoc/decode.go
@@ -8,6 +8,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 	"github.com/pkg/errors"
 )
 
@@ -28,6 +29,12 @@
 		Problems []Problem
 	}
 
+	// valueError is a value that has the wrong form.
+	valueError struct {
+		token *token.Token
+		cause error
+	}
+
 	// Source is a document with the text that it was read from.
 	Source struct {
 		name string
@@ -45,6 +52,8 @@
 	return strings.Join(lines, "\n")
 }
 
+func (e *valueError) Error() string { return e.cause.Error() }
+
 // Name returns the name that the text was decoded under.
 func (s *Source) Name() string { return s.name }
 
@@ -122,6 +131,11 @@
 		Message: err.Error(),
 		Remedy:  "see the document reference for the fields and their forms",
 	}
+	var value *valueError
+	if errors.As(err, &value) {
+		p.Message = value.cause.Error()
+		p.Line, p.Column = value.token.Position.Line, value.token.Position.Column
+	}
 	var yerr yaml.Error
 	if errors.As(err, &yerr) {
 		p.Message = yerr.GetMessage()
--- a/internal/cicadadoc/document.go
+++ b/internal/cicadadoc/document.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/goccy/go-yaml/ast"
 	"github.com/pkg/errors"
 )
 
@@ -164,6 +165,15 @@
 	return nil
 }
 
+// UnmarshalYAML reads a duration and reports the place of one that is none.
+func (d *Duration) UnmarshalYAML(node ast.Node) error {
+	tok := node.GetToken()
+	if err := d.UnmarshalText([]byte(tok.Value)); err != nil {
+		return &valueError{token: tok, cause: err}
+	}
+	return nil
+}
+
 // WithDefaults returns the rules with every omitted value filled in.
 func (r Rules) WithDefaults() Rules {
 	setDefault(&r.DefaultMaxTokens, DefaultMaxTokens)
--- a/internal/cicadahome/commit.go
+++ b/internal/cicadahome/commit.go
@@ -68,8 +68,7 @@
 		}
 		known, err := o.ledger.Known(&s.item.Exchange)
 		if err != nil {
-			h.cfg.Counts.Add("exchangesOutOfOrder", 1)
-			s.fail(cicadapeer.FaultOutOfOrder, "")
+			go h.refuseOutOfOrder(s, o.version)
 			continue
 		}
 		if known != nil {
@@ -89,6 +88,27 @@
 	return out
 }
 
+// refuseOutOfOrder tells a router that its session has ended, but only if this
+// is the partition's home for certain: one that was superseded knows less of the
+// session than its successor.
+func (h *Home) refuseOutOfOrder(s *submission, version uint64) {
+	ctx, cancel := context.WithTimeout(h.ctx, commitTimeout)
+	defer cancel()
+	row, err := cicadastore.GetOne(ctx, h.cfg.Platform, fenceRef(s.item.Partition))
+	switch {
+	case err != nil:
+		s.fail(cicadapeer.FaultUnavailable, "")
+	case row.Version != version:
+		// The committer drops the partition at its next commit.
+		var fence cicadaledger.FenceRow
+		_ = cicadaledger.DecodeRow(row.Value, &fence)
+		s.fail(cicadapeer.FaultNotHome, fence.PeerAddr)
+	default:
+		h.cfg.Counts.Add("exchangesOutOfOrder", 1)
+		s.fail(cicadapeer.FaultOutOfOrder, "")
+	}
+}
+
 // recallShort asks the other holders of a short budget for their idle units.
 func (h *Home) recallShort(a served) {
 	for _, sh := range a.answer.Scarce {
