--- a/internal/cicadademo/world.go
+++ b/internal/cicadademo/world.go
@@ -17,6 +17,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaconfig"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadoc"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
 	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
 	"github.com/cicadadyke/cicadadyke/internal/cicadarouter"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastandin"
@@ -265,6 +266,29 @@
 // Engines returns the engine stand-ins.
 func (w *World) Engines() []*cicadastandin.Engine { return w.engines }
 
+// Plains returns the stand-ins of plain services.
+func (w *World) Plains() []*cicadastandin.Plain { return w.plains }
+
+// OperatorToken returns the operators' token of the routers.
+func (w *World) OperatorToken() string { return operatorToken }
+
+// Bills returns every bill in the platform's record.
+func (w *World) Bills() ([]cicadaledger.Bill, error) {
+	var out []cicadaledger.Bill
+	for _, row := range w.platform.Dump(cicadastore.TableBatch) {
+		rec, err := cicadaledger.DecodeRecord(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		for i := range rec.Batches {
+			for _, s := range rec.Batches[i].Steps {
+				out = append(out, s.Bills...)
+			}
+		}
+	}
+	return out, nil
+}
+
 // remove takes a router off the balancer and out of the running ones.
 func (w *World) remove(r *cicadarouter.Router) {
 	w.mu.Lock()
--- a/internal/cicadaroute/choose.go
+++ b/internal/cicadaroute/choose.go
@@ -32,31 +32,45 @@
 		return "", ErrNoRunner
 	}
 	ignoreEjection := t.tooManyEjected(list, now)
-	if req.LocalFirst {
-		if r := t.pick(list, req, true, ignoreEjection, now); r != nil {
+	for sc := scopeOf(req); sc <= scopeQueue; sc++ {
+		if r := t.pick(list, req, sc, ignoreEjection, now); r != nil {
 			return r.Address, nil
 		}
 	}
-	if r := t.pick(list, req, false, ignoreEjection, now); r != nil {
-		return r.Address, nil
-	}
 	for _, r := range list {
-		if why := r.leftOut(req, false, ignoreEjection, now); why == outBusy {
+		if why := r.leftOut(req, scopeQueue, ignoreEjection, now); why == outBusy {
 			return "", ErrBusy
 		}
 	}
 	return "", ErrNoRunner
 }
 
+// scope is the set of runners that a draw is made from: free ones in the own
+// place, then free ones anywhere, then those that queue.
+type scope int
+
+const (
+	scopeLocal scope = iota
+	scopeFree
+	scopeQueue
+)
+
+func scopeOf(req *Request) scope {
+	if req.LocalFirst {
+		return scopeLocal
+	}
+	return scopeFree
+}
+
 // pick draws among the runners that may be used, in one pass: the two drawn are
 // a uniform sample without a list of the eligible ones.
-func (t *Table) pick(list []*runner, req *Request, local, ignoreEjection bool, now time.Time) *runner {
+func (t *Table) pick(list []*runner, req *Request, sc scope, ignoreEjection bool, now time.Time) *runner {
 	var first, second, preferred *runner
 	var sum float64
 	var best uint64
 	n := 0
 	for _, r := range list {
-		if r.leftOut(req, local, ignoreEjection, now) != "" {
+		if r.leftOut(req, sc, ignoreEjection, now) != "" {
 			continue
 		}
 		n++
@@ -104,7 +118,7 @@
 }
 
 // leftOut tells why a runner may not be used, or returns an empty string.
-func (r *runner) leftOut(req *Request, local, ignoreEjection bool, now time.Time) string {
+func (r *runner) leftOut(req *Request, sc scope, ignoreEjection bool, now time.Time) string {
 	switch {
 	case r.leaving:
 		return outLeaving
@@ -112,21 +126,19 @@
 		return outTried
 	case !ignoreEjection && now.Before(r.ejectedUntil):
 		return outEjected
-	case r.load(now) >= r.limit(req.Patient):
+	case r.load(now) >= limit(req.Patient, sc):
 		return outBusy
-	case local && r.Place != req.Place:
+	case sc == scopeLocal && r.Place != req.Place:
 		return outRemote
-	case local && r.load(now) >= 1:
-		// A full runner near by is no better than a free one elsewhere.
-		return outBusy
 	default:
 		return ""
 	}
 }
 
-// limit is the load up to which a runner is given more.
-func (r *runner) limit(patient bool) float64 {
-	if patient {
+// limit is the load up to which a runner is given more. Its queue is used only
+// when no runner is free, and not for patient requests.
+func limit(patient bool, sc scope) float64 {
+	if patient || sc != scopeQueue {
 		return 1
 	}
 	return queueFactor
@@ -152,7 +164,7 @@
 	for _, r := range list {
 		c := Candidate{
 			Name: r.Name, Place: r.Place, Load: r.load(now), InFlight: r.inFlight, ReportAgeMillis: -1,
-			LeftOut: r.leftOut(req, false, ignoreEjection, now),
+			LeftOut: r.leftOut(req, scopeQueue, ignoreEjection, now),
 		}
 		if !r.reportedAt.IsZero() {
 			c.ReportAgeMillis = now.Sub(r.reportedAt).Milliseconds()
--- /dev/null
+++ b/internal/cicadaroute/route_test.go
@@ -0,0 +1,185 @@
+package cicadaroute_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaroute"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+)
+
+const upstream = "svc/engines"
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newTable returns a table of n runners with four slots each, in two places by
+// turns.
+func newTable(n int) *cicadaroute.Table {
+	t := cicadaroute.NewTable("r1", 1)
+	t.SetUpstream(upstream, runners(n))
+	return t
+}
+
+func runners(n int) []cicadaroute.Runner {
+	out := make([]cicadaroute.Runner, n)
+	for i := range out {
+		out[i] = cicadaroute.Runner{
+			Name: fmt.Sprintf("e%d", i), Address: address(i), Place: fmt.Sprintf("p%d", i%2), Capacity: 4,
+		}
+	}
+	return out
+}
+
+func address(i int) string { return fmt.Sprintf("127.0.0.1:%d", 9000+i) }
+
+// chosen counts the choices of n requests that are never finished.
+func chosen(t *testing.T, table *cicadaroute.Table, req *cicadaroute.Request, n int) map[string]int {
+	t.Helper()
+	out := make(map[string]int)
+	for range n {
+		addr, err := table.Choose(req, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		table.Started(addr)
+		out[addr]++
+	}
+	return out
+}
+
+func TestLeavingRunnerGetsNothing(t *testing.T) {
+	table := newTable(4)
+	table.SetLeaving(address(2))
+	if n := chosen(t, table, &cicadaroute.Request{Upstream: upstream}, 20)[address(2)]; n != 0 {
+		t.Errorf("the leaving runner was chosen %d times", n)
+	}
+	// The document still lists it, and an old report says nothing of leaving.
+	table.SetUpstream(upstream, runners(4))
+	table.Reported(address(2), cicadaroute.Report{}, start)
+	if diff := cmp.Diff([]string{address(2)}, table.Leaving()); diff != "" {
+		t.Errorf("leaving (-want +got)\n%s", diff)
+	}
+}
+
+func TestOwnPlaceComesFirstUntilItIsFull(t *testing.T) {
+	table := newTable(4)
+	req := &cicadaroute.Request{Upstream: upstream, Place: "p0", LocalFirst: true}
+	got := chosen(t, table, req, 8)
+	if diff := cmp.Diff(map[string]int{address(0): 4, address(2): 4}, got); diff != "" {
+		t.Errorf("first eight (-want +got)\n%s", diff)
+	}
+	for addr := range chosen(t, table, req, 4) {
+		if addr == address(0) || addr == address(2) {
+			t.Errorf("%s in the own place got more than its slots while others were free", addr)
+		}
+	}
+}
+
+func TestReportIsCorrectedByOwnRequests(t *testing.T) {
+	table := newTable(2)
+	table.Reported(address(0), cicadaroute.Report{Running: 3}, start)
+	table.Reported(address(1), cicadaroute.Report{Running: 1}, start)
+	got := chosen(t, table, &cicadaroute.Request{Upstream: upstream}, 4)
+	if diff := cmp.Diff(map[string]int{address(0): 1, address(1): 3}, got); diff != "" {
+		t.Errorf("choices (-want +got)\n%s", diff)
+	}
+}
+
+func TestFailingRunnerIsEjectedForAWhile(t *testing.T) {
+	table := newTable(4)
+	for range 3 {
+		table.Started(address(1))
+		table.Finished(address(1), true, start)
+	}
+	if n := chosen(t, table, &cicadaroute.Request{Upstream: upstream}, 9)[address(1)]; n != 0 {
+		t.Errorf("the ejected runner was chosen %d times", n)
+	}
+	state := func(at time.Time) string {
+		for _, c := range table.Candidates(&cicadaroute.Request{Upstream: upstream}, at) {
+			if c.Name == "e1" {
+				return c.LeftOut
+			}
+		}
+		return "missing"
+	}
+	got := []string{state(start), state(start.Add(2 * time.Second))}
+	if diff := cmp.Diff([]string{"ejected", ""}, got); diff != "" {
+		t.Errorf("left out now and later (-want +got)\n%s", diff)
+	}
+}
+
+// TestMostRunnersAreNeverEjected fails every runner: ejecting them all would
+// turn one fault elsewhere into a full stop.
+func TestMostRunnersAreNeverEjected(t *testing.T) {
+	table := newTable(4)
+	for i := range 4 {
+		for range 3 {
+			table.Started(address(i))
+			table.Finished(address(i), true, start)
+		}
+	}
+	if _, err := table.Choose(&cicadaroute.Request{Upstream: upstream}, start); err != nil {
+		t.Errorf("no runner is left: %v", err)
+	}
+}
+
+func TestErrorsOfAChoice(t *testing.T) {
+	full := newTable(2)
+	for i := range 2 {
+		full.Reported(address(i), cicadaroute.Report{Running: 4, Waiting: 4}, start)
+	}
+	busy := newTable(2)
+	for i := range 2 {
+		busy.Reported(address(i), cicadaroute.Report{Running: 4}, start)
+	}
+	for _, tc := range []struct {
+		name  string
+		table *cicadaroute.Table
+		req   cicadaroute.Request
+		want  error
+	}{
+		{"unknown upstream", newTable(2), cicadaroute.Request{Upstream: "svc/other"}, cicadaroute.ErrNoRunner},
+		{"all were tried", newTable(2), cicadaroute.Request{Upstream: upstream, Tried: []string{address(0), address(1)}}, cicadaroute.ErrNoRunner},
+		{"slots and queues are full", full, cicadaroute.Request{Upstream: upstream}, cicadaroute.ErrBusy},
+		{"a live request may queue", busy, cicadaroute.Request{Upstream: upstream}, nil},
+		{"a patient request may not", busy, cicadaroute.Request{Upstream: upstream, Patient: true}, cicadaroute.ErrBusy},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if _, err := tc.table.Choose(&tc.req, start); !errors.Is(err, tc.want) || (err == nil) != (tc.want == nil) {
+				t.Errorf("error %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
+
+func TestPrefixStaysWithItsRunnerWithinTheBound(t *testing.T) {
+	table := newTable(4)
+	req := &cicadaroute.Request{Upstream: upstream, Prefix: 42}
+	first, err := table.Choose(req, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := chosen(t, table, req, 12)
+	if got[first] < 2 {
+		t.Errorf("the preferred runner got %d of 12", got[first])
+	}
+	if got[first] > 6 {
+		t.Errorf("the preferred runner got %d of 12, above its bound", got[first])
+	}
+}
+
+func BenchmarkChoose18(b *testing.B) {
+	table := newTable(18)
+	req := &cicadaroute.Request{Upstream: upstream, Place: "p0", LocalFirst: true, Prefix: 7}
+	b.ReportAllocs()
+	for b.Loop() {
+		addr, err := table.Choose(req, start)
+		if err != nil {
+			b.Fatal(err)
+		}
+		table.Started(addr)
+		table.Finished(addr, false, start)
+	}
+}
--- a/internal/cicadarouter/chat.go
+++ b/internal/cicadarouter/chat.go
@@ -122,14 +122,15 @@
 		}
 	}
 	c.includeUsage = opts.IncludeUsage
+	smallest := min(c.maxTokens, newMax)
 	c.maxTokens = max(c.maxTokens, newMax)
 	switch {
 	case c.model == "":
 		return malformed("field model is missing")
 	case len(c.messages) == 0:
 		return malformed("field messages is missing or empty")
-	case c.maxTokens < 0:
-		return malformed("field max_tokens is negative")
+	case smallest < 0:
+		return malformed("field max_tokens or max_completion_tokens is negative")
 	}
 	return c, nil
 }
--- a/internal/cicadastandin/engine.go
+++ b/internal/cicadastandin/engine.go
@@ -48,6 +48,9 @@
 		Draining     bool `json:"draining"`     // refuses new work
 		RepeatChunks bool `json:"repeatChunks"` // sends each chunk twice
 		StallAfter   int  `json:"stallAfter"`   // goes silent after so many chunks, once a request
+		// ForgetOnStall forgets the request when its stream goes silent, as a
+		// crashed and restarted engine does.
+		ForgetOnStall bool `json:"forgetOnStall"`
 	}
 
 	// Engine is the stand-in for a model engine. It batches up to Capacity
@@ -75,14 +78,15 @@
 	// generation is one request. Its tokens are a function of its prompt, so
 	// that a reader can tell its own answer from another's.
 	generation struct {
-		record  EngineRecord
-		tag     string
-		length  int
-		made    int
-		stalled bool
-		readers int
-		changed chan struct{} // closed and replaced when made or state changes
-		cancel  context.CancelFunc
+		record    EngineRecord
+		tag       string
+		length    int
+		made      int
+		stalled   bool
+		forgotten bool
+		readers   int
+		changed   chan struct{} // closed and replaced when made or state changes
+		cancel    context.CancelFunc
 	}
 
 	// EngineRecord is the engine's own account of a request.
--- a/internal/cicadastandin/enginehttp.go
+++ b/internal/cicadastandin/enginehttp.go
@@ -89,15 +89,15 @@
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
 	}
-	if faults.Hang {
-		<-r.Context().Done()
-		return
-	}
 	var body chatBody
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEngineBody)).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if faults.Hang {
+		<-r.Context().Done()
+		return
+	}
 	g := e.begin(chatRequest(r, &body))
 	if body.Stream {
 		e.stream(w, r, g, body.Model, 0)
@@ -170,6 +170,10 @@
 		e.mu.Lock()
 		if n := e.faults.StallAfter; n > 0 && i >= n && !g.stalled {
 			g.stalled = true
+			if e.faults.ForgetOnStall {
+				g.forgotten = true
+				g.cancel()
+			}
 			e.mu.Unlock()
 			return false, true
 		}
@@ -264,7 +268,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	g, ok := e.requests[r.PathValue("id")]
-	return g, ok
+	return g, ok && !g.forgotten
 }
 
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
