--- a/internal/cicadademo/demo.go
+++ b/internal/cicadademo/demo.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rep := &Report{Seed: cfg.Seed, Routers: len(w.Routers()), Organisations: len(w.docs[chatService].Organisations), begun: time.Now()}
+	rep := &Report{Seed: cfg.Seed, Routers: len(w.Routers()), Organisations: len(w.Document(chatService).Organisations), begun: time.Now()}
 	c := newCallers(w, cfg.Seed)
 	defer c.caller.Close()
 	if err := rep.play(ctx, &cfg, w, c); err != nil {
@@ -138,9 +138,9 @@
 		transfers := make(chan struct{})
 		go func() {
 			defer close(transfers)
-			c.runTransfers(ctx, w.docs[plainService], transferRate, cfg.Duration)
+			c.runTransfers(ctx, w.Document(plainService), transferRate, cfg.Duration)
 		}()
-		c.run(ctx, w.docs[chatService], cfg.Rate, cfg.Duration)
+		c.run(ctx, w.Document(chatService), cfg.Rate, cfg.Duration)
 		<-transfers
 	}()
 	routers := w.Routers()
@@ -154,7 +154,7 @@
 		{0.45, "sudden death of " + dies.Host().Name, func() error { w.KillRouter(dies); return nil }},
 		{0.55, "top-up of the dry budgets by apply", func() error { return w.TopUp(ctx, chatService, topUps()) }},
 		{0.65, "start of a replacement for " + leaves.Host().Name, func() error {
-			_, err := w.StartRouter(leaves.Host().Name, w.docs[chatService].Places[1])
+			_, err := w.StartRouter(leaves.Host().Name, w.Document(chatService).Places[1])
 			return err
 		}},
 	}
--- a/internal/cicadademo/world.go
+++ b/internal/cicadademo/world.go
@@ -8,8 +8,10 @@
 	"context"
 	"fmt"
 	"io/fs"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,9 +57,9 @@
 		engines  []*cicadastandin.Engine
 		plains   []*cicadastandin.Plain
 		servers  []*http.Server
-		docs     map[string]*cicadadoc.Document
 
 		mu      sync.Mutex // guards the fields below
+		docs    map[string]*cicadadoc.Document
 		routers []*cicadarouter.Router
 		all     []*cicadarouter.Router
 		topUps  []topUp
@@ -97,7 +99,7 @@
 	if err := w.startRouters(first); err != nil {
 		return w, err
 	}
-	for _, doc := range w.docs {
+	for _, doc := range maps.Clone(w.docs) {
 		if err := w.Apply(ctx, doc); err != nil {
 			return w, err
 		}
@@ -219,9 +221,11 @@
 	if err != nil {
 		return err
 	}
-	doc.BasedOn = res.Version
+	applied := *doc
+	applied.BasedOn = res.Version
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.docs[doc.Service] = &applied
 	for _, b := range doc.Budgets {
 		w.topUps = append(w.topUps, topUp{budget: cicadadoc.BudgetID(doc.Service, b.Name), prepaid: b.Prepaid, at: at})
 	}
@@ -230,14 +234,20 @@
 
 // TopUp raises some budgets of a service by an apply.
 func (w *World) TopUp(ctx context.Context, service string, add map[string]cicadabudget.Units) error {
-	doc, ok := w.docs[service]
-	if !ok {
-		return errors.Errorf("no service %q", service)
-	}
+	doc := *w.Document(service)
+	doc.Budgets = slices.Clone(doc.Budgets)
 	for i := range doc.Budgets {
 		doc.Budgets[i].Prepaid += add[doc.Budgets[i].Name]
 	}
-	return w.Apply(ctx, doc)
+	return w.Apply(ctx, &doc)
+}
+
+// Document returns the document of a service that was applied last. It must not
+// be changed.
+func (w *World) Document(service string) *cicadadoc.Document {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.docs[service]
 }
 
 func (w *World) awaitReady(ctx context.Context) error {
--- /dev/null
+++ b/internal/cicadarouter/bench_test.go
@@ -0,0 +1,174 @@
+package cicadarouter_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaconfig"
+	"github.com/cicadadyke/cicadadyke/internal/cicadadoc"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaload"
+	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaroute"
+	"github.com/cicadadyke/cicadadyke/internal/cicadarouter"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastandin"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/goccy/go-yaml"
+)
+
+// BenchmarkAdmission is the core's part of one request: reserve, choose among 18
+// runners, settle.
+func BenchmarkAdmission(b *testing.B) {
+	slices := cicadabudget.NewSlices(2 * time.Second)
+	table := cicadaroute.NewTable("r1", 1)
+	var runners []cicadaroute.Runner
+	for i := range 18 {
+		runners = append(runners, cicadaroute.Runner{
+			Name: fmt.Sprint(i), Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Place: fmt.Sprint(i % 4), Capacity: 16,
+		})
+	}
+	table.SetUpstream("u", runners)
+	req := &cicadaroute.Request{Upstream: "u", Place: "0", LocalFirst: true, Prefix: 5}
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		slices.Granted("budget", 100)
+		r, short := slices.Reserve("budget", 100, now)
+		if short != nil {
+			b.Fatal("short")
+		}
+		addr, err := table.Choose(req, now)
+		if err != nil {
+			b.Fatal(err)
+		}
+		table.Started(addr)
+		table.Finished(addr, false, now)
+		if err := slices.Settle(r, 40); err != nil {
+			b.Fatal(err)
+		}
+		slices.Acknowledged("budget", 40)
+	}
+}
+
+// lone is one router with one engine.
+type lone struct {
+	router *cicadarouter.Router
+	engine *httptest.Server
+}
+
+func newLone(b *testing.B, budgets int, pace time.Duration) *lone {
+	b.Helper()
+	platform := cicadastandin.NewPlatform(cicadastandin.PlatformConfig{Seed: 1, WritesPerSecond: 300, ReadsPerSecond: 2000})
+	server := httptest.NewServer(platform.Handler())
+	engine := httptest.NewServer(cicadastandin.NewEngine(cicadastandin.EngineConfig{Name: "e", Capacity: 1000, Pace: pace}).Handler())
+	b.Cleanup(engine.Close)
+	b.Cleanup(server.Close)
+	if _, err := cicadaconfig.Apply(b.Context(), platform, manyBudgets(b, budgets, engine.Listener.Addr().String())); err != nil {
+		b.Fatal(err)
+	}
+	id, err := cicadapeer.SharedIdentity("shared key of the benchmark")
+	if err != nil {
+		b.Fatal(err)
+	}
+	cfg := cicadarouter.Config{
+		Name: "r1", Place: "p1", Region: "east", Identity: id, Log: &log.Logger{Handler: discard.New()},
+		Platform: cicadastore.NewClient(cicadastore.ClientConfig{BaseURL: server.URL}), OperatorToken: "op",
+	}
+	for _, l := range []*net.Listener{&cfg.Callers, &cfg.Operators, &cfg.Peers} {
+		if *l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			b.Fatal(err)
+		}
+	}
+	r := cicadarouter.New(cfg)
+	if err := r.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(r.Kill)
+	<-r.Ready()
+	return &lone{router: r, engine: engine}
+}
+
+// manyBudgets is a document with n organisations, a budget each.
+func manyBudgets(tb testing.TB, n int, engine string) *cicadadoc.Source {
+	tb.Helper()
+	doc := cicadadoc.Document{
+		Schema: cicadadoc.Schema, Service: "svc",
+		Places: []cicadadoc.Place{{Name: "p1", Region: "east"}},
+		Upstreams: []cicadadoc.Upstream{{
+			Name: "e", Kind: cicadadoc.KindModelEngine, Models: []string{"m"},
+			Runners: []cicadadoc.Runner{{Name: "e1", Address: engine, Place: "p1", Capacity: 1000}},
+		}},
+		Rules: cicadadoc.Rules{Weight: cicadadoc.WeightOverspend},
+	}
+	for i := range n {
+		name := fmt.Sprintf("org-%d", i)
+		doc.Organisations = append(doc.Organisations, cicadadoc.Organisation{
+			Name: name, KeyDigests: []string{cicadaconfig.KeyDigest("key-" + name)},
+		})
+		doc.Budgets = append(doc.Budgets, cicadadoc.Budget{Name: name + "-2026", Organisation: name, Prepaid: 1_000_000_000})
+	}
+	text, err := yaml.Marshal(doc)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	src, err := cicadadoc.Decode("svc.yaml", text)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return src
+}
+
+func loadConfig(l *lone, rate float64, d time.Duration, direct bool) cicadaload.RunConfig {
+	cfg := cicadaload.RunConfig{
+		Targets: []string{baseURL(l.router)}, Model: "m", Rate: rate, Duration: d, MaxTokens: 10, Words: 10, Stream: true,
+		Seed: 1, Timeout: 20 * time.Second, RawEngine: direct,
+		Organisations: []cicadaload.Organisation{{Name: "org-0", APIKey: "key-org-0"}},
+	}
+	if direct {
+		cfg.Targets = []string{l.engine.URL}
+	}
+	return cfg
+}
+
+func newLoad() *cicadaload.Caller { return cicadaload.NewCaller(512, &http.Transport{}) }
+
+// BenchmarkAddedFirstToken compares the first token through a router with that
+// of the engine itself, at 200 requests a second, in the same run.
+func BenchmarkAddedFirstToken(b *testing.B) {
+	l := newLone(b, 10, 5*time.Millisecond)
+	caller := newLoad()
+	defer caller.Close()
+	cicadaload.Run(b.Context(), loadConfig(l, 200, time.Second, false), caller) // connections and slice
+	for b.Loop() {
+		direct := cicadaload.Run(context.Background(), loadConfig(l, 200, 5*time.Second, true), caller)
+		routed := cicadaload.Run(context.Background(), loadConfig(l, 200, 5*time.Second, false), caller)
+		b.ReportMetric(routed.First.P50-direct.First.P50, "addedP50ms")
+		b.ReportMetric(routed.First.P99-direct.First.P99, "addedP99ms")
+		b.ReportMetric(float64(routed.Verdicts[cicadaload.Whole])/float64(routed.Sent), "whole")
+	}
+}
+
+// BenchmarkShortRequests sends 2,000 short requests a second to one router. A
+// growing queue would show in the requests open at once.
+func BenchmarkShortRequests(b *testing.B) {
+	l := newLone(b, 10, 0)
+	caller := newLoad()
+	defer caller.Close()
+	cicadaload.Run(b.Context(), loadConfig(l, 200, time.Second, false), caller)
+	for b.Loop() {
+		first := cicadaload.Run(context.Background(), loadConfig(l, 2000, 4*time.Second, false), caller)
+		second := cicadaload.Run(context.Background(), loadConfig(l, 2000, 4*time.Second, false), caller)
+		b.ReportMetric(float64(first.MostOpen), "openFirstHalf")
+		b.ReportMetric(float64(second.MostOpen), "openSecondHalf")
+		b.ReportMetric(second.Total.P99, "p99ms")
+		b.ReportMetric(float64(second.Verdicts[cicadaload.Whole])/float64(second.Sent), "whole")
+		b.ReportMetric(float64(second.Sent)/second.Seconds, "requests/s")
+	}
+}
