--- a/internal/cicadacmd/router.go
+++ b/internal/cicadacmd/router.go
@@ -117,7 +117,11 @@
 	if err := r.Start(); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-r.Done():
+		return fail(ExitFailed, errors.New("the fleet declared this process ended while it was away; start it anew"))
+	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), v.stopTimeout)
 	defer cancel()
 	return r.Stop(stopCtx)
--- a/internal/cicadahome/home.go
+++ b/internal/cicadahome/home.go
@@ -53,6 +53,7 @@
 	Config struct {
 		Platform cicadastore.Platform
 		Fleet    Fleet
+		Evidence Evidence // nil: holdings of ended processes stay in doubt
 		Self     cicadaledger.Holder
 		Region   string
 		PeerAddr string
@@ -71,16 +72,20 @@
 		log      string // name of this process's log
 		submit   chan *submission
 		acquired chan *owned
-		stop     chan struct{}
-		done     chan struct{}
-		ctx      context.Context
-		cancel   context.CancelFunc
+		// recovered carries collected evidence to the committer.
+		recovered chan []recovered
+		stop      chan struct{}
+		done      chan struct{}
+		ctx       context.Context
+		cancel    context.CancelFunc
 
 		// The committer owns the fields below.
 		nextRow   uint64
 		acquiring map[cicadaledger.PartitionID][]*submission
 		lastRun   time.Time
 		released  bool
+		// recovering is set while evidence is collected.
+		recovering bool
 
 		// mu guards the fields below and all that parts lead to. Only the
 		// committer changes parts and ledgers; it holds mu while it does, and
@@ -137,6 +142,7 @@
 		log:       fmt.Sprintf("%s.%d", cfg.Self.Host, cfg.Self.Incarnation),
 		submit:    make(chan *submission, queueLength),
 		acquired:  make(chan *owned, queueLength),
+		recovered: make(chan []recovered, 1),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
 		ctx:       ctx,
@@ -221,8 +227,11 @@
 			h.finishAcquire(o)
 		case s := <-h.submit:
 			h.cycle(s)
+		case list := <-h.recovered:
+			h.finishRecovery(list)
 		case <-tick.C:
 			h.maintain()
+			h.startRecovery()
 		}
 	}
 }
--- /dev/null
+++ b/internal/cicadahome/recover.go
@@ -0,0 +1,137 @@
+package cicadahome
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/pkg/errors"
+)
+
+const (
+	// evidenceTimeout bounds the collection of evidence on one holding.
+	evidenceTimeout = 3 * time.Second
+	// recoveriesPerCycle bounds the holdings given back at once, so that the
+	// loss of a rack does not become a storm of writes.
+	recoveriesPerCycle = 32
+)
+
+// ErrInDoubt is returned by Evidence when a holding cannot be given back yet.
+var ErrInDoubt = errors.New("the evidence does not allow it yet")
+
+type (
+	// Evidence finds out what an ended router process used.
+	Evidence interface {
+		// Used makes sure that upstreams take nothing more from a holder and
+		// returns what it used of a budget, by the upstreams' own records. It
+		// returns ErrInDoubt if that cannot be known.
+		Used(ctx context.Context, id cicadaledger.Holder, budget string) (cicadabudget.Units, error)
+	}
+
+	// holding is what an ended holder has of one budget.
+	holding struct {
+		partition cicadaledger.PartitionID
+		holder    cicadaledger.Holder
+		budget    string
+		held      cicadabudget.Units
+		billed    cicadabudget.Units
+	}
+
+	// recovered is a holding with what its holder used without a bill.
+	recovered struct {
+		holding
+		unbilled cicadabudget.Units
+	}
+)
+
+// startRecovery looks for holdings of ended processes and collects evidence on
+// them, off the committer's goroutine.
+func (h *Home) startRecovery() {
+	if h.recovering || h.cfg.Evidence == nil {
+		return
+	}
+	list := h.endedHoldings()
+	if len(list) == 0 {
+		return
+	}
+	h.recovering = true
+	go func() {
+		var out []recovered
+		for _, x := range list {
+			ctx, cancel := context.WithTimeout(h.ctx, evidenceTimeout)
+			used, err := h.cfg.Evidence.Used(ctx, x.holder, x.budget)
+			cancel()
+			if err != nil {
+				h.cfg.Counts.Add("recoveriesInDoubt", 1)
+				continue
+			}
+			out = append(out, recovered{holding: x, unbilled: max(0, used-x.billed)})
+		}
+		select {
+		case h.recovered <- out:
+		case <-h.ctx.Done():
+		}
+	}()
+}
+
+// endedHoldings lists holdings of processes that have ended for certain.
+func (h *Home) endedHoldings() []holding {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []holding
+	for id, o := range h.parts {
+		for _, holder := range o.ledger.Holders() {
+			if !h.cfg.Fleet.Ended(holder) {
+				continue
+			}
+			o.ledger.MarkGone(holder)
+			for _, a := range o.ledger.Holdings(holder) {
+				out = append(out, holding{
+					partition: id, holder: holder, budget: a.Budget, held: a.Units, billed: o.ledger.BilledBy(holder, a.Budget),
+				})
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].budget != out[j].budget {
+			return out[i].budget < out[j].budget
+		}
+		return out[i].holder.Host < out[j].holder.Host
+	})
+	return out[:min(len(out), recoveriesPerCycle)]
+}
+
+// finishRecovery gives holdings back. What their holders used without a bill is
+// withheld: it was spent, but whose request it was may not be known.
+func (h *Home) finishRecovery(list []recovered) {
+	h.recovering = false
+	now := time.Now()
+	h.mu.Lock()
+	for i := range list {
+		h.giveBack(&list[i], now)
+	}
+	h.mu.Unlock()
+	if err := h.commitStaged(now); err != nil {
+		h.cfg.Log.WithError(err).Warn("recovered units not recorded")
+	}
+}
+
+// giveBack stages the return of one holding. The caller holds h.mu.
+func (h *Home) giveBack(r *recovered, now time.Time) {
+	o, ok := h.parts[r.partition]
+	if !ok {
+		return
+	}
+	withheld := min(r.held, r.unbilled)
+	step := o.ledger.EndStep(r.holder, r.budget, withheld)
+	if _, err := o.ledger.StageStep(step, now); err != nil {
+		h.impossible(err)
+		return
+	}
+	h.cfg.Counts.Add("unitsRecovered", int64(r.held-withheld))
+	h.cfg.Counts.Add("unitsWithheldOfEnded", int64(withheld))
+	h.cfg.Log.WithField("holder", r.holder.Host).WithField("budget", r.budget).
+		WithField("units", int64(r.held-withheld)).WithField("withheld", int64(withheld)).Info("units of an ended router recovered")
+}
--- a/internal/cicadaledger/apply.go
+++ b/internal/cicadaledger/apply.go
@@ -33,6 +33,7 @@
 		Holder Holder   `cbor:"1,keyasint"`
 		Last   Answer   `cbor:"2,keyasint"`
 		Held   []Amount `cbor:"3,keyasint"`
+		Billed []Amount `cbor:"4,keyasint"`
 	}
 
 	// KeyCheckpoint is one request key of a checkpoint.
@@ -196,6 +197,9 @@
 	if err := p.move(h, bill.Budget, -total); err != nil {
 		return errors.Wrapf(err, "bill of %s", bill.RequestID)
 	}
+	if total > 0 {
+		h.billed[bill.Budget] += total
+	}
 	b := p.budget(bill.Budget)
 	b.spent += bill.Units
 	b.withheld += bill.Withheld
@@ -271,11 +275,9 @@
 	}
 	for _, id := range p.Holders() {
 		h := p.holders[id]
-		hc := HolderCheckpoint{Holder: id, Last: h.last}
-		for name, units := range h.held {
-			hc.Held = append(hc.Held, Amount{Budget: name, Units: units})
-		}
-		c.Holders = append(c.Holders, hc)
+		c.Holders = append(c.Holders, HolderCheckpoint{
+			Holder: id, Last: h.last, Held: amounts(h.held), Billed: amounts(h.billed),
+		})
 	}
 	for name, k := range p.keys {
 		c.Keys = append(c.Keys, KeyCheckpoint{
@@ -297,6 +299,9 @@
 	for _, hc := range c.Holders {
 		h := p.holder(hc.Holder)
 		h.seq, h.last = hc.Last.Seq, hc.Last
+		for _, a := range hc.Billed {
+			h.billed[a.Budget] = a.Units
+		}
 		for _, a := range hc.Held {
 			if err := p.move(h, a.Budget, a.Units); err != nil {
 				return nil, errors.Wrap(err, "restore checkpoint")
--- a/internal/cicadaledger/partition.go
+++ b/internal/cicadaledger/partition.go
@@ -56,9 +56,10 @@
 	}
 
 	holder struct {
-		seq  uint64
-		last Answer
-		held map[string]cicadabudget.Units
+		seq    uint64
+		last   Answer
+		held   map[string]cicadabudget.Units
+		billed map[string]cicadabudget.Units // spent and withheld by its bills
 	}
 
 	key struct {
@@ -149,6 +150,51 @@
 	return out
 }
 
+// Holdings lists what a holder holds, by budget.
+func (p *Partition) Holdings(id Holder) []Amount {
+	h, ok := p.holders[id]
+	if !ok {
+		return nil
+	}
+	return amounts(h.held)
+}
+
+// BilledBy returns what a holder's bills charged and withheld of a budget.
+func (p *Partition) BilledBy(id Holder, name string) cicadabudget.Units {
+	h, ok := p.holders[id]
+	if !ok {
+		return 0
+	}
+	return h.billed[name]
+}
+
+// EndStep returns the step that ends an ended holder's claim on a budget: a part
+// of its units is withheld and the rest given back.
+func (p *Partition) EndStep(id Holder, name string, withheld cicadabudget.Units) Step {
+	h, ok := p.holders[id]
+	if !ok {
+		return Step{Holder: id}
+	}
+	s := Step{Holder: id, Answer: Answer{Seq: h.seq}, Gone: true}
+	if rest := h.held[name] - withheld; rest > 0 {
+		s.Returns = []Amount{{Budget: name, Units: rest}}
+	}
+	if withheld > 0 {
+		s.Bills = []Bill{{RequestID: id.RequestID(0), Budget: name, Withheld: withheld, Outcome: OutcomeCut}}
+	}
+	return s
+}
+
+// amounts lists a map by budget.
+func amounts(m map[string]cicadabudget.Units) []Amount {
+	out := make([]Amount, 0, len(m))
+	for name, units := range m {
+		out = append(out, Amount{Budget: name, Units: units})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Budget < out[j].Budget })
+	return out
+}
+
 // Holders lists the holders with units or an unclosed session.
 func (p *Partition) Holders() []Holder {
 	out := make([]Holder, 0, len(p.holders))
@@ -185,7 +231,7 @@
 func (p *Partition) holder(id Holder) *holder {
 	h, ok := p.holders[id]
 	if !ok {
-		h = &holder{held: make(map[string]cicadabudget.Units)}
+		h = &holder{held: make(map[string]cicadabudget.Units), billed: make(map[string]cicadabudget.Units)}
 		p.holders[id] = h
 	}
 	return h
--- a/internal/cicadarouter/bench_test.go
+++ b/internal/cicadarouter/bench_test.go
@@ -149,6 +149,8 @@
 	for b.Loop() {
 		direct := cicadaload.Run(context.Background(), loadConfig(l, 200, 5*time.Second, true), caller)
 		routed := cicadaload.Run(context.Background(), loadConfig(l, 200, 5*time.Second, false), caller)
+		b.ReportMetric(direct.First.P99, "directP99ms")
+		b.ReportMetric(direct.First.P50, "directP50ms")
 		b.ReportMetric(routed.First.P50-direct.First.P50, "addedP50ms")
 		b.ReportMetric(routed.First.P99-direct.First.P99, "addedP99ms")
 		b.ReportMetric(float64(routed.Verdicts[cicadaload.Whole])/float64(routed.Sent), "whole")
--- a/internal/cicadarouter/router.go
+++ b/internal/cicadarouter/router.go
@@ -139,7 +139,7 @@
 		HeardLeaving:   r.heardLeaving,
 	})
 	r.home = cicadahome.New(cicadahome.Config{
-		Platform: r.cfg.Platform, Fleet: r.fleet, Self: r.fleet.Holder(), Region: r.cfg.Region, PeerAddr: r.self.PeerAddr,
+		Platform: r.cfg.Platform, Fleet: r.fleet, Evidence: &evidence{r: r}, Self: r.fleet.Holder(), Region: r.cfg.Region, PeerAddr: r.self.PeerAddr,
 		CommitInterval: r.fleet.CommitInterval,
 		KeyWindow:      r.keyWindow,
 		RunWindow:      r.runWindow,
@@ -147,7 +147,7 @@
 	})
 	r.session = cicadasession.New(cicadasession.Config{
 		Homes: r.fleet, Self: r.fleet.Holder(), Region: r.cfg.Region, FlushInterval: r.fleet.CommitInterval,
-		Log: r.cfg.Log, Counts: m.Session, Now: time.Now,
+		Log: r.cfg.Log, Counts: m.Session, Now: time.Now, OnEnded: r.declaredEnded,
 	})
 	r.server = cicadapeer.NewServer(cicadapeer.ServerConfig{
 		Listener: r.cfg.Peers, Identity: r.cfg.Identity, Handler: &peerHandler{r: r}, Log: r.cfg.Log,
@@ -229,6 +229,13 @@
 	}
 }
 
+// declaredEnded ends a router whose units were given to others while it was cut
+// off or paused. A new process takes its place.
+func (r *Router) declaredEnded() {
+	r.cfg.Log.Error("this process was declared ended while it was away; it stops, start it anew")
+	go r.Kill()
+}
+
 // Kill ends the router as a crash does: connections break, nothing is returned.
 func (r *Router) Kill() {
 	if r.stopping.Swap(true) {
--- a/internal/cicadasession/manager.go
+++ b/internal/cicadasession/manager.go
@@ -70,6 +70,9 @@
 		Log           log.Interface
 		Counts        Counter
 		Now           func() time.Time
+		// OnEnded is called once if a home says that this process was declared
+		// ended and its units given to others. The process has to end.
+		OnEnded func()
 	}
 
 	// Manager holds this router's slices.
@@ -84,6 +87,7 @@
 		waiting  map[string]*waitList
 		shortage map[string]shortage
 		closing  bool
+		ended    bool
 	}
 
 	// waitList is the requests that wait for units of one budget.
@@ -333,6 +337,18 @@
 	return m.slices.State()
 }
 
+// declareEnded stops all spending of a process that was declared ended.
+func (m *Manager) declareEnded() {
+	m.mu.Lock()
+	first := !m.ended
+	m.ended, m.closing = true, true
+	m.mu.Unlock()
+	if first {
+		m.cfg.Counts.Add("declaredEnded", 1)
+		m.cfg.OnEnded()
+	}
+}
+
 // partOf returns the partition of a budget and starts its goroutine at the
 // first use. The caller holds m.mu.
 func (m *Manager) partOf(budget string) *part {
--- a/internal/cicadasession/part.go
+++ b/internal/cicadasession/part.go
@@ -226,8 +226,11 @@
 			p.take(o, answer)
 			return true
 		}
-		if errors.Is(err, ErrSessionEnded) && o.exchange.Closing {
-			return true
+		if errors.Is(err, ErrSessionEnded) {
+			if !o.exchange.Closing {
+				p.m.declareEnded()
+			}
+			return false
 		}
 		p.m.cfg.Counts.Add("exchangesRepeated", 1)
 		p.m.cfg.Log.WithError(err).WithField("partition", p.id.String()).Debug("exchange without answer")
--- a/internal/cicadastandin/engine.go
+++ b/internal/cicadastandin/engine.go
@@ -65,6 +65,7 @@
 		requests map[string]*generation
 		order    []string
 		prefixes []string
+		fenced   map[string]bool // router processes that are refused
 		hits     int64
 		reported cicadaupstream.Load
 		loadAt   time.Time
@@ -113,7 +114,7 @@
 
 // NewEngine returns an idle engine.
 func NewEngine(cfg EngineConfig) *Engine {
-	return &Engine{cfg: cfg, requests: make(map[string]*generation)}
+	return &Engine{cfg: cfg, requests: make(map[string]*generation), fenced: make(map[string]bool)}
 }
 
 // SetFaults replaces the present faults.
--- a/internal/cicadastandin/enginehttp.go
+++ b/internal/cicadastandin/enginehttp.go
@@ -63,6 +63,13 @@
 		e.mu.Unlock()
 		writeReply(w, load, nil)
 	})
+	mux.HandleFunc("GET "+cicadaupstream.PathUsage, e.serveUsage)
+	mux.HandleFunc("PUT "+cicadaupstream.PathFences+"{router}", func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		e.fenced[r.PathValue("router")] = true
+		e.mu.Unlock()
+		writeReply(w, struct{}{}, nil)
+	})
 	mux.HandleFunc("GET /control/records", func(w http.ResponseWriter, _ *http.Request) {
 		writeReply(w, e.Records(), nil)
 	})
@@ -80,7 +87,13 @@
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	faults, load := e.faults, e.load()
+	fenced := e.fenced[r.Header.Get(cicadaupstream.HeaderHolder)]
 	e.mu.Unlock()
+	if fenced {
+		w.Header().Set(cicadaupstream.HeaderNotRun, "1")
+		http.Error(w, "this router process was declared ended", http.StatusConflict)
+		return
+	}
 	w.Header().Set(cicadaupstream.HeaderRunning, strconv.Itoa(load.Running))
 	w.Header().Set(cicadaupstream.HeaderWaiting, strconv.Itoa(load.Waiting))
 	if faults.Draining {
@@ -298,6 +311,24 @@
 	writeReply(w, rec, nil)
 }
 
+// serveUsage sums up what a router process ran for an organisation.
+func (e *Engine) serveUsage(w http.ResponseWriter, r *http.Request) {
+	router, org := r.URL.Query().Get("router"), r.URL.Query().Get("organisation")
+	e.mu.Lock()
+	var use cicadaupstream.RouterUsage
+	for _, g := range e.requests {
+		if g.record.Router != router || g.record.Organisation != org {
+			continue
+		}
+		use.Tokens += g.record.PromptTokens + g.record.CompletionTokens
+		if g.record.State == StateRunning {
+			use.Running++
+		}
+	}
+	e.mu.Unlock()
+	writeReply(w, use, nil)
+}
+
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	g, ok := e.lookup(r)
 	if !ok {
--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,8 @@
 	PathChat     = "/v1/chat/completions"
 	PathRequests = "/v1/requests/"
 	PathLoad     = "/v1/load"
+	PathUsage    = "/v1/usage"
+	PathFences   = "/v1/fences/"
 )
 
 const (
@@ -114,6 +117,12 @@
 		CompletionTokens int64  `json:"completionTokens"`
 	}
 
+	// RouterUsage is what an engine ran for a router and an organisation.
+	RouterUsage struct {
+		Tokens  int64 `json:"tokens"`
+		Running int   `json:"running"`
+	}
+
 	// Config sets up a Client.
 	Config struct {
 		// OnLoad is called with each load report, from a header or a poll.
@@ -274,6 +283,20 @@
 	return rec, err
 }
 
+// Usage asks an engine what it ran for a router process and an organisation.
+func (c *Client) Usage(ctx context.Context, addr, router, organisation string) (RouterUsage, error) {
+	q := url.Values{"router": {router}, "organisation": {organisation}}
+	var use RouterUsage
+	err := c.control(ctx, http.MethodGet, "http://"+addr+PathUsage+"?"+q.Encode(), &use)
+	return use, err
+}
+
+// Fence makes an engine refuse whatever a router process still sends.
+func (c *Client) Fence(ctx context.Context, addr, router string) error {
+	var done struct{}
+	return c.control(ctx, http.MethodPut, "http://"+addr+PathFences+url.PathEscape(router), &done)
+}
+
 func (c *Client) control(ctx context.Context, method, target string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
