--- a/internal/cicadademo/world.go
+++ b/internal/cicadademo/world.go
@@ -63,6 +63,7 @@
 		routers []*cicadarouter.Router
 		all     []*cicadarouter.Router
 		topUps  []topUp
+		gates   map[*cicadarouter.Router]*gate
 	}
 
 	// topUp is a change of a budget's prepaid total.
@@ -79,7 +80,10 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &World{cfg: cfg, identity: id, docs: make(map[string]*cicadadoc.Document)}
+	w := &World{
+		cfg: cfg, identity: id,
+		docs: make(map[string]*cicadadoc.Document), gates: make(map[*cicadarouter.Router]*gate),
+	}
 	w.platform = cicadastandin.NewPlatform(cfg.Platform)
 	addr, err := w.serve(w.platform.Handler())
 	if err != nil {
@@ -180,10 +184,14 @@
 // StartRouter starts one more router.
 func (w *World) StartRouter(name string, place cicadadoc.Place) (*cicadarouter.Router, error) {
 	metrics := cicadarouter.NewMetrics()
+	gate := &gate{Platform: cicadastore.NewClient(cicadastore.ClientConfig{BaseURL: w.baseURL, Counts: metrics.Platform})}
 	cfg := cicadarouter.Config{
 		Name: name, Place: place.Name, Region: place.Region, OperatorToken: operatorToken, Identity: w.identity,
 		Log: w.cfg.Log, Metrics: metrics, Seed: w.cfg.Seed,
-		Platform: cicadastore.NewClient(cicadastore.ClientConfig{BaseURL: w.baseURL, Counts: metrics.Platform}),
+		Platform: gate,
+	}
+	for _, r := range w.Routers() {
+		cfg.Seeds = append(cfg.Seeds, r.Host().PeerAddr)
 	}
 	for _, l := range []*net.Listener{&cfg.Callers, &cfg.Operators, &cfg.Peers} {
 		ln, err := listen()
@@ -200,9 +208,17 @@
 	defer w.mu.Unlock()
 	w.routers = append(w.routers, r)
 	w.all = append(w.all, r)
+	w.gates[r] = gate
 	return r, nil
 }
 
+// CutPlatform cuts one router off from the platform, or lets it reach it again.
+func (w *World) CutPlatform(r *cicadarouter.Router, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gates[r].cut.Store(cut)
+}
+
 // Apply brings a document into force through its YAML form, as the command
 // line does.
 func (w *World) Apply(ctx context.Context, doc *cicadadoc.Document) error {
--- a/internal/cicadafleet/exchange.go
+++ b/internal/cicadafleet/exchange.go
@@ -73,8 +73,11 @@
 			return nil, errors.Wrap(cicadapeer.ErrRefused, "the home refused the exchange")
 		case cicadapeer.FaultUnavailable:
 			// The home, or a host that tried to become it, lacks the
-			// platform: another one would fare no better.
-			return nil, errors.Wrap(cicadapeer.ErrUnreachable, "the home cannot commit now")
+			// platform: another one would fare no better. But if it is this
+			// host, the platform may be away for this host alone.
+			if addr != f.cfg.Self.PeerAddr {
+				return nil, errors.Wrap(cicadapeer.ErrUnreachable, "the home cannot commit now")
+			}
 		case faultUnreachable:
 			f.forgetHome(item.Partition, addr)
 		}
@@ -118,10 +121,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
+	now := time.Now()
 	if addr, ok := f.homes[id]; ok {
-		out = append(out, addr)
+		// A home that the platform calls gone may still answer, and be unable
+		// to commit: another host takes over.
+		if f.table.IsGone(addr) {
+			delete(f.homes, id)
+		} else {
+			out = append(out, addr)
+		}
 	}
-	now := time.Now()
 	ranked := cicadamember.Rank(f.table.Live(now), id)
 	if len(ranked) == 0 {
 		// The whole fleet is stopping: a leaving host still takes returns.
--- a/internal/cicadamember/members.go
+++ b/internal/cicadamember/members.go
@@ -97,6 +97,16 @@
 		(e.host.Incarnation == id.Incarnation && e.host.State == cicadastore.HostGone)
 }
 
+// IsGone tells whether the platform calls the host at a peer address gone.
+func (t *Table) IsGone(peerAddr string) bool {
+	for _, e := range t.hosts {
+		if e.host.PeerAddr == peerAddr {
+			return e.host.State == cicadastore.HostGone
+		}
+	}
+	return false
+}
+
 // Live lists the hosts that take work, by name.
 func (t *Table) Live(now time.Time) []cicadastore.Host {
 	var out []cicadastore.Host
--- a/internal/cicadapeer/identity.go
+++ b/internal/cicadapeer/identity.go
@@ -88,7 +88,9 @@
 		InsecureSkipVerify: true, //nolint:gosec // verify below replaces the check of names
 		VerifyConnection:   id.verify,
 		NextProtos:         []string{Protocol},
-		MinVersion:         tls.VersionTLS13,
+		// Connections last long: tickets would cost more than they save.
+		SessionTicketsDisabled: true,
+		MinVersion:             tls.VersionTLS13,
 	}
 }
 
--- /dev/null
+++ b/internal/cicadapeer/peer_test.go
@@ -0,0 +1,262 @@
+package cicadapeer_test
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaconfig"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+)
+
+// echo answers every call.
+type echo struct{}
+
+func (echo) Exchange(_ context.Context, req *cicadapeer.ExchangeRequest) (*cicadapeer.ExchangeReply, error) {
+	out := &cicadapeer.ExchangeReply{}
+	for i := range req.Items {
+		out.Items = append(out.Items, cicadapeer.ItemReply{Answer: &cicadaledger.Answer{
+			Seq: req.Items[i].Exchange.Seq, Grants: []cicadaledger.Amount{{Budget: "redacteur/menages-rive-sud-2026", Units: 812}},
+		}})
+	}
+	return out, nil
+}
+
+func (echo) Claim(context.Context, *cicadapeer.ClaimRequest) (*cicadapeer.ClaimReply, error) {
+	return &cicadapeer.ClaimReply{Verdict: cicadaledger.Verdict{State: cicadaledger.KeyGranted}}, nil
+}
+
+func (echo) Beat(_ context.Context, b *cicadapeer.Beat) (*cicadapeer.Beat, error) { return b, nil }
+
+func (echo) Answer(context.Context, *cicadapeer.AnswerRequest) (*cicadapeer.AnswerReply, error) {
+	return &cicadapeer.AnswerReply{}, nil
+}
+
+func (echo) Recall(context.Context, *cicadapeer.RecallRequest) (*cicadapeer.Empty, error) {
+	return nil, errors.New("refused on purpose")
+}
+
+func (echo) Config(context.Context, *cicadapeer.ConfigRequest) (*cicadaconfig.Export, error) {
+	return &cicadaconfig.Export{}, nil
+}
+
+func identity(tb testing.TB, key string) *cicadapeer.Identity {
+	tb.Helper()
+	id, err := cicadapeer.SharedIdentity(key)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return id
+}
+
+const fleetKey = "the fleet's shared key"
+
+func startServer(tb testing.TB) string {
+	tb.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	s := cicadapeer.NewServer(cicadapeer.ServerConfig{
+		Listener: ln, Identity: identity(tb, fleetKey), Handler: echo{}, Log: &log.Logger{Handler: discard.New()},
+		In: new(expvar.Int), Out: new(expvar.Int),
+	})
+	s.Start()
+	tb.Cleanup(s.Close)
+	return ln.Addr().String()
+}
+
+func newClient(tb testing.TB, key string, in, out *expvar.Int) *cicadapeer.Client {
+	tb.Helper()
+	c := cicadapeer.NewClient(cicadapeer.ClientConfig{
+		Identity: identity(tb, key), In: in, Out: out, Calls: new(expvar.Map).Init(),
+	})
+	tb.Cleanup(c.Close)
+	return c
+}
+
+var beat = &cicadapeer.Beat{Host: cicadaledger.Holder{Host: "r1", Incarnation: 5}, ChangeSeq: 3}
+
+func TestCallAndRefusal(t *testing.T) {
+	addr := startServer(t)
+	c := newClient(t, fleetKey, new(expvar.Int), new(expvar.Int))
+	got, err := c.Beat(t.Context(), addr, beat)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(beat, got); diff != "" {
+		t.Errorf("answer (-want +got)\n%s", diff)
+	}
+	if err := c.Recall(t.Context(), addr, &cicadapeer.RecallRequest{}); !errors.Is(err, cicadapeer.ErrRefused) {
+		t.Errorf("a refused call: %v", err)
+	}
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	addr := startServer(t)
+	c := newClient(t, "another fleet's shared key", new(expvar.Int), new(expvar.Int))
+	if _, err := c.Beat(t.Context(), addr, beat); !errors.Is(err, cicadapeer.ErrUnreachable) {
+		t.Errorf("a stranger's call: %v", err)
+	}
+	if _, err := cicadapeer.SharedIdentity("short"); err == nil {
+		t.Error("a short key passed")
+	}
+}
+
+func TestTooLargeMessageEndsTheConnection(t *testing.T) {
+	addr := startServer(t)
+	c := newClient(t, fleetKey, new(expvar.Int), new(expvar.Int))
+	var b strings.Builder
+	for i := range 1_200_000 {
+		fmt.Fprintf(&b, "%x-", i*2654435761)
+	}
+	_, err := c.Answer(t.Context(), addr, &cicadapeer.AnswerRequest{RequestID: b.String()})
+	if !errors.Is(err, cicadapeer.ErrUnreachable) {
+		t.Errorf("a message of %d bytes: %v", b.Len(), err)
+	}
+	if _, err := c.Beat(t.Context(), addr, beat); err != nil {
+		t.Errorf("the next call: %v", err)
+	}
+}
+
+// TestSilentConnectionIsReplaced puts a relay between the ends that loses its
+// first connection without a sign, while new ones work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	server := startServer(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	lost := make(chan struct{})
+	go relay(ln, server, lost)
+	c := newClient(t, fleetKey, new(expvar.Int), new(expvar.Int))
+	addr := ln.Addr().String()
+	if _, err := c.Beat(t.Context(), addr, beat); err != nil {
+		t.Fatal(err)
+	}
+	close(lost)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	if _, err := c.Beat(ctx, addr, beat); !errors.Is(err, cicadapeer.ErrUnreachable) {
+		t.Fatalf("over the lost connection: %v", err)
+	}
+	if _, err := c.Beat(t.Context(), addr, beat); err != nil {
+		t.Errorf("after the lost connection: %v", err)
+	}
+}
+
+// relay forwards connections. The first one forwards nothing once lost is
+// closed, and is not closed.
+func relay(ln net.Listener, server string, lost chan struct{}) {
+	for n := 0; ; n++ {
+		in, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", server)
+		if err != nil {
+			return
+		}
+		var stop chan struct{}
+		if n == 0 {
+			stop = lost
+		}
+		go forward(in, out, stop)
+		go forward(out, in, stop)
+	}
+}
+
+func forward(from, to net.Conn, lost chan struct{}) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		select {
+		case <-lost:
+			continue
+		default:
+		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				return
+			}
+			_ = to.Close()
+			return
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// BenchmarkWireBytes measures the bytes of each kind of call, both directions
+// at one end, with TLS and framing.
+func BenchmarkWireBytes(b *testing.B) {
+	holder := cicadaledger.Holder{Host: "salle-levis-1", Incarnation: 1796330600340}
+	partition := cicadaledger.PartitionOf("qc-est", "redacteur/menages-rive-sud-2026")
+	exchange := func(items int) func(*cicadapeer.Client, string, uint64) error {
+		return func(c *cicadapeer.Client, addr string, i uint64) error {
+			req := &cicadapeer.ExchangeRequest{}
+			for k := range items {
+				req.Items = append(req.Items, cicadapeer.ExchangeItem{Partition: partition, Exchange: cicadaledger.Exchange{
+					Holder: holder, Seq: i,
+					Asks: []cicadaledger.Ask{{Budget: "redacteur/menages-rive-sud-2026", Want: 500}},
+					Bills: []cicadaledger.Bill{{
+						RequestID: holder.RequestID(i*100 + uint64(k)), Budget: "redacteur/menages-rive-sud-2026",
+						Units: 51, Outcome: cicadaledger.OutcomeWhole,
+					}},
+				}})
+			}
+			_, err := c.Exchange(context.Background(), addr, req)
+			return err
+		}
+	}
+	for _, k := range []struct {
+		name string
+		call func(c *cicadapeer.Client, addr string, i uint64) error
+	}{
+		{"exchange=1", exchange(1)},
+		{"exchange=4", exchange(4)},
+		{"exchange=16", exchange(16)},
+		{"claim", func(c *cicadapeer.Client, addr string, i uint64) error {
+			_, err := c.Claim(context.Background(), addr, &cicadapeer.ClaimRequest{Partition: partition, Holder: holder, Claim: cicadaledger.Claim{
+				Key: fmt.Sprintf("zRr2r0e4%08x", i*2654435761), RequestID: holder.RequestID(i), Fingerprint: "yH2kLm0a",
+			}})
+			return err
+		}},
+		{"beat", func(c *cicadapeer.Client, addr string, _ uint64) error {
+			_, err := c.Beat(context.Background(), addr, beat)
+			return err
+		}},
+	} {
+		b.Run(k.name, func(b *testing.B) {
+			in, out := new(expvar.Int), new(expvar.Int)
+			c := newClient(b, fleetKey, in, out)
+			addr := startServer(b)
+			if err := k.call(c, addr, 1); err != nil {
+				b.Fatal(err)
+			}
+			handshake := in.Value() + out.Value()
+			b.ReportAllocs()
+			n := uint64(0)
+			for b.Loop() {
+				n++
+				if err := k.call(c, addr, n); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(in.Value()+out.Value()-handshake)/float64(n), "bytes/call")
+			b.ReportMetric(float64(handshake), "bytes/connection")
+		})
+	}
+}
--- a/internal/cicadarouter/router.go
+++ b/internal/cicadarouter/router.go
@@ -31,7 +31,7 @@
 
 const (
 	// trailsKept bounds the explained requests, plain and notable each.
-	trailsKept = 4096
+	trailsKept = 2048
 	// loadPoll is the time between two polls of a runner's load.
 	loadPoll = 500 * time.Millisecond
 	// returnTimeout bounds the return of units at a planned stop.
--- a/internal/cicadastandin/engine.go
+++ b/internal/cicadastandin/engine.go
@@ -46,6 +46,7 @@
 	EngineFaults struct {
 		Hang         bool `json:"hang"`         // takes requests and never answers
 		Draining     bool `json:"draining"`     // refuses new work
+		Fail         bool `json:"fail"`         // answers each request with status 500
 		RepeatChunks bool `json:"repeatChunks"` // sends each chunk twice
 		StallAfter   int  `json:"stallAfter"`   // goes silent after so many chunks, once a request
 		// ForgetOnStall forgets the request when its stream goes silent, as a
@@ -67,6 +68,7 @@
 		prefixes []string
 		fenced   map[string]bool // router processes that are refused
 		hits     int64
+		received int
 		reported cicadaupstream.Load
 		loadAt   time.Time
 	}
@@ -135,6 +137,13 @@
 	return out
 }
 
+// Received returns how many requests reached the engine, run or not.
+func (e *Engine) Received() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.received
+}
+
 // CacheHits returns how many prompts began with a cached prefix.
 func (e *Engine) CacheHits() int64 {
 	e.mu.Lock()
--- a/internal/cicadastandin/enginehttp.go
+++ b/internal/cicadastandin/enginehttp.go
@@ -86,6 +86,7 @@
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
+	e.received++
 	faults, load := e.faults, e.load()
 	fenced := e.fenced[r.Header.Get(cicadaupstream.HeaderHolder)]
 	e.mu.Unlock()
@@ -107,6 +108,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if faults.Fail {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
 	if faults.Hang {
 		<-r.Context().Done()
 		return
