--- /dev/null
+++ b/internal/cicadademo/scale_test.go
@@ -0,0 +1,121 @@
+package cicadademo_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cicadadyke/cicadadyke/internal/cicadademo"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaload"
+	"github.com/cicadadyke/cicadadyke/internal/cicadarouter"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastandin"
+)
+
+// BenchmarkIdleFleet measures what a router without requests costs: heartbeats,
+// host list, configuration, load reports.
+func BenchmarkIdleFleet(b *testing.B) {
+	for _, byPlace := range []int{2, 4, 8, 16} {
+		b.Run(fmt.Sprintf("routers=%d", 4*byPlace), func(b *testing.B) {
+			for b.Loop() {
+				measureIdle(b, byPlace)
+			}
+		})
+	}
+}
+
+func measureIdle(b *testing.B, byPlace int) {
+	const span = 10 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	w, err := cicadademo.NewWorld(ctx, cicadademo.WorldConfig{
+		Files: os.DirFS("../../examples"), Documents: []string{"qc-est/redacteur.yaml"}, RoutersByPlace: byPlace,
+		Seed: 1, Log: &log.Logger{Handler: discard.New()}, Pace: time.Millisecond,
+		Platform: cicadastandin.PlatformConfig{Seed: 1},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer w.CloseStandins()
+	time.Sleep(5 * time.Second) // connections are made
+	bytes, cpu := controlBytes(w), cicadarouter.ProcessCPU()
+	reads := platformReads(w)
+	time.Sleep(span)
+	n := float64(len(w.Routers())) * span.Seconds()
+	b.ReportMetric(float64(controlBytes(w)-bytes)/n, "bytes/s/router")
+	b.ReportMetric(100*(cicadarouter.ProcessCPU()-cpu).Seconds()/n, "%core/router")
+	b.ReportMetric(float64(platformReads(w)-reads)/n, "reads/s/router")
+	for _, r := range w.Routers() {
+		r.Kill()
+	}
+}
+
+func controlBytes(w *cicadademo.World) int64 {
+	var sum int64
+	for _, r := range w.Routers() {
+		sum += r.Metrics().ControlBytes()
+	}
+	return sum
+}
+
+func platformReads(w *cicadademo.World) int64 {
+	c := w.Platform().Counts()
+	return cicadarouter.Count(c, "reads") + cicadarouter.Count(c, "hostReads") + cicadarouter.Count(c, "announcements")
+}
+
+// BenchmarkBusyFleet measures control bytes and store writes for each request,
+// at five requests a second and router.
+func BenchmarkBusyFleet(b *testing.B) {
+	for _, byPlace := range []int{2, 4, 8} {
+		for _, keyed := range []bool{false, true} {
+			b.Run(fmt.Sprintf("routers=%d/keyed=%v", 4*byPlace, keyed), func(b *testing.B) {
+				for b.Loop() {
+					measureBusy(b, byPlace, keyed)
+				}
+			})
+		}
+	}
+}
+
+func measureBusy(b *testing.B, byPlace int, keyed bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	w, err := cicadademo.NewWorld(ctx, cicadademo.WorldConfig{
+		Files: os.DirFS("../../examples"), Documents: []string{"qc-est/redacteur.yaml"}, RoutersByPlace: byPlace,
+		Seed: 1, Log: &log.Logger{Handler: discard.New()}, Pace: time.Millisecond,
+		Platform: cicadastandin.PlatformConfig{Seed: 1},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer w.CloseStandins()
+	cfg := cicadaload.RunConfig{
+		Model: "redacteur-7b", Rate: 5 * float64(4*byPlace), Duration: 5 * time.Second, MaxTokens: 10, Words: 10,
+		Stream: true, Keyed: keyed, Timeout: 20 * time.Second,
+	}
+	for _, r := range w.Routers() {
+		cfg.Targets = append(cfg.Targets, "http://"+r.Host().CallerAddr)
+	}
+	for _, o := range w.Document("redacteur").Organisations[:7] { // those without limits
+		cfg.Organisations = append(cfg.Organisations, cicadaload.Organisation{Name: o.Name, APIKey: "demo-key-" + o.Name})
+	}
+	caller := cicadaload.NewCaller(64, nil)
+	defer caller.Close()
+	cicadaload.Run(ctx, cfg, caller) // connections and slices
+	cfg.Seed = 2
+	cfg.Duration = 10 * time.Second
+	bytes, commits := controlBytes(w), cicadarouter.Count(w.Platform().Counts(), "commits")
+	stats := cicadaload.Run(ctx, cfg, caller)
+	const idleBytes = 830 // a second and router, by BenchmarkIdleFleet
+	idle := idleBytes * stats.Seconds * float64(len(w.Routers()))
+	b.ReportMetric((float64(controlBytes(w)-bytes)-idle)/float64(stats.Sent), "bytes/request")
+	b.ReportMetric(float64(cicadarouter.Count(w.Platform().Counts(), "commits")-commits)/stats.Seconds, "commits/s")
+	b.ReportMetric(float64(stats.Verdicts[cicadaload.Whole])/float64(stats.Sent), "whole")
+	b.ReportMetric(stats.First.P95, "firstTokenP95ms")
+	for _, r := range w.Routers() {
+		r.Kill()
+	}
+}
