--- a/internal/cicadacmd/process_test.go
+++ b/internal/cicadacmd/process_test.go
@@ -158,14 +158,13 @@
 }
 
 // spent returns what the platform's record says of a budget.
-func (f *fleet) spent(budget string) (spent, held int64) {
+func (f *fleet) spent(budget string) int64 {
 	f.t.Helper()
 	out := f.run("top", "--json", "--operator-token", "op", "--platform", "http://"+f.platform)
 	var view struct {
 		Budgets []struct {
 			Budget string `json:"budget"`
 			Spent  int64  `json:"spent"`
-			Held   int64  `json:"held"`
 		} `json:"budgets"`
 	}
 	if i := strings.IndexByte(out, '{'); i >= 0 {
@@ -176,11 +175,11 @@
 	}
 	for _, b := range view.Budgets {
 		if b.Budget == budget {
-			return b.Spent, b.Held
+			return b.Spent
 		}
 	}
 	f.t.Fatalf("no budget %s in\n%s", budget, out)
-	return 0, 0
+	return 0
 }
 
 // TestProcessesEndToEnd serves requests by separate processes, kills a router
@@ -190,7 +189,7 @@
 	const budget = "redacteur/menages-rive-sud-2026"
 	res := f.callUntilWhole(f.routers[0], "first", "")
 	f.run("explain", "--operator-token", "op", "--platform", "http://"+f.platform, res.RequestID)
-	before, _ := f.spent(budget)
+	before := f.spent(budget)
 	if before == 0 {
 		t.Error("nothing was spent after a whole answer")
 	}
@@ -200,8 +199,7 @@
 	f.callUntilWhole(f.routers[1], "second", "")
 	f.callUntilWhole(f.routers[2], "third", "")
 	f.await("a larger spend", func() bool {
-		after, _ := f.spent(budget)
-		return after > before
+		return f.spent(budget) > before
 	})
 }
 
--- a/internal/cicadaledger/ledger_test.go
+++ b/internal/cicadaledger/ledger_test.go
@@ -52,8 +52,9 @@
 	return a
 }
 
-func ask(h cicadaledger.Holder, seq uint64, least, want cicadabudget.Units) *cicadaledger.Exchange {
-	return &cicadaledger.Exchange{Holder: h, Seq: seq, Asks: []cicadaledger.Ask{{Budget: budget, Min: least, Want: want}}}
+// ask is a holder's first exchange.
+func ask(h cicadaledger.Holder, least, want cicadabudget.Units) *cicadaledger.Exchange {
+	return &cicadaledger.Exchange{Holder: h, Seq: 1, Asks: []cicadaledger.Ask{{Budget: budget, Min: least, Want: want}}}
 }
 
 func bill(h cicadaledger.Holder, seq uint64, b cicadaledger.Bill) *cicadaledger.Exchange {
@@ -83,7 +84,7 @@
 		{"dry, nothing for a request that cannot be covered", isDry, 101, 101, 0, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			a := stage(t, newPartition(t, 100), ask(r1, 1, tc.least, tc.want), tc.dry, start)
+			a := stage(t, newPartition(t, 100), ask(r1, tc.least, tc.want), tc.dry, start)
 			if diff := cmp.Diff(tc.grant, granted(&a)); diff != "" {
 				t.Errorf("granted (-want +got)\n%s", diff)
 			}
@@ -96,7 +97,7 @@
 
 func TestRepeatedExchangeHasOneEffect(t *testing.T) {
 	p := newPartition(t, 100)
-	x := ask(r1, 1, 0, 30)
+	x := ask(r1, 0, 30)
 	first := stage(t, p, x, notDry, start)
 	again, err := p.Known(x)
 	if err != nil || again == nil {
@@ -117,7 +118,7 @@
 
 func TestHolderCannotGiveUpWhatItDoesNotHave(t *testing.T) {
 	p := newPartition(t, 100)
-	stage(t, p, ask(r1, 1, 0, 30), notDry, start)
+	stage(t, p, ask(r1, 0, 30), notDry, start)
 	for name, x := range map[string]*cicadaledger.Exchange{
 		"bill":          bill(r1, 2, cicadaledger.Bill{RequestID: "a", Units: 31, Outcome: cicadaledger.OutcomeWhole}),
 		"negative bill": bill(r1, 2, cicadaledger.Bill{RequestID: "a", Units: -1, Outcome: cicadaledger.OutcomeWhole}),
@@ -137,8 +138,8 @@
 
 func TestSecondBillOfAKeyIsVoided(t *testing.T) {
 	p := newPartition(t, 100)
-	stage(t, p, ask(r1, 1, 0, 30), notDry, start)
-	stage(t, p, ask(r2, 1, 0, 30), notDry, start)
+	stage(t, p, ask(r1, 0, 30), notDry, start)
+	stage(t, p, ask(r2, 0, 30), notDry, start)
 	whole := cicadaledger.Bill{RequestID: "r1-a", Key: "k", Fingerprint: "f", Units: 20, Outcome: cicadaledger.OutcomeWhole}
 	stage(t, p, bill(r1, 2, whole), notDry, start)
 	second := whole
@@ -159,7 +160,7 @@
 
 func TestCutAnswerIsNotBilledAndFreesItsKey(t *testing.T) {
 	p := newPartition(t, 100)
-	stage(t, p, ask(r1, 1, 0, 50), notDry, start)
+	stage(t, p, ask(r1, 0, 50), notDry, start)
 	stage(t, p, bill(r1, 2, cicadaledger.Bill{RequestID: "a", Key: "k", Withheld: 12, Outcome: cicadaledger.OutcomeCut}), notDry, start)
 	want := cicadaledger.Figures{Budget: budget, Allotted: 100, Withheld: 12, Held: 38, Available: 50, Holders: 1}
 	if diff := cmp.Diff(want, p.Figures(budget)); diff != "" {
--- a/internal/cicadarouter/hazard_test.go
+++ b/internal/cicadarouter/hazard_test.go
@@ -18,25 +18,24 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// charged sums the charges by request and by key.
-func charged(t *testing.T, w *cicadademo.World) (byRequest, byKey map[string]int, units cicadabudget.Units) {
+// charged counts the charges of each key and sums all of them.
+func charged(t *testing.T, w *cicadademo.World) (byKey map[string]int, units cicadabudget.Units) {
 	t.Helper()
 	bills, err := w.Bills()
 	if err != nil {
 		t.Fatal(err)
 	}
-	byRequest, byKey = make(map[string]int), make(map[string]int)
+	byKey = make(map[string]int)
 	for _, b := range bills {
 		if b.Voided || b.Units == 0 {
 			continue
 		}
-		byRequest[b.RequestID]++
 		if b.Key != "" {
 			byKey[b.Key]++
 		}
 		units += b.Units
 	}
-	return byRequest, byKey, units
+	return byKey, units
 }
 
 // callAll sends n requests at once, in turns over the routers.
@@ -163,7 +162,7 @@
 	<-done
 	s.BaseURL = baseURL(other)
 	await(t, "a whole answer to the retry", func() bool { return call(t, s).Verdict == cicadaload.Whole })
-	_, byKey, _ := charged(t, w)
+	byKey, _ := charged(t, w)
 	for key, n := range byKey {
 		if n != 1 {
 			t.Errorf("key %s was charged %d times", key, n)
@@ -509,10 +508,10 @@
 	w.CutPlatform(west, false)
 	await(t, "the parted side's bills", func() bool {
 		call(t, spec(west, "rejoined"))
-		_, _, units := charged(t, w)
+		_, units := charged(t, w)
 		return units == enginesUse(w)
 	})
-	_, _, units := charged(t, w)
+	_, units := charged(t, w)
 	if units > 2700 {
 		t.Errorf("%d units billed of 2700 prepaid", units)
 	}
