--- a/internal/cicadabudget/slices.go
+++ b/internal/cicadabudget/slices.go
@@ -48,6 +48,7 @@
 		free        Units
 		reserved    Units
 		pending     Units // settled or returned, not yet acknowledged by the home
+		settled     Units // the settled part of pending
 		open        map[uint64]Units
 		largest     Units // largest recent reservation
 		rate        float64
@@ -146,6 +147,7 @@
 	delete(sl.open, r.id)
 	sl.reserved -= units
 	sl.pending += used
+	sl.settled += used
 	sl.free += units - used
 	return nil
 }
@@ -156,11 +158,28 @@
 	sl.free += units
 }
 
-// Acknowledged removes settled or returned units that the home has recorded.
-func (s *Slices) Acknowledged(budget string, units Units) {
+// Billed removes settled units that the home has recorded.
+func (s *Slices) Billed(budget string, units Units) {
+	sl := s.get(budget)
+	sl.pending -= units
+	sl.settled -= units
+}
+
+// Returned removes returned units that the home has recorded.
+func (s *Slices) Returned(budget string, units Units) {
 	s.get(budget).pending -= units
 }
 
+// Settled returns the units that were used and that the home may not have
+// recorded yet.
+func (s *Slices) Settled(budget string) Units {
+	sl, ok := s.byBudget[budget]
+	if !ok {
+		return 0
+	}
+	return sl.settled
+}
+
 // SetScarce notes whether the home is short of a budget.
 func (s *Slices) SetScarce(budget string, scarce bool) {
 	s.get(budget).scarce = scarce
--- a/internal/cicadademo/judge.go
+++ b/internal/cicadademo/judge.go
@@ -282,7 +282,8 @@
 	}
 }
 
-// checkLastRefusal judges what a caller was left with after its retries.
+// checkLastRefusal judges what a caller was left with after its retries, at the
+// time of the refusal: while a request waits for units, others may take them.
 func (j *judge) checkLastRefusal(c *call) {
 	last := &c.attempts[len(c.attempts)-1]
 	if last.Verdict != cicadaload.Refused {
@@ -291,7 +292,8 @@
 	if last.Code == string(cicadarefusal.OrganisationLimit) && j.isOverLimit(c, last.At) {
 		return
 	}
-	left := j.prepaidAt(c.budget, last.At) - j.upstreamUse(last.At)[c.budget]
+	at := last.At.Add(last.Total)
+	left := j.prepaidAt(c.budget, at) - j.upstreamUse(at)[c.budget]
 	if left >= worstCase(&c.spec) {
 		j.findings.FalseRefusals++
 		j.findings.FalseRefusalCodes[last.Code]++
--- a/internal/cicadasession/manager.go
+++ b/internal/cicadasession/manager.go
@@ -195,7 +195,7 @@
 // have these units.
 func (m *Manager) isExhausted(budget string, units cicadabudget.Units) bool {
 	s, ok := m.shortage[budget]
-	return ok && s.Final && m.cfg.Now().Sub(s.at) < scarceFor && s.Remaining-m.slices.Pending(budget) < units
+	return ok && s.Final && m.cfg.Now().Sub(s.at) < scarceFor && s.Remaining-m.slices.Settled(budget) < units
 }
 
 func (m *Manager) whyShort(budget string) error {
--- a/internal/cicadasession/part.go
+++ b/internal/cicadasession/part.go
@@ -247,14 +247,14 @@
 	defer m.mu.Unlock()
 	p.seq = o.exchange.Seq
 	for _, r := range o.exchange.Returns {
-		m.slices.Acknowledged(r.Budget, r.Units)
+		m.slices.Returned(r.Budget, r.Units)
 	}
 	credits := make(map[string]cicadabudget.Units)
 	for _, c := range a.Credits {
 		credits[c.Budget] += c.Units
 	}
 	for _, b := range o.bills {
-		m.slices.Acknowledged(b.bill.Budget, b.bill.Units+b.bill.Withheld)
+		m.slices.Billed(b.bill.Budget, b.bill.Units+b.bill.Withheld)
 		close(b.recorded)
 	}
 	for budget, units := range credits {
--- /dev/null
+++ b/internal/cicadasession/session_test.go
@@ -0,0 +1,250 @@
+package cicadasession_test
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/cicadadyke/cicadadyke/internal/cicadasession"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+)
+
+const budget = "svc/acme"
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeHome answers exchanges from a real ledger. It can lose answers, be away,
+// or end sessions.
+type fakeHome struct {
+	mu     sync.Mutex
+	ledger *cicadaledger.Partition
+	dry    bool
+	away   bool
+	ended  bool
+	lose   int // answers still to lose after their effect
+	seen   []cicadaledger.Exchange
+}
+
+func newHome(allotted cicadabudget.Units) *fakeHome {
+	id := cicadaledger.PartitionOf("east", budget)
+	h := &fakeHome{ledger: cicadaledger.New(cicadaledger.Config{ID: id}), dry: true}
+	allot := h.ledger.AllotBatch(1, []cicadaledger.Amount{{Budget: budget, Units: allotted}}, time.Now())
+	if err := h.ledger.Apply(allot); err != nil {
+		panic(err)
+	}
+	return h
+}
+
+func (h *fakeHome) Exchange(_ context.Context, item *cicadapeer.ExchangeItem) (*cicadaledger.Answer, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.ended:
+		return nil, cicadasession.ErrSessionEnded
+	case h.away:
+		return nil, cicadapeer.ErrUnreachable
+	}
+	x := item.Exchange
+	answer, err := h.ledger.Known(&x)
+	if err != nil {
+		return nil, err
+	}
+	if answer == nil {
+		h.seen = append(h.seen, x)
+		a, err := h.ledger.Stage(&x, func(string) bool { return h.dry }, time.Now())
+		if err != nil {
+			return nil, err
+		}
+		h.ledger.Cut(1, time.Now())
+		answer = &a
+	}
+	if h.lose > 0 {
+		h.lose--
+		return nil, cicadapeer.ErrUnreachable
+	}
+	return answer, nil
+}
+
+func (h *fakeHome) Claim(context.Context, *cicadapeer.ClaimRequest) (cicadaledger.Verdict, error) {
+	return cicadaledger.Verdict{State: cicadaledger.KeyGranted}, nil
+}
+
+func (h *fakeHome) figures() cicadaledger.Figures {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Figures(budget)
+}
+
+func (h *fakeHome) set(change func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	change()
+}
+
+func newManager(t *testing.T, h *fakeHome, onEnded func()) *cicadasession.Manager {
+	t.Helper()
+	return cicadasession.New(cicadasession.Config{
+		Homes: h, Self: cicadaledger.Holder{Host: "r", Incarnation: 1}, Region: "east",
+		FlushInterval: func() time.Duration { return time.Millisecond },
+		Log:           &log.Logger{Handler: discard.New()}, Counts: new(expvar.Map).Init(), Now: time.Now, OnEnded: onEnded,
+	})
+}
+
+func closeManager(t *testing.T, m *cicadasession.Manager) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := m.Close(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+func settle(t *testing.T, m *cicadasession.Manager, r cicadabudget.Reservation, id string, units cicadabudget.Units) {
+	t.Helper()
+	recorded, err := m.Settle(r, cicadaledger.Bill{RequestID: id, Budget: budget, Units: units, Outcome: cicadaledger.OutcomeWhole})
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-recorded
+}
+
+// TestStopReturnsEverything spends some units and stops: the ledger shows the
+// spend and nothing held.
+func TestStopReturnsEverything(t *testing.T) {
+	h := newHome(1000)
+	m := newManager(t, h, nil)
+	r, err := m.Reserve(t.Context(), budget, 40, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	settle(t, m, r, "a", 25)
+	closeManager(t, m)
+	want := cicadaledger.Figures{Budget: budget, Allotted: 1000, Spent: 25, Available: 975}
+	if diff := cmp.Diff(want, h.figures()); diff != "" {
+		t.Errorf("figures (-want +got)\n%s", diff)
+	}
+	if _, err := m.Reserve(t.Context(), budget, 1, time.Second); !errors.Is(err, cicadasession.ErrClosed) {
+		t.Errorf("a reservation after the stop: %v", err)
+	}
+}
+
+// TestLostAnswersAreAskedForAgain loses answers after their effect.
+func TestLostAnswersAreAskedForAgain(t *testing.T) {
+	h := newHome(1000)
+	h.lose = 3
+	m := newManager(t, h, nil)
+	for i := range 10 {
+		r, err := m.Reserve(t.Context(), budget, 40, 5*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i%3 == 0 {
+			h.set(func() { h.lose = 2 })
+		}
+		settle(t, m, r, "x", 10)
+	}
+	closeManager(t, m)
+	if diff := cmp.Diff(cicadabudget.Units(100), h.figures().Spent); diff != "" {
+		t.Errorf("spent (-want +got)\n%s", diff)
+	}
+}
+
+func TestRefusalsOfAReservation(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		setup func(h *fakeHome)
+		units cicadabudget.Units
+		want  error
+	}{
+		{"more than the budget has", func(*fakeHome) {}, 101, cicadasession.ErrExhausted},
+		{"more could be allotted, but is not yet", func(h *fakeHome) { h.dry = false }, 101, cicadasession.ErrHomeAway},
+		{"the home is away", func(h *fakeHome) { h.away = true }, 10, cicadasession.ErrHomeAway},
+		{"another router holds it", func(h *fakeHome) {
+			x := &cicadaledger.Exchange{Holder: cicadaledger.Holder{Host: "other"}, Seq: 1, Asks: []cicadaledger.Ask{{Budget: budget, Min: 95}}}
+			if _, err := h.ledger.Stage(x, func(string) bool { return true }, time.Now()); err != nil {
+				panic(err)
+			}
+			h.ledger.Cut(1, time.Now())
+		}, 10, cicadasession.ErrShort},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHome(100)
+			tc.setup(h)
+			m := newManager(t, h, nil)
+			_, err := m.Reserve(t.Context(), budget, tc.units, 100*time.Millisecond)
+			if !errors.Is(err, tc.want) {
+				t.Errorf("error %v, want %v", err, tc.want)
+			}
+			m.Abandon()
+		})
+	}
+}
+
+// TestWaitingRequestGetsReturnedUnits waits for units that another request
+// leaves over.
+func TestWaitingRequestGetsReturnedUnits(t *testing.T) {
+	h := newHome(100)
+	m := newManager(t, h, nil)
+	first, err := m.Reserve(t.Context(), budget, 80, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan error, 1)
+	go func() {
+		_, err := m.Reserve(context.Background(), budget, 60, 10*time.Second)
+		got <- err
+	}()
+	time.Sleep(20 * time.Millisecond) // the second request is waiting, or will find the units at once
+	settle(t, m, first, "a", 10)
+	if err := <-got; err != nil {
+		t.Errorf("the waiting request: %v", err)
+	}
+	m.Abandon()
+}
+
+func TestRecallGivesIdleUnitsBack(t *testing.T) {
+	h := newHome(1000)
+	m := newManager(t, h, nil)
+	r, err := m.Reserve(t.Context(), budget, 40, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Recall([]string{budget})
+	for begin := time.Now(); h.figures().Held != 40; {
+		if time.Since(begin) > 10*time.Second {
+			t.Fatalf("still held: %+v", h.figures())
+		}
+		time.Sleep(time.Millisecond)
+	}
+	settle(t, m, r, "a", 40)
+	closeManager(t, m)
+}
+
+// TestProcessThatWasDeclaredEndedStopsSpending ends the session at the home.
+func TestProcessThatWasDeclaredEndedStopsSpending(t *testing.T) {
+	h := newHome(1000)
+	ended := make(chan struct{})
+	m := newManager(t, h, func() { close(ended) })
+	r, err := m.Reserve(t.Context(), budget, 40, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.set(func() { h.ended = true })
+	if _, err := m.Settle(r, cicadaledger.Bill{RequestID: "a", Budget: budget, Units: 1, Outcome: cicadaledger.OutcomeWhole}); err != nil {
+		t.Fatal(err)
+	}
+	<-ended
+	if _, err := m.Reserve(t.Context(), budget, 1, time.Second); !errors.Is(err, cicadasession.ErrClosed) {
+		t.Errorf("a reservation after the end: %v", err)
+	}
+	m.Abandon()
+}
