Routers lend to each other while the home does not answer

Cause: in an outage of the store a router without a slice refused requests although others of the place held idle units.

Ruled out: lending on what was borrowed. The state machine over the real ledger gave a schedule in which the home could not tell whose units they were and refused an honest exchange.

Change: a lender gives free units up, both ends report the loan, the first report moves it once. Before an ended router's units are given back every live router tells what it borrowed of it and borrows no more.

TestHazard06LoansInAnOutage: the router that held nothing answers.

--- a/internal/cicadabudget/slices.go
+++ b/internal/cicadabudget/slices.go
@@ -49,6 +49,7 @@
 		reserved    Units
 		pending     Units // settled or returned, not yet acknowledged by the home
 		settled     Units // the settled part of pending
+		borrowed    Units // lent by other routers, not yet recorded by the home
 		open        map[uint64]Units
 		largest     Units // largest recent reservation
 		rate        float64
@@ -158,6 +159,18 @@
 	sl.free += units
 }
 
+// Borrowed adds units that another router lent.
+func (s *Slices) Borrowed(budget string, units Units) {
+	sl := s.get(budget)
+	sl.free += units
+	sl.borrowed += units
+}
+
+// LoanRecorded notes that the home has recorded borrowed units.
+func (s *Slices) LoanRecorded(budget string, units Units) {
+	s.get(budget).borrowed -= units
+}
+
 // Billed removes settled units that the home has recorded.
 func (s *Slices) Billed(budget string, units Units) {
 	sl := s.get(budget)
@@ -239,6 +252,24 @@
 	return out
 }
 
+// TakeLoan removes up to want free units for another router, and at least least,
+// or none. It leaves half of what is free. The units stay pending until the home
+// has recorded the loan. Units that are themselves borrowed are not lent on
+// before the home knows of them: it could not tell whose they are.
+func (s *Slices) TakeLoan(budget string, least, want Units) Units {
+	sl, ok := s.byBudget[budget]
+	if !ok {
+		return 0
+	}
+	units := min(want, sl.free/2)
+	if sl.borrowed > 0 || units < least || units <= 0 {
+		return 0
+	}
+	sl.free -= units
+	sl.pending += units
+	return units
+}
+
 // IsLow tells whether a budget's slice fell below its low-water mark.
 func (s *Slices) IsLow(budget string, now time.Time) bool {
 	sl, ok := s.byBudget[budget]
--- a/internal/cicadafleet/exchange.go
+++ b/internal/cicadafleet/exchange.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
 	"github.com/cicadadyke/cicadadyke/internal/cicadamember"
 	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
@@ -113,6 +115,56 @@
 	return f.cfg.Client.Claim(ctx, addr, req)
 }
 
+// lendersAsked bounds the routers that are asked for a loan.
+const lendersAsked = 4
+
+// Borrow asks other routers of the region for units, those of the own place
+// first.
+func (f *Fleet) Borrow(ctx context.Context, budget string, least, want cicadabudget.Units) (*cicadaledger.Move, error) {
+	req := &cicadapeer.LendRequest{To: f.Holder(), Budget: budget, Min: least, Want: want}
+	for _, addr := range f.lenders() {
+		reply, err := f.cfg.Client.Lend(ctx, addr, req)
+		if err == nil && reply.Move != nil {
+			return reply.Move, nil
+		}
+	}
+	return nil, errors.Wrap(cicadapeer.ErrUnreachable, "nobody lends")
+}
+
+func (f *Fleet) lenders() []string {
+	self := f.cfg.Self
+	var near, far []string
+	for _, h := range f.Live() {
+		switch {
+		case h.Name == self.Name || h.Region != self.Region:
+		case h.Place == self.Place:
+			near = append(near, h.PeerAddr)
+		default:
+			far = append(far, h.PeerAddr)
+		}
+	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	all := append(near, far...)
+	return all[:min(len(all), lendersAsked)]
+}
+
+// LoansOf asks every other live router what it borrowed of an ended process. It
+// fails if one of them does not answer.
+func (f *Fleet) LoansOf(ctx context.Context, from cicadaledger.Holder) ([]cicadaledger.Move, error) {
+	var out []cicadaledger.Move
+	for _, h := range f.Members() {
+		if h.Name == f.cfg.Self.Name || h.State == cicadastore.HostGone || h.Name == from.Host || h.Region != f.cfg.Self.Region {
+			continue
+		}
+		reply, err := f.cfg.Client.Loans(ctx, h.PeerAddr, &cicadapeer.LoansRequest{From: from})
+		if err != nil {
+			return nil, errors.Wrapf(err, "loans at %s", h.Name)
+		}
+		out = append(out, reply.Moves...)
+	}
+	return out, nil
+}
+
 // faultUnreachable stands for a call without an answer.
 const faultUnreachable cicadapeer.Fault = "unreachable"
 
--- a/internal/cicadahome/recover.go
+++ b/internal/cicadahome/recover.go
@@ -28,6 +28,10 @@
 		// returns what it used of a budget, by the upstreams' own records. It
 		// returns ErrInDoubt if that cannot be known.
 		Used(ctx context.Context, id cicadaledger.Holder, budget string) (cicadabudget.Units, error)
+		// Loans returns what other routers borrowed of a holder, and makes
+		// sure that they borrow no more. It returns ErrInDoubt if one of them
+		// does not answer.
+		Loans(ctx context.Context, id cicadaledger.Holder) ([]cicadaledger.Move, error)
 	}
 
 	// holding is what an ended holder has of one budget.
@@ -35,14 +39,13 @@
 		partition cicadaledger.PartitionID
 		holder    cicadaledger.Holder
 		budget    string
-		held      cicadabudget.Units
-		billed    cicadabudget.Units
 	}
 
-	// recovered is a holding with what its holder used without a bill.
+	// recovered is a holding with what its holder used and lent.
 	recovered struct {
 		holding
-		unbilled cicadabudget.Units
+		used  cicadabudget.Units
+		loans []cicadaledger.Move
 	}
 )
 
@@ -60,14 +63,13 @@
 	go func() {
 		var out []recovered
 		for _, x := range list {
-			ctx, cancel := context.WithTimeout(h.ctx, evidenceTimeout)
-			used, err := h.cfg.Evidence.Used(ctx, x.holder, x.budget)
-			cancel()
+			r, err := h.gather(x)
 			if err != nil {
 				h.cfg.Counts.Add("recoveriesInDoubt", 1)
+				h.cfg.Log.WithError(err).WithField("holder", x.holder.Host).WithField("budget", x.budget).Debug("units in doubt")
 				continue
 			}
-			out = append(out, recovered{holding: x, unbilled: max(0, used-x.billed)})
+			out = append(out, r)
 		}
 		select {
 		case h.recovered <- out:
@@ -76,6 +78,22 @@
 	}()
 }
 
+// gather collects the evidence on one holding. Loans come first: after that
+// nobody borrows of the holder.
+func (h *Home) gather(x holding) (recovered, error) {
+	ctx, cancel := context.WithTimeout(h.ctx, evidenceTimeout)
+	defer cancel()
+	loans, err := h.cfg.Evidence.Loans(ctx, x.holder)
+	if err != nil {
+		return recovered{}, err
+	}
+	used, err := h.cfg.Evidence.Used(ctx, x.holder, x.budget)
+	if err != nil {
+		return recovered{}, err
+	}
+	return recovered{holding: x, used: used, loans: loans}, nil
+}
+
 // endedHoldings lists holdings of processes that have ended for certain.
 func (h *Home) endedHoldings() []holding {
 	h.mu.Lock()
@@ -88,9 +106,7 @@
 			}
 			o.ledger.MarkGone(holder)
 			for _, a := range o.ledger.Holdings(holder) {
-				out = append(out, holding{
-					partition: id, holder: holder, budget: a.Budget, held: a.Units, billed: o.ledger.BilledBy(holder, a.Budget),
-				})
+				out = append(out, holding{partition: id, holder: holder, budget: a.Budget})
 			}
 		}
 	}
@@ -124,14 +140,20 @@
 	if !ok {
 		return
 	}
-	withheld := min(r.held, r.unbilled)
-	step := o.ledger.EndStep(r.holder, r.budget, withheld)
+	step := o.ledger.EndStep(r.holder, r.budget, r.used, r.loans)
 	if _, err := o.ledger.StageStep(step, now); err != nil {
 		h.impossible(err)
 		return
 	}
-	h.cfg.Counts.Add("unitsRecovered", int64(r.held-withheld))
+	var back, withheld cicadabudget.Units
+	for _, a := range step.Returns {
+		back += a.Units
+	}
+	for i := range step.Bills {
+		withheld += step.Bills[i].Withheld
+	}
+	h.cfg.Counts.Add("unitsRecovered", int64(back))
 	h.cfg.Counts.Add("unitsWithheldOfEnded", int64(withheld))
 	h.cfg.Log.WithField("holder", r.holder.Host).WithField("budget", r.budget).
-		WithField("units", int64(r.held-withheld)).WithField("withheld", int64(withheld)).Info("units of an ended router recovered")
+		WithField("units", int64(back)).WithField("withheld", int64(withheld)).Info("units of an ended router recovered")
 }
--- a/internal/cicadaledger/apply.go
+++ b/internal/cicadaledger/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
@@ -34,6 +35,7 @@
 		Last   Answer   `cbor:"2,keyasint"`
 		Held   []Amount `cbor:"3,keyasint"`
 		Billed []Amount `cbor:"4,keyasint"`
+		Moved  []uint64 `cbor:"5,keyasint,omitempty"`
 	}
 
 	// KeyCheckpoint is one request key of a checkpoint.
@@ -98,6 +100,9 @@
 		left[budget] = rest
 		return nil
 	}
+	if err := p.checkMoves(x, left); err != nil {
+		return err
+	}
 	for _, r := range x.Returns {
 		if err := take(r.Budget, r.Units); err != nil {
 			return err
@@ -115,6 +120,33 @@
 	return nil
 }
 
+// checkMoves refuses loans that their lender cannot cover, and works their effect
+// into what the holder of x has left.
+func (p *Partition) checkMoves(x *Exchange, left map[string]cicadabudget.Units) error {
+	lent := make(map[Holder]map[string]cicadabudget.Units)
+	for i := range x.Moves {
+		m := &x.Moves[i]
+		from, ok := p.holders[m.From]
+		if !ok || from.moved[m.ID] {
+			continue
+		}
+		if lent[m.From] == nil {
+			lent[m.From] = make(map[string]cicadabudget.Units)
+		}
+		lent[m.From][m.Budget] += m.Units
+		party := m.From == x.Holder || m.To == x.Holder
+		if m.Units <= 0 || !party || m.From == m.To || lent[m.From][m.Budget] > from.held[m.Budget] {
+			return errors.Wrapf(ErrBadExchange, "loan of %d of %s by %s", m.Units, m.Budget, m.From.Host)
+		}
+		if m.To == x.Holder {
+			left[m.Budget] += m.Units
+		} else {
+			left[m.Budget] -= m.Units
+		}
+	}
+	return nil
+}
+
 // StageStep applies a step that the home made itself, such as the return of a
 // dead holder's units.
 func (p *Partition) StageStep(s Step, now time.Time) (Answer, error) {
@@ -147,6 +179,11 @@
 
 func (p *Partition) applyStep(s *Step, at time.Time) error {
 	h := p.holder(s.Holder)
+	for i := range s.Moves {
+		if err := p.applyMove(&s.Moves[i]); err != nil {
+			return err
+		}
+	}
 	for _, r := range s.Returns {
 		if err := p.move(h, r.Budget, -r.Units); err != nil {
 			return errors.Wrapf(err, "return by %s", s.Holder.Host)
@@ -173,6 +210,20 @@
 	return nil
 }
 
+// applyMove moves lent units, once. A lender that is not there any more has had
+// its loans recorded when its session ended.
+func (p *Partition) applyMove(m *Move) error {
+	from, ok := p.holders[m.From]
+	if !ok || from.moved[m.ID] {
+		return nil
+	}
+	from.moved[m.ID] = true
+	if err := p.move(from, m.Budget, -m.Units); err != nil {
+		return errors.Wrapf(err, "loan by %s", m.From.Host)
+	}
+	return errors.Wrapf(p.move(p.holder(m.To), m.Budget, m.Units), "loan to %s", m.To.Host)
+}
+
 func (p *Partition) applyClaim(c Claim, by Holder, at time.Time) {
 	k, ok := p.keys[c.Key]
 	switch {
@@ -277,6 +328,7 @@
 		h := p.holders[id]
 		c.Holders = append(c.Holders, HolderCheckpoint{
 			Holder: id, Last: h.last, Held: amounts(h.held), Billed: amounts(h.billed),
+			Moved: slices.Sorted(maps.Keys(h.moved)),
 		})
 	}
 	for name, k := range p.keys {
@@ -302,6 +354,9 @@
 		for _, a := range hc.Billed {
 			h.billed[a.Budget] = a.Units
 		}
+		for _, id := range hc.Moved {
+			h.moved[id] = true
+		}
 		for _, a := range hc.Held {
 			if err := p.move(h, a.Budget, a.Units); err != nil {
 				return nil, errors.Wrap(err, "restore checkpoint")
--- a/internal/cicadaledger/batch.go
+++ b/internal/cicadaledger/batch.go
@@ -100,6 +100,16 @@
 		Rerun bool `cbor:"5,keyasint,omitempty" json:"n,omitempty"`
 	}
 
+	// Move is units that one holder lent to another. Both report it; the first
+	// report has the effect.
+	Move struct {
+		ID     uint64             `cbor:"1,keyasint" json:"i"` // counted by the lender
+		From   Holder             `cbor:"2,keyasint" json:"f"`
+		To     Holder             `cbor:"3,keyasint" json:"t"`
+		Budget string             `cbor:"4,keyasint" json:"b"`
+		Units  cicadabudget.Units `cbor:"5,keyasint" json:"u"`
+	}
+
 	// Exchange is one message of a router to the home of a partition. A
 	// router has one exchange open at a time and repeats it unchanged until
 	// it has the answer, from this home or its successor.
@@ -110,6 +120,7 @@
 		Returns []Amount `json:"t,omitempty"`
 		Bills   []Bill   `json:"b,omitempty"`
 		Claims  []Claim  `json:"c,omitempty"`
+		Moves   []Move   `json:"m,omitempty"`
 		// Closing ends the session: the router holds nothing any more.
 		Closing bool `json:"e,omitempty"`
 	}
@@ -152,7 +163,8 @@
 		Claims  []Claim  `cbor:"4,keyasint,omitempty"`
 		Answer  Answer   `cbor:"5,keyasint"`
 		// Gone marks the end of a holder that returned everything.
-		Gone bool `cbor:"6,keyasint,omitempty"`
+		Gone  bool   `cbor:"6,keyasint,omitempty"`
+		Moves []Move `cbor:"7,keyasint,omitempty"`
 	}
 
 	// PartitionID names a partition of the budgets in one region.
--- a/internal/cicadaledger/model_test.go
+++ b/internal/cicadaledger/model_test.go
@@ -40,6 +40,8 @@
 		seq     uint64
 		open    *cicadaledger.Exchange
 		bills   []cicadaledger.Bill
+		moves   []cicadaledger.Move
+		loans   uint64
 		running []cicadabudget.Reservation
 	}
 
@@ -49,11 +51,14 @@
 		routers  []*router
 		now      time.Time
 		requests int
+		keyed    bool
+		ended    []cicadaledger.Holder
+		used     map[cicadaledger.Holder]cicadabudget.Units // at upstreams
 	}
 )
 
 func newFleet() *fleet {
-	f := &fleet{now: start}
+	f := &fleet{now: start, used: make(map[cicadaledger.Holder]cicadabudget.Units)}
 	f.store.row.Prepaid = 200
 	f.takeOver()
 	for i := range 3 {
@@ -129,9 +134,10 @@
 	if err := r.slices.Settle(res, used); err != nil {
 		t.Fatal(err)
 	}
+	f.used[r.holder] += used
 	f.requests++
 	b := cicadaledger.Bill{RequestID: fmt.Sprint(f.requests), Budget: budget, Units: used, Outcome: cicadaledger.OutcomeWhole}
-	if rapid.Bool().Draw(t, "keyed") {
+	if f.keyed && rapid.Bool().Draw(t, "keyed") {
 		b.Key = fmt.Sprintf("k%d", rapid.IntRange(0, 1).Draw(t, "key"))
 	}
 	r.bills = append(r.bills, b)
@@ -145,8 +151,8 @@
 		t.Skip("the home waits for its commit")
 	}
 	if r.open == nil {
-		x := &cicadaledger.Exchange{Holder: r.holder, Seq: r.seq + 1, Bills: r.bills}
-		r.bills = nil
+		x := &cicadaledger.Exchange{Holder: r.holder, Seq: r.seq + 1, Bills: r.bills, Moves: r.moves}
+		r.bills, r.moves = nil, nil
 		x.Asks = []cicadaledger.Ask{{Budget: budget, Want: cicadabudget.Units(rapid.Int64Range(0, 60).Draw(t, "want"))}}
 		r.slices.SetScarce(budget, rapid.Bool().Draw(t, "scarce"))
 		for _, a := range r.slices.TakeIdle(func(string) bool { return true }, f.now) {
@@ -200,6 +206,13 @@
 }
 
 func (r *router) take(a *cicadaledger.Answer) {
+	for _, m := range r.open.Moves {
+		if m.From == r.holder {
+			r.slices.Returned(m.Budget, m.Units)
+		} else {
+			r.slices.LoanRecorded(m.Budget, m.Units)
+		}
+	}
 	for _, x := range r.open.Returns {
 		r.slices.Returned(x.Budget, x.Units)
 	}
@@ -236,11 +249,84 @@
 	}
 }
 
+// lend moves units between routers; the answer to the borrower may be lost.
+func (f *fleet) lend(t *rapid.T) {
+	from, to := f.pickRouter(t), f.pickRouter(t)
+	if from == to {
+		t.Skip("the same router")
+	}
+	units := from.slices.TakeLoan(budget, 1, cicadabudget.Units(rapid.Int64Range(1, 20).Draw(t, "units")))
+	if units == 0 {
+		t.Skip("nothing free")
+	}
+	from.loans++
+	m := cicadaledger.Move{ID: from.loans, From: from.holder, To: to.holder, Budget: budget, Units: units}
+	from.moves = append(from.moves, m)
+	if rapid.Bool().Draw(t, "delivered") {
+		to.moves = append(to.moves, m)
+		to.slices.Borrowed(budget, units)
+	}
+}
+
+// recover gives the units of a crashed router back, on the word of its upstream
+// and of the routers that borrowed from it.
+func (f *fleet) recover(t *rapid.T) {
+	h := f.pickHome(t)
+	if h.batch != nil || h.incarnation != f.store.incarnation || len(f.ended) == 0 {
+		t.Skip("no home, or nobody ended")
+	}
+	id := f.ended[rapid.IntRange(0, len(f.ended)-1).Draw(t, "ended")]
+	var loans []cicadaledger.Move
+	for _, r := range f.routers {
+		moves := r.moves
+		if r.open != nil {
+			moves = append(append([]cicadaledger.Move(nil), moves...), r.open.Moves...)
+		}
+		for _, m := range moves {
+			if m.From == id {
+				loans = append(loans, m)
+			}
+		}
+	}
+	if len(h.ledger.Holdings(id)) == 0 {
+		t.Skip("nothing held")
+	}
+	if _, err := h.ledger.StageStep(h.ledger.EndStep(id, budget, f.used[id], loans), f.now); err != nil {
+		t.Fatal(err)
+	}
+	h.batch = h.ledger.Cut(h.incarnation, f.now)
+}
+
 func (f *fleet) crashRouter(t *rapid.T) {
 	i := rapid.IntRange(0, len(f.routers)-1).Draw(t, "router")
+	for _, res := range f.routers[i].running {
+		f.used[f.routers[i].holder] += cicadabudget.Units(rapid.Int64Range(0, int64(res.Units())).Draw(t, "used"))
+	}
+	f.ended = append(f.ended, f.routers[i].holder)
 	f.routers[i] = newRouter(i, f.routers[i].holder.Incarnation+1)
 }
 
+func (r *router) openMoves() []cicadaledger.Move {
+	if r.open == nil {
+		return nil
+	}
+	return r.open.Moves
+}
+
+// recorded tells whether a loan has taken effect in the log.
+func recorded(f *fleet, m cicadaledger.Move) bool {
+	for i := range f.store.log {
+		for _, s := range f.store.log[i].Steps {
+			for _, x := range s.Moves {
+				if x.From == m.From && x.ID == m.ID {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // check replays the log and compares it with what the routers hold.
 func (f *fleet) check(t *rapid.T) {
 	p := cicadaledger.New(cfg)
@@ -266,6 +352,13 @@
 	if g.Available < 0 || g.Spent+g.Withheld+g.Held > g.Allotted || g.Allotted > f.store.row.Prepaid {
 		t.Fatalf("overspend: %+v of %d prepaid", g, f.store.row.Prepaid)
 	}
+	var used cicadabudget.Units
+	for _, u := range f.used {
+		used += u
+	}
+	if !f.keyed && used > f.store.row.Prepaid {
+		t.Fatalf("%d used of %d prepaid", used, f.store.row.Prepaid)
+	}
 	held := p.HeldBy(budget)
 	for _, r := range f.routers {
 		// Units in the open exchange may be recorded already.
@@ -273,6 +366,11 @@
 		for _, b := range r.bills {
 			spendable += b.Units
 		}
+		for _, m := range append(append([]cicadaledger.Move(nil), r.moves...), r.openMoves()...) {
+			if m.To == r.holder && !recorded(f, m) {
+				spendable -= m.Units
+			}
+		}
 		if spendable > held[r.holder] {
 			t.Fatalf("router %v can spend %d, the ledger says %d", r.holder, spendable, held[r.holder])
 		}
@@ -288,9 +386,16 @@
 	_ = flag.Set("rapid.steps", "120")
 }
 
-func TestLedgerUnderFailures(t *testing.T) {
+func TestLedgerUnderFailures(t *testing.T) { checkFleet(t, true) }
+
+// TestUseStaysWithinPrepaid has no keys, so that no run is free of charge: what
+// the upstreams ran must stay within the prepaid total, whatever crashed.
+func TestUseStaysWithinPrepaid(t *testing.T) { checkFleet(t, false) }
+
+func checkFleet(t *testing.T, keyed bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet()
+		f.keyed = keyed
 		t.Repeat(map[string]func(*rapid.T){
 			"request":   f.request,
 			"finish":    f.finish,
@@ -301,6 +406,8 @@
 			"allot":     f.allot,
 			"takeOver":  func(*rapid.T) { f.takeOver() },
 			"crash":     f.crashRouter,
+			"recover":   f.recover,
+			"lend":      f.lend,
 			"topUp": func(t *rapid.T) {
 				f.store.row.Prepaid += cicadabudget.Units(rapid.Int64Range(0, 100).Draw(t, "units"))
 			},
--- a/internal/cicadaledger/partition.go
+++ b/internal/cicadaledger/partition.go
@@ -60,6 +60,7 @@
 		last   Answer
 		held   map[string]cicadabudget.Units
 		billed map[string]cicadabudget.Units // spent and withheld by its bills
+		moved  map[uint64]bool               // its loans that took effect
 	}
 
 	key struct {
@@ -159,24 +160,24 @@
 	return amounts(h.held)
 }
 
-// BilledBy returns what a holder's bills charged and withheld of a budget.
-func (p *Partition) BilledBy(id Holder, name string) cicadabudget.Units {
-	h, ok := p.holders[id]
-	if !ok {
-		return 0
-	}
-	return h.billed[name]
-}
-
-// EndStep returns the step that ends an ended holder's claim on a budget: a part
-// of its units is withheld and the rest given back.
-func (p *Partition) EndStep(id Holder, name string, withheld cicadabudget.Units) Step {
+// EndStep returns the step that ends an ended holder's claim on a budget: what it
+// lent moves to the borrowers, what it used without a bill is withheld, and the
+// rest is given back.
+func (p *Partition) EndStep(id Holder, name string, used cicadabudget.Units, loans []Move) Step {
 	h, ok := p.holders[id]
 	if !ok {
 		return Step{Holder: id}
 	}
 	s := Step{Holder: id, Answer: Answer{Seq: h.seq}, Gone: true}
-	if rest := h.held[name] - withheld; rest > 0 {
+	left := h.held[name]
+	for _, m := range loans {
+		if !h.moved[m.ID] && m.Budget == name && m.Units <= left {
+			s.Moves = append(s.Moves, m)
+			left -= m.Units
+		}
+	}
+	withheld := min(left, max(0, used-h.billed[name]))
+	if rest := left - withheld; rest > 0 {
 		s.Returns = []Amount{{Budget: name, Units: rest}}
 	}
 	if withheld > 0 {
@@ -231,7 +232,7 @@
 func (p *Partition) holder(id Holder) *holder {
 	h, ok := p.holders[id]
 	if !ok {
-		h = &holder{held: make(map[string]cicadabudget.Units), billed: make(map[string]cicadabudget.Units)}
+		h = &holder{held: make(map[string]cicadabudget.Units), billed: make(map[string]cicadabudget.Units), moved: make(map[uint64]bool)}
 		p.holders[id] = h
 	}
 	return h
@@ -276,7 +277,7 @@
 // Decide works out the effect of x on the present state. It changes nothing:
 // the step takes effect by Apply with its batch.
 func (p *Partition) Decide(x *Exchange, isDry func(budget string) bool, now time.Time) Step {
-	s := Step{Holder: x.Holder, Returns: x.Returns, Answer: Answer{Seq: x.Seq}, Gone: x.Closing}
+	s := Step{Holder: x.Holder, Returns: x.Returns, Moves: x.Moves, Answer: Answer{Seq: x.Seq}, Gone: x.Closing}
 	freed := make(map[string]cicadabudget.Units)
 	for _, r := range x.Returns {
 		freed[r.Budget] += r.Units
--- a/internal/cicadapeer/client.go
+++ b/internal/cicadapeer/client.go
@@ -80,6 +80,16 @@
 	return call[ClaimReply](ctx, c, addr, methodClaim, req)
 }
 
+// Lend asks a router for units that it has free.
+func (c *Client) Lend(ctx context.Context, addr string, req *LendRequest) (*LendReply, error) {
+	return call[LendReply](ctx, c, addr, methodLend, req)
+}
+
+// Loans asks a router what it borrowed of an ended process.
+func (c *Client) Loans(ctx context.Context, addr string, req *LoansRequest) (*LoansReply, error) {
+	return call[LoansReply](ctx, c, addr, methodLoans, req)
+}
+
 // Beat sends a heartbeat and returns the peer's own.
 func (c *Client) Beat(ctx context.Context, addr string, beat *Beat) (*Beat, error) {
 	return call[Beat](ctx, c, addr, methodBeat, beat)
--- a/internal/cicadapeer/message.go
+++ b/internal/cicadapeer/message.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaconfig"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
 	"github.com/pkg/errors"
@@ -18,6 +19,8 @@
 	methodExchange = "exchange"
 	methodClaim    = "claim"
 	methodBeat     = "beat"
+	methodLend     = "lend"
+	methodLoans    = "loans"
 	methodAnswer   = "answer"
 	methodRecall   = "recall"
 	methodConfig   = "config"
@@ -86,6 +89,31 @@
 		HomeAddr string               `json:"h,omitempty"`
 	}
 
+	// LendRequest asks a router for units that it has free, while the home is
+	// away. At least Min, up to Want.
+	LendRequest struct {
+		To     cicadaledger.Holder `json:"t"`
+		Budget string              `json:"b"`
+		Min    cicadabudget.Units  `json:"m"`
+		Want   cicadabudget.Units  `json:"w"`
+	}
+
+	// LendReply is the loan, or none.
+	LendReply struct {
+		Move *cicadaledger.Move `json:"m,omitempty"`
+	}
+
+	// LoansRequest asks a router what it borrowed of an ended process and has
+	// not reported yet. From then on it borrows nothing of that process.
+	LoansRequest struct {
+		From cicadaledger.Holder `json:"f"`
+	}
+
+	// LoansReply lists loans.
+	LoansReply struct {
+		Moves []cicadaledger.Move `json:"m,omitempty"`
+	}
+
 	// Beat is a heartbeat, sent and answered alike.
 	Beat struct {
 		Host      cicadaledger.Holder `json:"h"`
@@ -131,6 +159,8 @@
 	Handler interface {
 		Exchange(ctx context.Context, req *ExchangeRequest) (*ExchangeReply, error)
 		Claim(ctx context.Context, req *ClaimRequest) (*ClaimReply, error)
+		Lend(ctx context.Context, req *LendRequest) (*LendReply, error)
+		Loans(ctx context.Context, req *LoansRequest) (*LoansReply, error)
 		Beat(ctx context.Context, beat *Beat) (*Beat, error)
 		Answer(ctx context.Context, req *AnswerRequest) (*AnswerReply, error)
 		Recall(ctx context.Context, req *RecallRequest) (*Empty, error)
--- a/internal/cicadapeer/peer_test.go
+++ b/internal/cicadapeer/peer_test.go
@@ -36,6 +36,14 @@
 	return &cicadapeer.ClaimReply{Verdict: cicadaledger.Verdict{State: cicadaledger.KeyGranted}}, nil
 }
 
+func (echo) Lend(context.Context, *cicadapeer.LendRequest) (*cicadapeer.LendReply, error) {
+	return &cicadapeer.LendReply{}, nil
+}
+
+func (echo) Loans(context.Context, *cicadapeer.LoansRequest) (*cicadapeer.LoansReply, error) {
+	return &cicadapeer.LoansReply{}, nil
+}
+
 func (echo) Beat(_ context.Context, b *cicadapeer.Beat) (*cicadapeer.Beat, error) { return b, nil }
 
 func (echo) Answer(context.Context, *cicadapeer.AnswerRequest) (*cicadapeer.AnswerReply, error) {
--- a/internal/cicadapeer/server.go
+++ b/internal/cicadapeer/server.go
@@ -127,6 +127,8 @@
 	return handler.Map{
 		methodExchange: handler.New(limited(limit, h.Exchange)),
 		methodClaim:    handler.New(limited(limit, h.Claim)),
+		methodLend:     handler.New(limited(limit, h.Lend)),
+		methodLoans:    handler.New(limited(limit, h.Loans)),
 		methodBeat:     handler.New(limited(limit, h.Beat)),
 		methodAnswer:   handler.New(limited(limit, h.Answer)),
 		methodRecall:   handler.New(limited(limit, h.Recall)),
--- a/internal/cicadarouter/evidence.go
+++ b/internal/cicadarouter/evidence.go
@@ -57,6 +57,15 @@
 	return used, nil
 }
 
+// Loans asks the other routers, and this one.
+func (e *evidence) Loans(ctx context.Context, id cicadaledger.Holder) ([]cicadaledger.Move, error) {
+	moves, err := e.r.fleet.LoansOf(ctx, id)
+	if err != nil {
+		return nil, errors.Wrap(cicadahome.ErrInDoubt, err.Error())
+	}
+	return append(moves, e.r.session.Loans(id)...), nil
+}
+
 // usedAt fences the process off at every runner of an upstream and sums its use
 // there. Requests that still run end first.
 func (e *evidence) usedAt(ctx context.Context, u *cicadadoc.Upstream, holder, org string) (cicadabudget.Units, error) {
--- a/internal/cicadarouter/hazard_test.go
+++ b/internal/cicadarouter/hazard_test.go
@@ -11,10 +11,13 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadademo"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadoc"
+	"github.com/cicadadyke/cicadadyke/internal/cicadahome"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaload"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaroute"
 	"github.com/cicadadyke/cicadadyke/internal/cicadarouter"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastandin"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -236,6 +239,55 @@
 	}
 }
 
+// TestHazard06LoansInAnOutage lets a router that holds nothing of a budget serve
+// it in an outage, from units that another router lends. Afterwards the ledger
+// has each unit once.
+func TestHazard06LoansInAnOutage(t *testing.T) {
+	w := newWorld(t, nil)
+	rich, poor := w.Routers()[0], w.Routers()[1]
+	for i := range 10 {
+		call(t, spec(rich, fmt.Sprint("rich-", i)))
+	}
+	w.Platform().SetFaults(cicadastandin.PlatformFaults{Outage: true})
+	res := call(t, spec(poor, "poor"))
+	if res.Verdict != cicadaload.Whole {
+		t.Fatalf("in the outage: %+v", res)
+	}
+	if cicadarouter.Count(poor.Metrics().Session, "unitsBorrowed") == 0 {
+		t.Error("nothing was borrowed")
+	}
+	w.Platform().SetFaults(cicadastandin.PlatformFaults{})
+	billOf(t, w, res.RequestID)
+	for _, r := range w.Routers() {
+		if err := r.Stop(t.Context()); err != nil {
+			t.Error(err)
+		}
+	}
+	if diff := cmp.Diff([]cicadabudget.Units{enginesUse(w), 0}, recordedUse(t, w)); diff != "" {
+		t.Errorf("spent and held in the platform's record (-want +got)\n%s", diff)
+	}
+}
+
+// recordedUse replays the platform's record of the budget's partition.
+func recordedUse(t *testing.T, w *cicadademo.World) []cicadabudget.Units {
+	t.Helper()
+	id := cicadaledger.PartitionOf("qc-est", budget)
+	row, err := cicadastore.GetOne(t.Context(), w.Platform(), cicadastore.Ref{Table: cicadastore.TableFence, Key: id.String()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fence cicadaledger.FenceRow
+	if err := cicadaledger.DecodeRow(row.Value, &fence); err != nil {
+		t.Fatal(err)
+	}
+	p, err := cicadahome.Replay(t.Context(), w.Platform(), cicadaledger.Config{ID: id}, &fence)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := p.Figures(budget)
+	return []cicadabudget.Units{f.Spent, f.Held}
+}
+
 // TestHazard07NotRunIsTrue refuses requests in every way that engines offer and
 // compares each "not run" with the engines' records.
 func TestHazard07NotRunIsTrue(t *testing.T) {
--- a/internal/cicadarouter/peer.go
+++ b/internal/cicadarouter/peer.go
@@ -22,6 +22,16 @@
 	return h.r.home.Claim(req), nil
 }
 
+// Lend gives free units to another router.
+func (h *peerHandler) Lend(_ context.Context, req *cicadapeer.LendRequest) (*cicadapeer.LendReply, error) {
+	return &cicadapeer.LendReply{Move: h.r.session.Lend(req.To, req.Budget, req.Min, req.Want)}, nil
+}
+
+// Loans tells what was borrowed of an ended process.
+func (h *peerHandler) Loans(_ context.Context, req *cicadapeer.LoansRequest) (*cicadapeer.LoansReply, error) {
+	return &cicadapeer.LoansReply{Moves: h.r.session.Loans(req.From)}, nil
+}
+
 // Beat takes a heartbeat and answers with this host's.
 func (h *peerHandler) Beat(_ context.Context, b *cicadapeer.Beat) (*cicadapeer.Beat, error) {
 	h.r.fleet.Heard(b)
--- a/internal/cicadasession/manager.go
+++ b/internal/cicadasession/manager.go
@@ -52,6 +52,8 @@
 		// Exchange returns the answer, or an error if no home answered. The
 		// exchange may have taken effect all the same.
 		Exchange(ctx context.Context, item *cicadapeer.ExchangeItem) (*cicadaledger.Answer, error)
+		// Borrow asks other routers for units, or returns nil.
+		Borrow(ctx context.Context, budget string, least, want cicadabudget.Units) (*cicadaledger.Move, error)
 		// Claim asks the home for the key of an idempotent request.
 		Claim(ctx context.Context, req *cicadapeer.ClaimRequest) (cicadaledger.Verdict, error)
 	}
@@ -86,6 +88,8 @@
 		parts    map[cicadaledger.PartitionID]*part
 		waiting  map[string]*waitList
 		shortage map[string]shortage
+		sealed   map[cicadaledger.Holder]bool // ended processes
+		lastLoan uint64
 		closing  bool
 		ended    bool
 	}
@@ -120,6 +124,7 @@
 		parts:    make(map[cicadaledger.PartitionID]*part),
 		waiting:  make(map[string]*waitList),
 		shortage: make(map[string]shortage),
+		sealed:   make(map[cicadaledger.Holder]bool),
 	}
 }
 
@@ -132,7 +137,7 @@
 	deadline := m.cfg.Now().Add(wait)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	asked := false
+	asked, borrowed := false, false
 	for {
 		if m.closing {
 			return cicadabudget.Reservation{}, ErrClosed
@@ -149,6 +154,14 @@
 		if left <= 0 || ctx.Err() != nil {
 			return cicadabudget.Reservation{}, m.whyShort(budget)
 		}
+		if !asked && !borrowed && left <= wait/2 {
+			borrowed = true
+			m.borrow(ctx, budget, units)
+			continue
+		}
+		if !borrowed && left > wait/2 {
+			left -= wait / 2
+		}
 		asked = m.await(ctx, budget, units, left) || asked
 	}
 }
--- a/internal/cicadasession/part.go
+++ b/internal/cicadasession/part.go
@@ -33,6 +33,9 @@
 		seq    uint64
 		bills  []pendingBill
 		claims []pendingClaim
+		moves  []cicadaledger.Move
+		// sentMoves are those of the open exchange.
+		sentMoves []cicadaledger.Move
 	}
 
 	pendingBill struct {
@@ -124,6 +127,8 @@
 	for _, c := range o.claims {
 		o.exchange.Claims = append(o.exchange.Claims, c.claim)
 	}
+	o.exchange.Moves, p.moves = p.moves, nil
+	p.sentMoves = o.exchange.Moves
 	p.addAsksAndReturns(o)
 	o.urgent = len(o.exchange.Asks) > 0 && o.exchange.Asks[0].Min > 0
 	if p.m.closing && len(p.bills) == 0 && p.m.slices.ReservedIn(p.contains) == 0 {
@@ -132,7 +137,7 @@
 		return p.closingOrNil(o)
 	}
 	x := &o.exchange
-	if len(x.Bills) == 0 && len(x.Claims) == 0 && len(x.Asks) == 0 && len(x.Returns) == 0 {
+	if len(x.Bills) == 0 && len(x.Claims) == 0 && len(x.Asks) == 0 && len(x.Returns) == 0 && len(x.Moves) == 0 {
 		return nil
 	}
 	return o
@@ -140,7 +145,8 @@
 
 // closingOrNil avoids a session that would begin with its own end.
 func (p *part) closingOrNil(o *open) *open {
-	if p.seq == 0 && len(o.exchange.Bills) == 0 && len(o.exchange.Returns) == 0 {
+	x := &o.exchange
+	if p.seq == 0 && len(x.Bills) == 0 && len(x.Returns) == 0 && len(x.Moves) == 0 {
 		o.exchange.Seq = 0
 	}
 	return o
@@ -249,6 +255,14 @@
 	for _, r := range o.exchange.Returns {
 		m.slices.Returned(r.Budget, r.Units)
 	}
+	for _, move := range o.exchange.Moves {
+		if move.From == m.cfg.Self {
+			m.slices.Returned(move.Budget, move.Units)
+		} else {
+			m.slices.LoanRecorded(move.Budget, move.Units)
+		}
+	}
+	p.sentMoves = nil
 	credits := make(map[string]cicadabudget.Units)
 	for _, c := range a.Credits {
 		credits[c.Budget] += c.Units
--- a/internal/cicadasession/session_test.go
+++ b/internal/cicadasession/session_test.go
@@ -32,6 +32,7 @@
 	ended  bool
 	lose   int // answers still to lose after their effect
 	seen   []cicadaledger.Exchange
+	loan   *cicadaledger.Move
 }
 
 func newHome(allotted cicadabudget.Units) *fakeHome {
@@ -74,6 +75,10 @@
 	return answer, nil
 }
 
+func (h *fakeHome) Borrow(context.Context, string, cicadabudget.Units, cicadabudget.Units) (*cicadaledger.Move, error) {
+	return h.loan, nil
+}
+
 func (h *fakeHome) Claim(context.Context, *cicadapeer.ClaimRequest) (cicadaledger.Verdict, error) {
 	return cicadaledger.Verdict{State: cicadaledger.KeyGranted}, nil
 }
