A planned stop ends while the platform is away

Cause: a router that was told to stop after its platform had gone was found listening 50 minutes later. The committer repeated a commit without an answer for ever, and the release of the homes waited for it.

Change: the release waits 3 s for the committer; the successor finds out whether the commit took effect.

--- a/internal/cicadahome/home.go
+++ b/internal/cicadahome/home.go
@@ -28,6 +28,8 @@
 	// answerWait bounds how long an exchange waits for its commit. It is less
 	// than the time after which a caller holds the connection for dead.
 	answerWait = 1200 * time.Millisecond
+	// releaseWait bounds the wait for the committer at a planned stop.
+	releaseWait = 3 * time.Second
 	// maintenanceInterval is the time between looks for due checkpoints.
 	maintenanceInterval = time.Second
 )
@@ -163,11 +165,16 @@
 	<-h.done
 }
 
-// Release gives all partitions up and stops, for a planned stop.
+// Release gives all partitions up and stops, for a planned stop. A commit whose
+// outcome is not known is given up after a while: a successor finds out.
 func (h *Home) Release() {
 	close(h.stop)
-	<-h.done
+	select {
+	case <-h.done:
+	case <-time.After(releaseWait):
+	}
 	h.cancel()
+	<-h.done
 }
 
 // Done is closed when the home has ended.
--- a/internal/cicadarouter/hazard_test.go
+++ b/internal/cicadarouter/hazard_test.go
@@ -446,6 +446,29 @@
 	}
 }
 
+// TestHazard13StopInAnOutage stops a router while the platform is away and its
+// bill cannot be recorded: it ends all the same.
+func TestHazard13StopInAnOutage(t *testing.T) {
+	w := newWorld(t, nil)
+	r := w.Routers()[0]
+	call(t, spec(r, "before"))
+	w.Platform().SetFaults(cicadastandin.PlatformFaults{Outage: true})
+	call(t, spec(r, "during"))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = r.Stop(context.Background()) // not every unit can be returned
+	}()
+	await(t, "the end of the router", func() bool {
+		select {
+		case <-ended:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // TestHazard14RetryStorm fails every request at every engine. Retries stay
 // within their budget: a tenth of the requests and the stock of each router.
 func TestHazard14RetryStorm(t *testing.T) {
