--- a/internal/cicadafleet/exchange.go
+++ b/internal/cicadafleet/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -144,7 +145,7 @@
 		}
 	}
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	all := append(near, far...)
+	all := slices.Concat(near, far)
 	return all[:min(len(all), lendersAsked)]
 }
 
--- a/internal/cicadahome/commit.go
+++ b/internal/cicadahome/commit.go
@@ -48,9 +48,9 @@
 		case !mine:
 			a.sub.fail(cicadapeer.FaultNotHome, "")
 		default:
+			h.recallShort(a)
 			answer := a.answer
 			a.sub.send(cicadapeer.ItemReply{Answer: &answer})
-			h.recallShort(a)
 		}
 	}
 }
