--- a/internal/cicadademo/scale_test.go
+++ b/internal/cicadademo/scale_test.go
@@ -27,10 +27,9 @@
 	}
 }
 
-func measureIdle(b *testing.B, byPlace int) {
-	const span = 10 * time.Second
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
-	defer cancel()
+// newScaleWorld starts a fleet with byPlace routers in each of four places.
+func newScaleWorld(ctx context.Context, b *testing.B, byPlace int) *cicadademo.World {
+	b.Helper()
 	w, err := cicadademo.NewWorld(ctx, cicadademo.WorldConfig{
 		Files: os.DirFS("../../examples"), Documents: []string{"qc-est/redacteur.yaml"}, RoutersByPlace: byPlace,
 		Seed: 1, Log: &log.Logger{Handler: discard.New()}, Pace: time.Millisecond,
@@ -39,6 +38,14 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	return w
+}
+
+func measureIdle(b *testing.B, byPlace int) {
+	const span = 10 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	w := newScaleWorld(ctx, b, byPlace)
 	defer w.CloseStandins()
 	time.Sleep(5 * time.Second) // connections are made
 	bytes, cpu := controlBytes(w), cicadarouter.ProcessCPU()
@@ -83,14 +90,7 @@
 func measureBusy(b *testing.B, byPlace int, keyed bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	w, err := cicadademo.NewWorld(ctx, cicadademo.WorldConfig{
-		Files: os.DirFS("../../examples"), Documents: []string{"qc-est/redacteur.yaml"}, RoutersByPlace: byPlace,
-		Seed: 1, Log: &log.Logger{Handler: discard.New()}, Pace: time.Millisecond,
-		Platform: cicadastandin.PlatformConfig{Seed: 1},
-	})
-	if err != nil {
-		b.Fatal(err)
-	}
+	w := newScaleWorld(ctx, b, byPlace)
 	defer w.CloseStandins()
 	cfg := cicadaload.RunConfig{
 		Model: "redacteur-7b", Rate: 5 * float64(4*byPlace), Duration: 5 * time.Second, MaxTokens: 10, Words: 10,
--- a/internal/cicadamember/members.go
+++ b/internal/cicadamember/members.go
@@ -109,20 +109,19 @@
 
 // Live lists the hosts that take work, by name.
 func (t *Table) Live(now time.Time) []cicadastore.Host {
-	var out []cicadastore.Host
-	for _, v := range t.All(now) {
-		if v.State == cicadastore.HostLive && !v.Suspected {
-			out = append(out, v.Host)
-		}
-	}
-	return out
+	return t.inState(cicadastore.HostLive, now)
 }
 
 // Leaving lists the hosts that still run and take no new work, by name.
 func (t *Table) Leaving(now time.Time) []cicadastore.Host {
+	return t.inState(cicadastore.HostLeaving, now)
+}
+
+// inState lists the hosts in a state that are not suspected, by name.
+func (t *Table) inState(state cicadastore.HostState, now time.Time) []cicadastore.Host {
 	var out []cicadastore.Host
 	for _, v := range t.All(now) {
-		if v.State == cicadastore.HostLeaving && !v.Suspected {
+		if v.State == state && !v.Suspected {
 			out = append(out, v.Host)
 		}
 	}
--- a/internal/cicadaupstream/upstream_test.go
+++ b/internal/cicadaupstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -230,16 +231,18 @@
 func FuzzStream(f *testing.F) {
 	f.Add("id: 1:0\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n")
 	f.Add("data: \n\n:comment\nid: 1:9999999999999999999\ndata: {}\n\n")
+	c := cicadaupstream.New(cicadaupstream.Config{})
 	f.Fuzz(func(t *testing.T, events string) {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.Method == http.MethodGet {
-				http.NotFound(w, r)
-				return
+		s := c.NewStream(newCall("127.0.0.1:1"), cicadaupstream.StreamConfig{Progress: time.Minute})
+		resp := &http.Response{Body: io.NopCloser(strings.NewReader(events))}
+		next := int64(0)
+		err := s.Run(t.Context(), resp, func(ch cicadaupstream.Chunk) error {
+			if ch.Offset != next {
+				t.Fatalf("chunk %d after %d", ch.Offset, next-1)
 			}
-			_, _ = w.Write([]byte(events))
-		}))
-		defer srv.Close()
-		_, s, err := stream(t, srv.Listener.Addr().String(), time.Second)
+			next++
+			return nil
+		})
 		if err == nil && !strings.Contains(events, cicadaupstream.Done) {
 			t.Fatalf("whole after %d chunks without an end marker", s.Offset())
 		}
