reportsLoad does what it says; unused code removed

Cause: read as a newcomer, the document's reportsLoad had no effect: every runner was polled. A header and two functions of the upstream client had no caller.

Change: only runners of upstreams that report are asked for their load.

--- a/internal/cicadaroute/route_test.go
+++ b/internal/cicadaroute/route_test.go
@@ -87,6 +87,16 @@
 	}
 }
 
+func TestOnlyReportingRunnersAreAskedForTheirLoad(t *testing.T) {
+	list := runners(3)
+	list[1].Reports = true
+	table := cicadaroute.NewTable("r1", 1)
+	table.SetUpstream(upstream, list)
+	if diff := cmp.Diff([]string{address(1)}, table.Reporting()); diff != "" {
+		t.Errorf("asked (-want +got)\n%s", diff)
+	}
+}
+
 func TestFailingRunnerIsEjectedForAWhile(t *testing.T) {
 	table := newTable(4)
 	for range 3 {
--- a/internal/cicadaroute/table.go
+++ b/internal/cicadaroute/table.go
@@ -52,6 +52,8 @@
 		Place    string
 		Capacity int
 		Leaving  bool
+		// Reports tells that the runner can be asked for its load.
+		Reports bool
 	}
 
 	// Report is a runner's word on its load.
@@ -157,11 +159,13 @@
 	return out
 }
 
-// Addresses lists the runners that this router uses.
-func (t *Table) Addresses() []string {
+// Reporting lists the runners in use that can be asked for their load.
+func (t *Table) Reporting() []string {
 	out := make([]string, 0, len(t.byAddr))
-	for addr := range t.byAddr {
-		out = append(out, addr)
+	for addr, r := range t.byAddr {
+		if r.Reports {
+			out = append(out, addr)
+		}
 	}
 	sort.Strings(out)
 	return out
--- a/internal/cicadarouter/runners.go
+++ b/internal/cicadarouter/runners.go
@@ -41,6 +41,7 @@
 	for i, spec := range u.Runners {
 		out[i] = cicadaroute.Runner{
 			Name: spec.Name, Address: spec.Address, Place: spec.Place, Capacity: spec.Capacity, Leaving: spec.Leaving,
+			Reports: u.ReportsLoad,
 		}
 	}
 	return out
@@ -84,7 +85,7 @@
 		case <-tick.C:
 		}
 		r.tableMu.Lock()
-		addrs := r.table.Addresses()
+		addrs := r.table.Reporting()
 		r.tableMu.Unlock()
 		var wg sync.WaitGroup
 		for _, addr := range addrs {
--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -10,7 +10,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -27,7 +26,6 @@
 	HeaderRequestID = "X-Request-Id"
 	HeaderAttempt   = "X-Attempt"
 	HeaderHolder    = "X-Router"
-	HeaderFence     = "X-Fencing-Number"
 	HeaderPriority  = "X-Priority"
 	HeaderKey       = "Idempotency-Key"
 	HeaderRunning   = "X-Load-Running"
@@ -50,7 +48,7 @@
 	// idlePerRunner bounds the idle connections to one runner.
 	idlePerRunner = 64
 	idleTimeout   = 30 * time.Second
-	// controlTimeout bounds load reports, cancels and look-ups.
+	// controlTimeout bounds load reports, cancels and questions of use.
 	controlTimeout = time.Second
 	// maxErrorBody bounds what is read of a runner's error, in bytes.
 	maxErrorBody = 4 << 10
@@ -269,13 +267,6 @@
 	return nil
 }
 
-// Lookup asks an engine what it knows of a request.
-func (c *Client) Lookup(ctx context.Context, addr, requestID string) (Record, error) {
-	var rec Record
-	err := c.control(ctx, http.MethodGet, "http://"+addr+PathRequests+requestID, &rec)
-	return rec, err
-}
-
 // Cancel ends a request at its engine and returns what it used.
 func (c *Client) Cancel(ctx context.Context, addr, requestID string) (Record, error) {
 	var rec Record
@@ -315,11 +306,5 @@
 	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "runner")
 }
 
-// IsTimeout tells whether err came from a deadline.
-func IsTimeout(err error) bool {
-	var ne net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errFirstByte) || (errors.As(err, &ne) && ne.Timeout())
-}
-
 // BrokenBy returns a BrokenError with a cause.
 func BrokenBy(cause error) *BrokenError { return &BrokenError{cause: cause} }
