Loans of an ended router are asked for once, not for each of its holdings

Cause: read against the planned size, recovery asked each live router of the region for each holding: up to 32 x 102 calls a cycle and home.

Change: the answers for a holder serve all its budgets in a cycle: 102 calls.

--- a/internal/cicadahome/recover.go
+++ b/internal/cicadahome/recover.go
@@ -41,6 +41,12 @@
 		budget    string
 	}
 
+	// loansOf is what other routers borrowed of a holder.
+	loansOf struct {
+		moves []cicadaledger.Move
+		err   error
+	}
+
 	// recovered is a holding with what its holder used and lent.
 	recovered struct {
 		holding
@@ -62,8 +68,12 @@
 	h.recovering = true
 	go func() {
 		var out []recovered
+		loans := make(map[cicadaledger.Holder]loansOf)
 		for _, x := range list {
-			r, err := h.gather(x)
+			if _, ok := loans[x.holder]; !ok {
+				loans[x.holder] = h.askLoans(x.holder)
+			}
+			r, err := h.gather(x, loans[x.holder])
 			if err != nil {
 				h.cfg.Counts.Add("recoveriesInDoubt", 1)
 				h.cfg.Log.WithError(err).WithField("holder", x.holder.Host).WithField("budget", x.budget).Debug("units in doubt")
@@ -78,20 +88,27 @@
 	}()
 }
 
-// gather collects the evidence on one holding. Loans come first: after that
-// nobody borrows of the holder.
-func (h *Home) gather(x holding) (recovered, error) {
+// askLoans asks the live routers once for all budgets of a holder. After that
+// nobody borrows of it.
+func (h *Home) askLoans(id cicadaledger.Holder) loansOf {
 	ctx, cancel := context.WithTimeout(h.ctx, evidenceTimeout)
 	defer cancel()
-	loans, err := h.cfg.Evidence.Loans(ctx, x.holder)
-	if err != nil {
-		return recovered{}, err
+	moves, err := h.cfg.Evidence.Loans(ctx, id)
+	return loansOf{moves: moves, err: err}
+}
+
+// gather collects the evidence on one holding.
+func (h *Home) gather(x holding, loans loansOf) (recovered, error) {
+	if loans.err != nil {
+		return recovered{}, loans.err
 	}
+	ctx, cancel := context.WithTimeout(h.ctx, evidenceTimeout)
+	defer cancel()
 	used, err := h.cfg.Evidence.Used(ctx, x.holder, x.budget)
 	if err != nil {
 		return recovered{}, err
 	}
-	return recovered{holding: x, used: used, loans: loans}, nil
+	return recovered{holding: x, used: used, loans: loans.moves}, nil
 }
 
 // endedHoldings lists holdings of processes that have ended for certain.
