--- /dev/null
+++ b/internal/cicadabudget/account.go
@@ -0,0 +1,424 @@
+package cicadabudget
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// holdAhead is how many seconds of its own use a router holds while plenty
+	// is left: longer than the nine seconds for which hosts are cut off from the
+	// store on the deployments of today.
+	holdAhead = 12.0
+	// plentyShare is the share of a budget left undrawn from which on routers
+	// hold for the whole of holdAhead; below it the time shrinks in proportion.
+	plentyShare = 0.5
+	// dryShare is the share left undrawn below which routers hold nothing beyond
+	// what requests reserve, and give back what they hold at once.
+	dryShare = 0.03
+	// maxDrawShare bounds one draw to a share of what is left undrawn.
+	maxDrawShare = 0.25
+	// firstHoldShare is the share of what is left that the routers together hold
+	// before they know their rates.
+	firstHoldShare = 0.08
+	// useHalfLife is the time after which the observed rate of an idle account
+	// has halved.
+	useHalfLife = 3 * time.Second
+	// idleShare is the smallest surplus worth a write to the store while the
+	// budget is not dry, as a share of the budget.
+	idleShare = 0.01
+	// poolTrust is how long a reading of the pool proves that a budget is dry.
+	poolTrust = 1500 * time.Millisecond
+)
+
+type (
+	// Pool is an organisation's budget in the store: what all routers have
+	// drawn of it, and the bound of the newest configuration that any of them
+	// knew. Drawn never exceeds the bound that its writer knew.
+	Pool struct {
+		Drawn        Units  `json:"drawn"`
+		Limit        Units  `json:"limit"`
+		LimitVersion uint64 `json:"limitVersion"` // of the configuration
+	}
+
+	// Move is a change to one pool: Delta is drawn, or given back if negative.
+	Move struct {
+		Organisation string
+		Delta        Units
+		// From is the pool that the move was planned on, at Version of its row.
+		From    Pool
+		Version uint64
+	}
+
+	// Accounts are this router's parts of all budgets. What a router may spend
+	// is what it has drawn: free and reserved units have left the pool, and no
+	// other router can draw them, for however long this one is cut off or
+	// paused.
+	//
+	// Safe for concurrent use.
+	Accounts struct {
+		mu      sync.Mutex // guards the fields below
+		byOrg   map[string]*account
+		routers int // that live, this one included
+	}
+
+	account struct {
+		limit        Units
+		limitVersion uint64
+		pool         Pool
+		poolVersion  uint64
+		poolAt       time.Time
+		free         Units
+		reserved     Units
+		rate         float64 // units a second
+		rateAt       time.Time
+		waiters      []*Wait
+	}
+
+	// Wait is a reservation that waits for a draw.
+	Wait struct {
+		need    Units
+		ready   chan struct{}
+		granted bool // valid once ready is closed
+	}
+
+	// Verdict is the answer to a reservation.
+	Verdict int
+
+	// Shortage explains a reservation that was not granted.
+	Shortage struct {
+		Free, Left Units
+		PoolAge    time.Duration
+	}
+)
+
+// The verdicts.
+const (
+	Granted  Verdict = iota
+	Awaiting         // the pool may have enough: a draw decides
+	Dry              // the pool is known not to have enough
+)
+
+// NewAccounts returns accounts without any budget.
+func NewAccounts() *Accounts { return &Accounts{byOrg: map[string]*account{}, routers: 1} }
+
+// Configure sets an organisation's bound as of a version of the configuration.
+// Older versions are ignored.
+func (a *Accounts) Configure(org string, limit Units, version uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.byOrg[org]
+	if acc == nil {
+		acc = &account{}
+		a.byOrg[org] = acc
+	}
+	if version >= acc.limitVersion {
+		acc.limit, acc.limitVersion = limit, version
+	}
+}
+
+// SetRouters sets the number of routers that live.
+func (a *Accounts) SetRouters(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.routers = max(n, 1)
+}
+
+// Reserve takes need units for one request. With Awaiting, the Wait is ready
+// when the units are reserved or the pool is found dry; Cancel ends it.
+func (a *Accounts) Reserve(org string, need Units, now time.Time) (Verdict, *Wait, Shortage) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.byOrg[org]
+	if acc == nil {
+		return Dry, nil, Shortage{}
+	}
+	acc.observe(need, now)
+	if acc.free >= need && len(acc.waiters) == 0 {
+		acc.take(need)
+		return Granted, nil, Shortage{}
+	}
+	short := Shortage{Free: acc.free, Left: acc.left(), PoolAge: now.Sub(acc.poolAt)}
+	if acc.left()+acc.free < need && short.PoolAge < poolTrust {
+		acc.observe(-need, now)
+		return Dry, nil, short
+	}
+	w := &Wait{need: need, ready: make(chan struct{})}
+	acc.waiters = append(acc.waiters, w)
+	return Awaiting, w, short
+}
+
+// Ready is closed when the wait has ended.
+func (w *Wait) Ready() <-chan struct{} { return w.ready }
+
+// Granted tells whether the units are reserved. Call it after Ready is closed.
+func (w *Wait) Granted() bool { return w.granted }
+
+// Cancel ends a wait. It returns false if the wait had ended before.
+func (a *Accounts) Cancel(org string, w *Wait) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.byOrg[org]
+	i := slices.Index(acc.waiters, w)
+	if i < 0 {
+		return false
+	}
+	acc.waiters = slices.Delete(acc.waiters, i, i+1)
+	acc.serveWaiters()
+	return true
+}
+
+// Settle ends a reservation of which used units were used.
+func (a *Accounts) Settle(org string, reserved, used Units, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.byOrg[org]
+	used = min(max(used, 0), reserved)
+	acc.reserved -= reserved
+	acc.free += reserved - used
+	acc.observe(used-reserved, now)
+	acc.serveWaiters()
+}
+
+// Learn takes a reading of a pool at a version of its row.
+func (a *Accounts) Learn(org string, p Pool, version uint64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if acc := a.byOrg[org]; acc != nil {
+		acc.learn(p, version, now)
+	}
+}
+
+// Correct takes a pool as the store had it when it turned a move down. It goes
+// before any reading, so that a router never insists on a version that the row
+// does not have.
+func (a *Accounts) Correct(org string, p Pool, version uint64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if acc := a.byOrg[org]; acc != nil {
+		acc.poolVersion = 0
+		acc.learn(p, version, now)
+	}
+}
+
+// Drop undoes planned moves that will not be sent now.
+func (a *Accounts) Drop(moves []Move) {
+	for _, m := range moves {
+		a.Undo(m)
+	}
+}
+
+// Confirm notes that no pool has changed since the last reading.
+func (a *Accounts) Confirm(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, acc := range a.byOrg {
+		acc.poolAt = now
+	}
+}
+
+// Plan returns what to draw and, unless drawOnly, what to give back now. What is
+// given back leaves the account at once; Undo restores it if the store did not
+// take the move.
+func (a *Accounts) Plan(drawOnly bool, now time.Time) []Move {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var moves []Move
+	for org, acc := range a.byOrg {
+		delta := acc.delta(a.routers, now)
+		if delta == 0 || delta < 0 && drawOnly {
+			continue
+		}
+		if delta < 0 {
+			acc.free += delta
+		}
+		moves = append(moves, Move{Organisation: org, Delta: delta, From: acc.pool, Version: acc.poolVersion})
+	}
+	return moves
+}
+
+// ReturnAll plans to give back all that is free, as a router does when it ends.
+func (a *Accounts) ReturnAll() []Move {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var moves []Move
+	for org, acc := range a.byOrg {
+		if acc.free > 0 {
+			moves = append(moves, Move{Organisation: org, Delta: -acc.free, From: acc.pool, Version: acc.poolVersion})
+			acc.free = 0
+		}
+	}
+	return moves
+}
+
+// Next returns the pool after the move, or false if the pool does not cover it.
+func (a *Accounts) Next(m Move) (Pool, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.byOrg[m.Organisation]
+	p := m.From
+	if acc.limitVersion >= p.LimitVersion {
+		p.Limit, p.LimitVersion = acc.limit, acc.limitVersion
+	}
+	p.Drawn += m.Delta
+	return p, m.Delta <= 0 || p.Drawn <= p.Limit
+}
+
+// Done notes that the store took a move.
+func (a *Accounts) Done(m Move, after Pool, version uint64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.byOrg[m.Organisation]
+	if m.Delta > 0 {
+		acc.free += m.Delta
+	}
+	acc.serveWaiters()
+	acc.learn(after, version, now)
+}
+
+// Undo notes that the store did not take a move and never will.
+func (a *Accounts) Undo(m Move) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if m.Delta < 0 {
+		acc := a.byOrg[m.Organisation]
+		acc.free -= m.Delta
+		acc.serveWaiters()
+	}
+}
+
+// Waiting tells whether a request waits for a draw.
+func (a *Accounts) Waiting() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, acc := range a.byOrg {
+		if len(acc.waiters) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// AccountState describes an account in a state dump.
+type AccountState struct {
+	Organisation string `json:"organisation"`
+	Limit        Units  `json:"limit"`
+	Drawn        Units  `json:"drawnByAll"`
+	Free         Units  `json:"free"`
+	Reserved     Units  `json:"reserved"`
+	Rate         int64  `json:"unitsPerSecond"`
+}
+
+// State lists the accounts.
+func (a *Accounts) State() []AccountState {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]AccountState, 0, len(a.byOrg))
+	for org, acc := range a.byOrg {
+		out = append(out, AccountState{
+			Organisation: org, Limit: acc.bound(), Drawn: acc.pool.Drawn,
+			Free: acc.free, Reserved: acc.reserved, Rate: int64(acc.rate),
+		})
+	}
+	return out
+}
+
+func (acc *account) take(n Units) {
+	acc.free -= n
+	acc.reserved += n
+}
+
+func (acc *account) serveWaiters() {
+	for len(acc.waiters) > 0 && acc.free >= acc.waiters[0].need {
+		w := acc.waiters[0]
+		acc.waiters = acc.waiters[1:]
+		acc.take(w.need)
+		w.granted = true
+		close(w.ready)
+	}
+}
+
+// denyWaiters ends the waits that a fresh reading of the pool cannot serve.
+func (acc *account) denyWaiters() {
+	acc.waiters = slices.DeleteFunc(acc.waiters, func(w *Wait) bool {
+		if acc.left()+acc.free >= w.need {
+			return false
+		}
+		close(w.ready)
+		return true
+	})
+}
+
+func (acc *account) learn(p Pool, version uint64, now time.Time) {
+	if version >= acc.poolVersion {
+		acc.pool, acc.poolVersion, acc.poolAt = p, version, now
+	}
+	acc.denyWaiters()
+}
+
+// bound is the newest bound that this router or the pool's last writer knows.
+func (acc *account) bound() Units {
+	if acc.pool.LimitVersion > acc.limitVersion {
+		return acc.pool.Limit
+	}
+	return acc.limit
+}
+
+func (acc *account) left() Units { return max(acc.bound()-acc.pool.Drawn, 0) }
+
+// observe folds an amount into the rate of use, an exponential average.
+func (acc *account) observe(n Units, now time.Time) {
+	acc.decay(now)
+	acc.rate = max(acc.rate+float64(n)/(useHalfLife.Seconds()*1.44), 0)
+}
+
+func (acc *account) decay(now time.Time) {
+	if dt := now.Sub(acc.rateAt); dt > 0 {
+		acc.rate *= math.Exp2(-dt.Seconds() / useHalfLife.Seconds())
+		acc.rateAt = now
+	}
+}
+
+// delta is what to draw, or to give back if negative.
+func (acc *account) delta(routers int, now time.Time) Units {
+	acc.decay(now)
+	left := acc.left()
+	var missing Units
+	for _, w := range acc.waiters {
+		missing += w.need
+	}
+	missing = max(missing-acc.free, 0)
+	target := acc.target(left, routers)
+	want := missing
+	if missing > left {
+		want = 0
+	}
+	if float64(acc.free) < lowWaterShare*float64(target) {
+		want = max(want, min(target-acc.free, Units(maxDrawShare*float64(left))))
+	}
+	if want > 0 {
+		return min(want, left)
+	}
+	surplus := acc.free - target
+	if surplus > 0 && (acc.dry(left) || float64(surplus) > idleShare*float64(acc.bound()) && acc.free > 2*target) {
+		return -surplus
+	}
+	return 0
+}
+
+func (acc *account) dry(left Units) bool {
+	return float64(left) < dryShare*float64(acc.bound())
+}
+
+// target is what this router would like to have free.
+func (acc *account) target(left Units, routers int) Units {
+	if acc.dry(left) {
+		return 0
+	}
+	share := float64(left) / float64(max(acc.bound(), 1))
+	ahead := acc.rate * holdAhead * min(1, share/plentyShare)
+	floor := firstHoldShare * float64(left) / float64(routers)
+	return Units(max(ahead, floor))
+}
--- a/internal/cicadacmd/command.go
+++ b/internal/cicadacmd/command.go
@@ -100,7 +100,7 @@
 		Flags: env.root,
 	}
 	for _, v := range []verb{
-		&routerVerb{}, &checkVerb{}, &diffVerb{}, &applyVerb{}, &explainVerb{}, &stateVerb{}, &topVerb{},
+		&routerVerb{}, &nodeVerb{}, &checkVerb{}, &diffVerb{}, &applyVerb{}, &explainVerb{}, &stateVerb{}, &topVerb{},
 		&standinVerb{}, &loadVerb{}, &demoVerb{}, &refusalsVerb{}, &keyVerb{}, &versionVerb{},
 	} {
 		root.Subcommands = append(root.Subcommands, v.command(env))
--- /dev/null
+++ b/internal/cicadaedge/bank.go
@@ -0,0 +1,218 @@
+package cicadaedge
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/pkg/errors"
+)
+
+const (
+	// bankPause is the least time between two transactions of a router unless a
+	// request waits: at 410 routers that is 410 transactions a second, of which
+	// idle ones skip nearly all.
+	bankPause = 400 * time.Millisecond
+	// bankTick is how often an account is looked at without any event.
+	bankTick = time.Second
+	// urgentPause is the least time between two transactions while requests wait.
+	urgentPause = 20 * time.Millisecond
+	// txnMoves bounds the organisations in one transaction, below the store's
+	// hundred entries.
+	txnMoves = 40
+	// returnTimeout bounds the giving back at a planned stop.
+	returnTimeout = 700 * time.Millisecond
+)
+
+// bank moves units between this router's accounts and the pools in the store.
+// It has one goroutine.
+type bank struct {
+	rt     *Router
+	book   *cicadabudget.Book
+	wakeCh chan struct{}
+	// up tells whether the last transaction was answered.
+	up   atomic.Bool
+	done chan struct{}
+}
+
+func newBank(rt *Router) *bank {
+	b := &bank{rt: rt, book: cicadabudget.NewBook(rt.cfg.Boot, rt.accounts), wakeCh: make(chan struct{}, 1), done: make(chan struct{})}
+	b.up.Store(true)
+	return b
+}
+
+// wake makes the bank look at the accounts now.
+func (b *bank) wake() {
+	select {
+	case b.wakeCh <- struct{}{}:
+	default:
+	}
+}
+
+// settled tells that a reservation ended. A waiting request may be served by it;
+// what is to be given back waits for the next tick.
+func (b *bank) settled() {}
+
+func (b *bank) reachable() bool { return b.up.Load() }
+
+func (b *bank) run(ctx context.Context) {
+	defer close(b.done)
+	tick := time.NewTicker(bankTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.wakeCh:
+		case <-tick.C:
+		}
+		b.balance(ctx)
+		least := bankPause
+		if b.rt.accounts.Waiting() && b.up.Load() {
+			least = urgentPause
+		}
+		b.rest(ctx, least)
+	}
+}
+
+// rest waits, but ends early if a request begins to wait for units.
+func (b *bank) rest(ctx context.Context, d time.Duration) {
+	until := time.Now().Add(d)
+	for left := d; left > 0 && ctx.Err() == nil; left = time.Until(until) {
+		if b.up.Load() && b.rt.accounts.Waiting() {
+			pause(ctx, min(left, urgentPause))
+			return
+		}
+		pause(ctx, min(left, urgentPause))
+	}
+}
+
+// balance sends what is to be moved, and once more right away if other routers
+// came first.
+func (b *bank) balance(ctx context.Context) {
+	for range 4 {
+		moves := b.rt.accounts.Plan(b.book.InDoubt(), time.Now())
+		for len(moves) > txnMoves {
+			b.rt.accounts.Drop(moves[txnMoves:])
+			moves = moves[:txnMoves]
+		}
+		if !b.commit(ctx, b.book.Begin(moves)) {
+			return
+		}
+	}
+}
+
+// commit sends a transaction. It tells whether it failed for rows that others
+// had changed, so that another try makes sense.
+func (b *bank) commit(ctx context.Context, txn *cicadabudget.Txn) bool {
+	if txn == nil {
+		return false
+	}
+	own := cicadastore.Ref{Table: tableDraws, Key: b.rt.cfg.Name}
+	sent, err := b.encode(txn, own)
+	if err != nil {
+		b.rt.cfg.Log.WithError(err).Error("transaction not encoded")
+		b.book.Refused(txn)
+		return false
+	}
+	done, err := b.rt.cfg.Store.Commit(ctx, sent)
+	now := time.Now()
+	var conflict *cicadastore.ConflictError
+	switch {
+	case err == nil:
+		b.setUp(true, nil)
+		b.book.Committed(txn, done.Version, now)
+		b.log(txn, done.Version)
+		return false
+	case errors.As(err, &conflict):
+		b.setUp(true, nil)
+		b.learn(txn, conflict, own, now)
+		return true
+	case errors.Is(err, cicadastore.ErrThrottled):
+		b.setUp(false, err)
+		b.book.Refused(txn)
+	default:
+		b.setUp(false, err)
+		b.book.Lost(txn)
+	}
+	return false
+}
+
+func (b *bank) setUp(up bool, err error) {
+	if b.up.Swap(up) == up {
+		return
+	}
+	if up {
+		b.rt.cfg.Log.Info("bank regained the store")
+		return
+	}
+	b.rt.cfg.Log.WithError(err).Warn("bank lost the store")
+}
+
+func (b *bank) encode(txn *cicadabudget.Txn, own cicadastore.Ref) (cicadastore.Txn, error) {
+	value, err := json.Marshal(b.book.Row(txn))
+	if err != nil {
+		return cicadastore.Txn{}, errors.Wrap(err, "own row")
+	}
+	out := cicadastore.Txn{
+		Conditions: []cicadastore.Condition{{Ref: own, Version: txn.OwnVersion}},
+		Writes:     []cicadastore.Write{{Ref: own, Value: value}},
+	}
+	for i, m := range txn.Moves {
+		ref := cicadastore.Ref{Table: tablePools, Key: m.Organisation}
+		value, err := json.Marshal(txn.After[i])
+		if err != nil {
+			return cicadastore.Txn{}, errors.Wrap(err, "pool")
+		}
+		out.Conditions = append(out.Conditions, cicadastore.Condition{Ref: ref, Version: m.Version})
+		out.Writes = append(out.Writes, cicadastore.Write{Ref: ref, Value: value})
+	}
+	return out, nil
+}
+
+// learn takes the rows as they are from a conflict.
+func (b *bank) learn(txn *cicadabudget.Txn, conflict *cicadastore.ConflictError, own cicadastore.Ref, now time.Time) {
+	var row cicadabudget.OwnRow
+	var version uint64
+	for _, r := range conflict.Failed {
+		if r.Version == 0 {
+			continue
+		}
+		if r.Table == own.Table && r.Key == own.Key {
+			version = r.Version
+			if err := json.Unmarshal(r.Value, &row); err != nil {
+				b.rt.cfg.Log.WithError(err).Error("own row cannot be read")
+			}
+			continue
+		}
+		var p cicadabudget.Pool
+		if err := json.Unmarshal(r.Value, &p); err != nil {
+			b.rt.cfg.Log.WithField("organisation", r.Key).WithError(err).Error("pool cannot be read")
+			continue
+		}
+		b.rt.accounts.Correct(r.Key, p, r.Version, now)
+	}
+	b.book.Rejected(txn, row, version, now)
+}
+
+func (b *bank) log(txn *cicadabudget.Txn, version uint64) {
+	for i, m := range txn.Moves {
+		b.rt.cfg.Log.WithField("organisation", m.Organisation).WithField("units", int64(m.Delta)).
+			WithField("drawnByAll", int64(txn.After[i].Drawn)).WithField("limit", int64(txn.After[i].Limit)).
+			WithField("version", version).Info("units moved")
+	}
+}
+
+// giveBack returns all free units at a planned stop.
+func (b *bank) giveBack() {
+	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+	defer cancel()
+	for range 4 {
+		if !b.commit(ctx, b.book.Begin(b.rt.accounts.ReturnAll())) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/cicadaedge/config.go
@@ -0,0 +1,110 @@
+// Package cicadaedge is the router process on a platform that keeps
+// configuration, list of runners and budgets in one store.
+//
+// A request takes one way: serve reads and checks it (serve.go), reserves its
+// worst case in the organisation's account, and an exchange sends it to a runner
+// and forwards the answer (exchange.go, stream.go). Followers keep the view of
+// deployment, runners and pools (follow.go); the bank draws slices of budgets
+// from the store (bank.go); the relay lets routers that the store turns away
+// learn from those that it serves (relay.go).
+//
+// What a caller or a runner says is read by a Dialect, so that the names of a
+// platform stay in its adapter.
+package cicadaedge
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaretry"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+)
+
+type (
+	// Store is what a router needs of the platform's store.
+	Store interface {
+		cicadastore.Tables
+		cicadastore.Feeds
+	}
+
+	// Sources tells where deployment and runners stand in the store, and reads
+	// them.
+	Sources struct {
+		DeploymentTable, DeploymentKey string
+		RunnerTable                    string
+		DecodeDeployment               func(data []byte) (*cicadadeploy.Document, error)
+		DecodeRunner                   func(id string, data []byte) (cicadaplace.Entry, error)
+	}
+
+	// Demand is what a caller says of its request.
+	Demand struct {
+		ID string
+		// Patience is how long the caller waits; zero if it does not say.
+		Patience time.Duration
+		Key      string // of its organisation; empty for none
+		// PromptTokens and MaxOutput bound what the request can use of a budget.
+		PromptTokens, MaxOutput int64
+		Parts                   []cicadaplace.Part
+	}
+
+	// Mark is what a runner is told of a request beside what the caller said.
+	Mark struct {
+		RunnerID     string
+		Left         time.Duration // until the caller or the route gives up
+		Organisation string
+		Priority     int
+		ResumeAfter  string // id of the last event that the caller has; empty for none
+	}
+
+	// Answer is what a runner says with its answer beside status and body.
+	Answer struct {
+		RequestID string
+		Sealed    bool // the runner stands for status and body
+		NotRun    bool
+		Load      *cicadaplace.Load
+	}
+
+	// Dialect reads and writes a platform's headers.
+	Dialect interface {
+		Demand(h http.Header) (Demand, error)
+		// Forward removes from a caller's header what runners may not see.
+		Forward(h http.Header)
+		Mark(h http.Header, m *Mark)
+		Answer(resp *http.Response) Answer
+		// RefusalStatus is the HTTP status of a refusal.
+		RefusalStatus(k RefusalKind) int
+	}
+
+	// Config sets up a Router.
+	Config struct {
+		Name, Place string
+		// Boot tells this process from earlier ones on the same host.
+		Boot      string
+		Callers   net.Listener
+		Health    net.Listener // readiness, metrics, state
+		ReadyPath string
+		// Relay is where other routers ask; nil for no relay.
+		Relay net.Listener
+		// Seeds are relay addresses that may be stale.
+		Seeds   []string
+		Store   Store
+		Sources Sources
+		Dialect Dialect
+		Retries cicadaretry.Config
+		// StopTimeout is the time between the signal to stop and the kill.
+		StopTimeout time.Duration
+		// InForce is the time within which a change must be in force, and
+		// Stretch what is added while the store is unsure.
+		InForce, Stretch time.Duration
+		// HoldRemoved is for how long after an outage of the store the entries
+		// that vanished in it are kept.
+		HoldRemoved time.Duration
+		MaxFiles    int
+		Log         log.Interface
+		Metrics     *Metrics
+	}
+)
--- /dev/null
+++ b/internal/cicadaedge/follow.go
@@ -0,0 +1,133 @@
+package cicadaedge
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/pkg/errors"
+)
+
+const (
+	// deploymentWait is how long one call waits for a new configuration: half of
+	// the time within which it must be in force, so that a call that is lost is
+	// repeated in time.
+	deploymentWait = time.Second
+	// runnerPause lies between two readings of the runners' entries. Each
+	// heartbeat of a runner is a change, so without it every heartbeat would be a
+	// call; a leaving runner is to be seen within two seconds.
+	runnerPause = 450 * time.Millisecond
+	// poolPause lies between two readings of the pools.
+	poolPause = time.Second
+	// routerPause lies between two readings of the routers' rows.
+	routerPause = 4 * time.Second
+	// tableWait is how long one call waits for a change of the other tables.
+	tableWait = 500 * time.Millisecond
+	// firstRetry and mostRetry bound the pause after a failed call.
+	firstRetry = 60 * time.Millisecond
+	mostRetry  = 400 * time.Millisecond
+)
+
+type (
+	// followConfig describes a table to follow.
+	followConfig struct {
+		table string
+		pause time.Duration // between two readings
+		wait  time.Duration // for a change, in one call
+		// take is told of all rows (whole) or of changes.
+		take func(b cicadastore.Batch, whole bool, now time.Time)
+		// fresh is told of each answer, with the time at which it was asked for.
+		fresh func(asked time.Time)
+		// back is told when the store answers after failures.
+		back func(now time.Time)
+	}
+
+	// follower keeps a view of one table. It has one goroutine and ends with its
+	// context.
+	follower struct {
+		cfg   followConfig
+		store Store
+		rt    *Router
+		// freshAt is when the last answered call was sent, in Unix nanoseconds.
+		freshAt atomic.Int64
+		done    chan struct{}
+	}
+)
+
+func (rt *Router) follow(ctx context.Context, cfg followConfig) *follower {
+	f := &follower{cfg: cfg, store: rt.cfg.Store, rt: rt, done: make(chan struct{})}
+	go f.run(ctx)
+	return f
+}
+
+// age is the time since the view was known to be current.
+func (f *follower) age(now time.Time) time.Duration {
+	at := f.freshAt.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return now.Sub(time.Unix(0, at))
+}
+
+func (f *follower) run(ctx context.Context) {
+	defer close(f.done)
+	var since uint64
+	retry := firstRetry
+	failing := false
+	for ctx.Err() == nil {
+		asked := time.Now()
+		batch, whole, err := f.read(ctx, since)
+		switch {
+		case errors.Is(err, cicadastore.ErrHistoryLost):
+			f.rt.cfg.Log.WithField("table", f.cfg.table).WithField("since", since).Info("history lost, table is read again")
+			since = 0
+			continue
+		case err != nil:
+			if !failing && ctx.Err() == nil {
+				f.rt.cfg.Log.WithField("table", f.cfg.table).WithError(err).Warn("store lost")
+			}
+			failing = true
+			pause(ctx, retry)
+			retry = min(2*retry, mostRetry)
+			continue
+		}
+		now := time.Now()
+		if failing {
+			f.rt.cfg.Log.WithField("table", f.cfg.table).WithField("ageMillis", f.age(now).Milliseconds()).Info("store regained")
+			if f.cfg.back != nil {
+				f.cfg.back(now)
+			}
+		}
+		failing, retry = false, firstRetry
+		since = batch.Version
+		f.cfg.take(batch, whole, now)
+		f.freshAt.Store(asked.UnixNano())
+		if f.cfg.fresh != nil {
+			f.cfg.fresh(asked)
+		}
+		pause(ctx, f.cfg.pause)
+	}
+}
+
+// read reads the whole table first and after lost history, and changes then.
+func (f *follower) read(ctx context.Context, since uint64) (cicadastore.Batch, bool, error) {
+	if since == 0 {
+		b, err := f.store.Snapshot(ctx, f.cfg.table)
+		return b, true, err
+	}
+	b, err := f.store.Changes(ctx, cicadastore.ChangesRequest{Table: f.cfg.table, Since: since, Wait: f.cfg.wait})
+	return b, false, err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/cicadaedge/router.go
@@ -0,0 +1,232 @@
+package cicadaedge
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaretry"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/pkg/errors"
+)
+
+const (
+	// noticeTime is how long a stopping router still takes new connections: the
+	// platform asks for readiness each second and stops sending after two misses.
+	noticeTime = 2500 * time.Millisecond
+	// killMargin is kept between the end of a planned stop and the kill.
+	killMargin = 500 * time.Millisecond
+	// defaultIdle is used until the configuration bounds idle connections.
+	defaultIdle = 60 * time.Second
+	// defaultHeaderTime bounds reading a header where the configuration does not.
+	defaultHeaderTime = 10 * time.Second
+	// announceRetry lies between two tries to write the router's own row.
+	announceRetry = 500 * time.Millisecond
+	maxHeaderRead = 64 << 10
+)
+
+// Router is a router process.
+type Router struct {
+	cfg       Config
+	fleet     *cicadaplace.Fleet
+	accounts  *cicadabudget.Accounts
+	retries   *cicadaretry.Budget
+	upstreams *upstreams
+	bank      *bank
+	peers     *peers
+
+	deploy   atomic.Pointer[cicadadeploy.Snapshot]
+	deployMu sync.Mutex // orders changes of deploy
+
+	deployments, runners *follower
+	// peerViewAt and peerRunnersAt are how current the views of other routers
+	// were, in Unix nanoseconds.
+	peerViewAt, peerRunnersAt atomic.Int64
+
+	stopping atomic.Bool
+	callers  *http.Server
+	health   *http.Server
+	cancel   context.CancelFunc
+	parts    sync.WaitGroup
+}
+
+// New returns a router that Start begins.
+func New(cfg Config) *Router {
+	rt := &Router{
+		cfg:       cfg,
+		fleet:     cicadaplace.NewFleet(cicadaplace.Config{Place: cfg.Place, HoldRemoved: cfg.HoldRemoved}),
+		accounts:  cicadabudget.NewAccounts(),
+		retries:   cicadaretry.NewBudget(cfg.Retries),
+		upstreams: newUpstreams(cfg.Metrics),
+	}
+	relay := ""
+	if cfg.Relay != nil {
+		relay = cfg.Relay.Addr().String()
+	}
+	rt.peers = newPeers(cfg.Name, relay, cfg.Seeds)
+	rt.bank = newBank(rt)
+	return rt
+}
+
+// Start begins to follow the store and to serve.
+func (rt *Router) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	rt.cancel = cancel
+	rt.cfg.Log.WithField("host", rt.cfg.Name).WithField("place", rt.cfg.Place).WithField("boot", rt.cfg.Boot).Info("start")
+	rt.deployments = rt.follow(ctx, followConfig{
+		table: rt.cfg.Sources.DeploymentTable, wait: deploymentWait, take: rt.takeDeployment,
+	})
+	rt.runners = rt.follow(ctx, followConfig{
+		table: rt.cfg.Sources.RunnerTable, wait: tableWait, pause: runnerPause, take: rt.takeRunners, back: rt.fleet.StoreBack,
+	})
+	rt.follow(ctx, followConfig{table: tablePools, wait: tableWait, pause: poolPause, take: rt.takePools})
+	rt.follow(ctx, followConfig{table: tableRouters, wait: tableWait, pause: routerPause, take: rt.takeRouters})
+	rt.goPart(func() { rt.bank.run(ctx) })
+	rt.goPart(func() { rt.announce(ctx) })
+	if rt.cfg.Relay != nil {
+		rt.goPart(func() { rt.serveRelay(ctx) })
+		rt.goPart(func() { rt.askPeers(ctx) })
+	}
+	rt.callers = rt.server(rt)
+	rt.callers.IdleTimeout = defaultIdle
+	rt.health = rt.server(rt.healthMux())
+	rt.goPart(func() { rt.serve(rt.callers, rt.cfg.Callers) })
+	rt.goPart(func() { rt.serve(rt.health, rt.cfg.Health) })
+}
+
+func (rt *Router) goPart(run func()) {
+	rt.parts.Add(1)
+	go func() {
+		defer rt.parts.Done()
+		run()
+	}()
+}
+
+func (rt *Router) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: defaultHeaderTime, MaxHeaderBytes: maxHeaderRead,
+		ErrorLog: nil, DisableGeneralOptionsHandler: true,
+	}
+}
+
+func (rt *Router) serve(s *http.Server, ln net.Listener) {
+	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		rt.cfg.Log.WithError(err).Error("listener ended")
+	}
+}
+
+func (rt *Router) healthMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+rt.cfg.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !rt.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", rt.cfg.Metrics)
+	mux.HandleFunc("GET /state", rt.serveState)
+	return mux
+}
+
+// Ready tells whether the router takes requests: it knows a configuration and
+// runners, and is not stopping.
+func (rt *Router) Ready() bool {
+	return !rt.stopping.Load() && rt.deploy.Load() != nil && rt.fleet.Len() > 0
+}
+
+// announce writes the router's own row until the store has taken it.
+func (rt *Router) announce(ctx context.Context) {
+	value, err := json.Marshal(routerRow{Boot: rt.cfg.Boot, Relay: rt.peers.selfAddr})
+	if err != nil {
+		rt.cfg.Log.WithError(err).Error("own row not encoded")
+		return
+	}
+	ref := cicadastore.Ref{Table: tableRouters, Key: rt.cfg.Name}
+	for ctx.Err() == nil {
+		_, err := rt.cfg.Store.Commit(ctx, cicadastore.Txn{Writes: []cicadastore.Write{{Ref: ref, Value: value}}})
+		if err == nil {
+			return
+		}
+		pause(ctx, announceRetry)
+	}
+}
+
+// deployAge is the time since the configuration in force was known to be the
+// newest.
+func (rt *Router) deployAge(now time.Time) time.Duration {
+	return min(rt.deployments.age(now), ageOf(&rt.peerViewAt, now))
+}
+
+func (rt *Router) runnersAge(now time.Time) time.Duration {
+	return min(rt.runners.age(now), ageOf(&rt.peerRunnersAt, now))
+}
+
+func (rt *Router) runnersFreshAt() time.Time {
+	now := time.Now()
+	return now.Add(-rt.runnersAge(now))
+}
+
+func ageOf(at *atomic.Int64, now time.Time) time.Duration {
+	t := at.Load()
+	if t == 0 {
+		return time.Hour
+	}
+	return now.Sub(time.Unix(0, t))
+}
+
+// notePeerView notes how current the view of another router was.
+func (rt *Router) notePeerView(at time.Time) {
+	if at.UnixNano() > rt.peerViewAt.Load() {
+		rt.peerViewAt.Store(at.UnixNano())
+	}
+}
+
+func (rt *Router) serveState(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	state := struct {
+		Host            string                      `json:"host"`
+		Boot            string                      `json:"boot"`
+		Version         uint64                      `json:"deployVersion"`
+		DeployAgeMillis int64                       `json:"deployAgeMillis"`
+		Routers         int                         `json:"routers"`
+		Accounts        []cicadabudget.AccountState `json:"accounts"`
+		Runners         []cicadaplace.RunnerState   `json:"runners"`
+	}{
+		Host: rt.cfg.Name, Boot: rt.cfg.Boot, DeployAgeMillis: rt.deployAge(now).Milliseconds(), Routers: rt.peers.count(),
+		Accounts: rt.accounts.State(), Runners: rt.fleet.State(now),
+	}
+	if d := rt.deploy.Load(); d != nil {
+		state.Version = d.Version()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(state); err != nil {
+		rt.cfg.Log.WithError(err).Warn("state not written")
+	}
+}
+
+// Stop ends the router as planned: no new connections once the platform has
+// noticed, requests in progress finish, free units are given back.
+func (rt *Router) Stop() {
+	began := time.Now()
+	end := began.Add(rt.cfg.StopTimeout - killMargin)
+	rt.stopping.Store(true)
+	rt.cfg.Log.WithField("inFlight", rt.cfg.Metrics.InFlight.String()).Info("stop")
+	time.Sleep(min(noticeTime, time.Until(end)))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := rt.callers.Shutdown(ctx); err != nil {
+		rt.cfg.Log.WithError(err).WithField("inFlight", rt.cfg.Metrics.InFlight.String()).Warn("requests cut at the end of the stop")
+	}
+	rt.cancel()
+	<-rt.bank.done
+	rt.bank.giveBack()
+	rt.health.Close()
+	rt.upstreams.close()
+	rt.cfg.Log.WithField("millis", time.Since(began).Milliseconds()).Info("stopped")
+}
--- /dev/null
+++ b/internal/cicadaedge/stream.go
@@ -0,0 +1,175 @@
+package cicadaedge
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
+	"github.com/pkg/errors"
+)
+
+const (
+	// readBuffer holds many events of the usual size, in bytes.
+	readBuffer = 4 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+)
+
+var (
+	idField        = []byte("id:")
+	errLargeEvent  = errors.Errorf("an event is larger than %d bytes", maxEventBytes)
+	readersOfEvent = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+)
+
+// event is one server-sent event as the runner wrote it.
+type event struct {
+	raw []byte // with its closing empty line, or what came before the end
+	id  string // empty if the event has none
+}
+
+// stream forwards events as they come. Only whole events are forwarded, so that
+// another runner can continue after the last one where the route allows it.
+func (x *exchange) stream(a *attempt) (result, bool) {
+	resumed := x.begun
+	if !resumed {
+		x.begin(a, a.resp.ContentLength)
+	}
+	a.ticket.Started()
+	err := x.forward(a, resumed)
+	var left *callerError
+	switch {
+	case err == nil:
+		x.ended(a.ticket, cicadaplace.Answered, nil)
+		return result{}, false
+	case errors.As(err, &left) || x.r.Context().Err() != nil:
+		a.ticket.End(cicadaplace.CallerLeft, time.Now())
+		return result{left: true}, false
+	case errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(x.deadline):
+		a.ticket.End(cicadaplace.CallerLeft, time.Now())
+		return result{cut: err}, false
+	}
+	x.cause = err
+	x.ended(a.ticket, cicadaplace.Failed, err)
+	// An answer with a length cannot be continued by another run of it.
+	return result{cut: err}, x.route.Resumable && x.lastEvent != "" && a.resp.ContentLength < 0
+}
+
+// callerError is a failure to write to the caller.
+type callerError struct{ cause error }
+
+// Error returns the cause.
+func (e *callerError) Error() string { return "write to the caller: " + e.cause.Error() }
+
+func (x *exchange) forward(a *attempt, resumed bool) error {
+	r, _ := readersOfEvent.Get().(*bufio.Reader)
+	r.Reset(a.resp.Body)
+	defer readersOfEvent.Put(r)
+	rc := http.NewResponseController(x.w)
+	if !resumed {
+		if err := rc.Flush(); err != nil {
+			return &callerError{cause: err}
+		}
+	}
+	silence := x.watchSilence(a)
+	defer silence.Stop()
+	for {
+		ev, err := readEvent(r)
+		if err != nil && !(errors.Is(err, io.EOF) && len(ev.raw) > 0) {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return x.causeOf(a, err)
+		}
+		if x.repeated(ev.id) {
+			continue
+		}
+		if err := x.sendEvent(rc, &ev, r.Buffered() == 0); err != nil {
+			return err
+		}
+		x.rearm(silence)
+	}
+}
+
+func (x *exchange) sendEvent(rc *http.ResponseController, ev *event, flush bool) error {
+	if x.delivered == 0 {
+		x.firstAt = time.Now()
+	}
+	if _, err := x.w.Write(ev.raw); err != nil {
+		return &callerError{cause: err}
+	}
+	if flush {
+		if err := rc.Flush(); err != nil {
+			return &callerError{cause: err}
+		}
+	}
+	x.delivered++
+	if ev.id != "" {
+		x.lastEvent = ev.id
+	}
+	return nil
+}
+
+// causeOf prefers the reason for which the attempt was ended here.
+func (x *exchange) causeOf(a *attempt, err error) error {
+	if cause := context.Cause(a.resp.Request.Context()); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// watchSilence ends an attempt whose events stop, where another runner can
+// continue the stream.
+func (x *exchange) watchSilence(a *attempt) *time.Timer {
+	if !x.route.Resumable || x.route.PauseObjective <= 0 || x.attempts >= x.route.MaxRunners {
+		return time.NewTimer(time.Until(x.deadline))
+	}
+	return time.AfterFunc(firstEventFactor*x.route.Objective, func() { a.cancel(errSilent) })
+}
+
+func (x *exchange) rearm(silence *time.Timer) {
+	if x.route.Resumable && x.route.PauseObjective > 0 {
+		silence.Reset(pauseFactor * x.route.PauseObjective)
+	}
+}
+
+// repeated tells whether an event was forwarded before, from the run that this
+// one continues.
+func (x *exchange) repeated(id string) bool {
+	if id == "" || x.lastEvent == "" {
+		return false
+	}
+	n, err := strconv.ParseInt(id, 10, 64)
+	last, lastErr := strconv.ParseInt(x.lastEvent, 10, 64)
+	return err == nil && lastErr == nil && n <= last
+}
+
+// readEvent reads up to the empty line that ends an event.
+func readEvent(r *bufio.Reader) (event, error) {
+	var ev event
+	for {
+		line, err := r.ReadSlice('\n')
+		ev.raw = append(ev.raw, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			if len(ev.raw) > maxEventBytes {
+				return ev, errLargeEvent
+			}
+			continue
+		case err != nil:
+			return ev, err
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return ev, nil
+		}
+		if value, ok := bytes.CutPrefix(text, idField); ok {
+			ev.id = string(bytes.TrimSpace(value))
+		}
+	}
+}
--- /dev/null
+++ b/internal/cicadaedge/views.go
@@ -0,0 +1,144 @@
+package cicadaedge
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+)
+
+// Tables of the routers in the store.
+const (
+	tablePools   = "pools"   // one row an organisation: a cicadabudget.Pool
+	tableDraws   = "draws"   // one row a router: a cicadabudget.OwnRow
+	tableRouters = "routers" // one row a router: a routerRow
+)
+
+// routerRow tells other routers where to ask this one.
+type routerRow struct {
+	Boot  string `json:"boot"`
+	Relay string `json:"relay"`
+}
+
+// takeDeployment takes the newest configuration. An older one than that in
+// force is ignored, whichever way it came.
+func (rt *Router) takeDeployment(b cicadastore.Batch, _ bool, now time.Time) {
+	for i := range b.Changes {
+		c := &b.Changes[i]
+		if c.Key != rt.cfg.Sources.DeploymentKey || c.Deleted {
+			continue
+		}
+		doc, err := rt.cfg.Sources.DecodeDeployment(c.Value)
+		if err != nil {
+			rt.cfg.Metrics.Errors.Add("deploymentUnreadable", 1)
+			rt.cfg.Log.WithError(err).Error("configuration cannot be read, the one in force stays")
+			continue
+		}
+		rt.enforce(doc, "store", now)
+	}
+}
+
+// enforce puts a configuration in force if it is newer than the present one.
+func (rt *Router) enforce(doc *cicadadeploy.Document, from string, now time.Time) {
+	rt.deployMu.Lock()
+	defer rt.deployMu.Unlock()
+	var before uint64
+	if old := rt.deploy.Load(); old != nil {
+		before = old.Version()
+	}
+	if doc.Version <= before {
+		if doc.Version < before {
+			rt.cfg.Log.WithField("version", doc.Version).WithField("inForce", before).Info("older configuration ignored")
+		}
+		return
+	}
+	snap, err := cicadadeploy.New(doc)
+	if err != nil {
+		rt.cfg.Metrics.Errors.Add("deploymentInvalid", 1)
+		rt.cfg.Log.WithError(err).Error("configuration is not valid, the one in force stays")
+		return
+	}
+	for i := range doc.Organisations {
+		if o := &doc.Organisations[i]; o.Prepaid != nil {
+			rt.accounts.Configure(o.Name, cicadabudget.Units(*o.Prepaid), doc.Version)
+		}
+	}
+	rt.deploy.Store(snap)
+	rt.cfg.Metrics.DeployVersion.Set(int64(doc.Version))
+	rt.cfg.Log.WithField("version", doc.Version).WithField("before", before).WithField("from", from).
+		WithField("routes", len(doc.Routes)).WithField("organisations", len(doc.Organisations)).Info("configuration in force")
+	rt.bank.wake()
+}
+
+// takeRunners keeps the runners that their entries name.
+func (rt *Router) takeRunners(b cicadastore.Batch, whole bool, now time.Time) {
+	seen := map[string]bool{}
+	for i := range b.Changes {
+		c := &b.Changes[i]
+		seen[c.Key] = !c.Deleted
+		if c.Deleted {
+			rt.dropRunner(c.Key, "entry removed", now)
+			continue
+		}
+		e, err := rt.cfg.Sources.DecodeRunner(c.Key, c.Value)
+		if err != nil {
+			rt.cfg.Metrics.Errors.Add("runnerUnreadable", 1)
+			rt.cfg.Log.WithError(err).Warn("entry names no runner")
+			rt.dropRunner(c.Key, "entry unreadable", now)
+			continue
+		}
+		replaced, changed := rt.fleet.Apply(e, now)
+		if replaced != nil {
+			rt.upstreams.forget(replaced)
+		}
+		if changed {
+			rt.cfg.Log.WithField("runner", e.ID).WithField("service", e.Service).WithField("addr", e.Addr).
+				WithField("place", e.Place).WithField("leaving", e.Leaving).Info("runner")
+		}
+	}
+	if whole {
+		for _, r := range rt.fleet.Retain(seen, now) {
+			rt.upstreams.forget(r)
+		}
+	}
+	for _, r := range rt.fleet.Sweep(now) {
+		rt.cfg.Log.WithField("runner", r.ID()).Info("runner did not come back after the store's outage")
+		rt.upstreams.forget(r)
+	}
+}
+
+func (rt *Router) dropRunner(id, why string, now time.Time) {
+	if r := rt.fleet.Remove(id, now); r != nil {
+		rt.cfg.Log.WithField("runner", id).WithField("why", why).Info("runner removed")
+		rt.upstreams.forget(r)
+	}
+}
+
+// takePools learns what all routers have drawn.
+func (rt *Router) takePools(b cicadastore.Batch, _ bool, now time.Time) {
+	for i := range b.Changes {
+		c := &b.Changes[i]
+		if c.Deleted {
+			continue
+		}
+		var p cicadabudget.Pool
+		if err := json.Unmarshal(c.Value, &p); err != nil {
+			rt.cfg.Log.WithField("organisation", c.Key).WithError(err).Error("pool cannot be read")
+			continue
+		}
+		rt.accounts.Learn(c.Key, p, c.Version, now)
+	}
+	rt.accounts.Confirm(now)
+	rt.bank.wake()
+}
+
+// takeRouters counts the routers and learns where they relay.
+func (rt *Router) takeRouters(b cicadastore.Batch, whole bool, _ time.Time) {
+	rt.peers.take(b, whole)
+	n := rt.peers.count()
+	rt.accounts.SetRouters(n)
+	rt.retries.SetRouters(n)
+	rt.upstreams.setRouters(n)
+}
--- /dev/null
+++ b/internal/cicadaplace/choose.go
@@ -0,0 +1,276 @@
+package cicadaplace
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// prefillRate is the prompt tokens that an engine reads in a millisecond,
+	// about that of the engines documented by today's deployments.
+	prefillRate = 55.0
+	// decodeCost is the added time to a first token for each running request, in
+	// milliseconds: one decode step slows by about 0.02 ms for each, and some
+	// steps pass before a first token.
+	decodeCost = 0.4
+	// queueCost is the time that one request waiting at an engine adds, in
+	// milliseconds: a typical uncached prompt over prefillRate.
+	queueCost = 70.0
+	// plainCost is the weight of one request at a plain runner relative to its
+	// slots, in milliseconds: about the work of one such request.
+	plainCost = 60.0
+	// remoteCost is charged for a runner in another data centre: its round trip
+	// and the price of bytes between data centres, in milliseconds.
+	remoteCost = 6.0
+	// reportTrust is how long a runner's own report counts.
+	reportTrust = 600 * time.Millisecond
+	// coldCost is charged for a runner that is still slow after its start.
+	coldCost = 150.0
+
+	// ejectAfter is the number of failures in a row after which a runner is
+	// left out; ejectFor is for how long at first, doubling up to ejectMost.
+	ejectAfter = 3
+	ejectFor   = time.Second
+	ejectMost  = 8 * time.Second
+	// maxEjectedShare is the share of a service's runners that may be left out:
+	// with more, the failures are likelier to have another cause.
+	maxEjectedShare = 0.5
+)
+
+// Errors of Choose.
+var (
+	ErrNoRunner = errors.New("no runner of the service is known")
+)
+
+type (
+	// Request is what the choice depends on.
+	Request struct {
+		Service string
+		// Parts are those of the prompt, in order; the last one is the request's
+		// own. Empty for plain calls.
+		Parts  []Part
+		Tokens int      // of the whole prompt
+		Tried  []string // ids of runners not to use again
+	}
+
+	// Ticket is a request's place at a runner, from its choice to its end.
+	Ticket struct {
+		f       *Fleet
+		r       *Runner
+		parts   []Part
+		debt    int
+		started bool
+		ended   bool
+		cost    float64
+		cached  int
+	}
+
+	// Result is how a request ended at a runner.
+	Result int
+)
+
+// The results.
+const (
+	Answered   Result = iota // the runner did its part, whatever the status
+	Refused                  // the runner says that it did not run the request
+	Failed                   // no answer, a broken one or an error of the runner
+	Unreached                // no connection was made
+	CallerLeft               // says nothing of the runner
+)
+
+// Choose returns a ticket for the runner with the shortest estimated time to a
+// first token.
+func (f *Fleet) Choose(req *Request, now time.Time) (*Ticket, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := f.services[req.Service]
+	ignoreEjection := tooManyEjected(list, now)
+	var best *Runner
+	var bestCost float64
+	home := homeOf(list, req)
+	for _, r := range list {
+		if r.leftOut(req, ignoreEjection, now) {
+			continue
+		}
+		cost := f.cost(r, req, r == home, now)
+		if best == nil || cost < bestCost || cost == bestCost && r.hash < best.hash {
+			best, bestCost = r, cost
+		}
+	}
+	if best == nil {
+		return nil, ErrNoRunner
+	}
+	t := &Ticket{f: f, r: best, parts: req.Parts, cost: bestCost}
+	t.cached = best.cachedTokens(req, best == home, now)
+	t.debt = max(req.Tokens-t.cached, 0)
+	best.inFlight++
+	best.debt += t.debt
+	for i := range len(req.Parts) - 1 {
+		best.cached.add(req.Parts[i].ID, now)
+	}
+	return t, nil
+}
+
+func (r *Runner) leftOut(req *Request, ignoreEjection bool, now time.Time) bool {
+	return r.entry.Leaving || r.leaving || slices.Contains(req.Tried, r.entry.ID) ||
+		!ignoreEjection && now.Before(r.ejectedUntil)
+}
+
+// homeOf returns the runner that all routers take for the request's shared
+// parts, by rendezvous hashing of the last of them, or nil.
+func homeOf(list []*Runner, req *Request) *Runner {
+	if len(req.Parts) < 2 {
+		return nil
+	}
+	key := xxhash.Sum64String(req.Parts[len(req.Parts)-2].ID)
+	var home *Runner
+	var highest uint64
+	for _, r := range list {
+		if r.entry.Leaving || r.leaving || slices.Contains(req.Tried, r.entry.ID) {
+			continue
+		}
+		if w := mix(r.hash ^ key); home == nil || w > highest {
+			home, highest = r, w
+		}
+	}
+	return home
+}
+
+// mix spreads a hash over all bits, as the finalizer of splitmix64 does.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// cost estimates the milliseconds to a first token at r, plus what else counts
+// against it.
+func (f *Fleet) cost(r *Runner, req *Request, home bool, now time.Time) float64 {
+	var cost float64
+	running, waiting := r.load(now)
+	if len(req.Parts) > 0 {
+		missing := req.Tokens - r.cachedTokens(req, home, now)
+		cost = float64(r.debt+missing)/prefillRate + float64(running)*decodeCost + float64(waiting)*queueCost
+	} else {
+		cost = float64(running+waiting) / float64(max(r.entry.Slots, 1)) * plainCost
+	}
+	if r.entry.Place != f.cfg.Place {
+		cost += remoteCost
+	}
+	if r.entry.WarmIn > now.Sub(r.firstSeen) {
+		cost += coldCost
+	}
+	return cost
+}
+
+// load returns the running and waiting requests: the runner's own report while
+// it is fresh, and never less than what this router has there.
+func (r *Runner) load(now time.Time) (running, waiting int) {
+	if now.Sub(r.reportedAt) > reportTrust {
+		return r.inFlight, 0
+	}
+	return max(r.reported.Running, r.inFlight), r.reported.Waiting
+}
+
+// cachedTokens counts the leading parts that the runner is taken to have.
+func (r *Runner) cachedTokens(req *Request, home bool, now time.Time) int {
+	n := 0
+	for i := range len(req.Parts) - 1 {
+		if !home && !r.cached.has(req.Parts[i].ID, now) {
+			break
+		}
+		n += req.Parts[i].Tokens
+	}
+	return n
+}
+
+func tooManyEjected(list []*Runner, now time.Time) bool {
+	n, all := 0, 0
+	for _, r := range list {
+		if r.entry.Leaving || r.leaving {
+			continue
+		}
+		all++
+		if now.Before(r.ejectedUntil) {
+			n++
+		}
+	}
+	return float64(n) > maxEjectedShare*float64(all)
+}
+
+// Runner returns the ticket's runner.
+func (t *Ticket) Runner() *Runner { return t.r }
+
+// Cost returns the estimate that decided, in milliseconds.
+func (t *Ticket) Cost() float64 { return t.cost }
+
+// CachedTokens returns the prompt tokens that the runner was taken to have.
+func (t *Ticket) CachedTokens() int { return t.cached }
+
+// Started notes that the runner's answer has begun: its prompt is read.
+func (t *Ticket) Started() {
+	t.f.mu.Lock()
+	defer t.f.mu.Unlock()
+	t.start()
+}
+
+func (t *Ticket) start() {
+	if !t.started {
+		t.started = true
+		t.r.debt -= t.debt
+	}
+}
+
+// Report notes a load that the runner told.
+func (t *Ticket) Report(l Load, now time.Time) {
+	t.f.mu.Lock()
+	defer t.f.mu.Unlock()
+	t.r.reported, t.r.reportedAt = l, now
+}
+
+// Leaving notes that the runner said on an answer that it is leaving.
+func (t *Ticket) Leaving() {
+	t.f.mu.Lock()
+	defer t.f.mu.Unlock()
+	t.r.leaving = true
+}
+
+// End gives the place back. It returns for how long the runner is left out, or
+// zero. Only the first call counts.
+func (t *Ticket) End(res Result, now time.Time) time.Duration {
+	t.f.mu.Lock()
+	defer t.f.mu.Unlock()
+	if t.ended {
+		return 0
+	}
+	t.ended = true
+	t.start()
+	t.r.inFlight--
+	return t.r.judge(res, now)
+}
+
+// judge updates the belief in the runner's health.
+func (r *Runner) judge(res Result, now time.Time) time.Duration {
+	switch res {
+	case Answered:
+		r.failures, r.ejections = 0, 0
+		r.ejectedUntil = time.Time{}
+		return 0
+	case CallerLeft:
+		return 0
+	case Unreached:
+		r.failures = ejectAfter
+	case Refused, Failed:
+		r.failures++
+	}
+	if r.failures < ejectAfter || now.Before(r.ejectedUntil) {
+		return 0
+	}
+	d := min(ejectFor<<min(r.ejections, 6), ejectMost)
+	r.ejections++
+	r.ejectedUntil = now.Add(d)
+	return d
+}
--- /dev/null
+++ b/internal/cicadaplace/fleet.go
@@ -0,0 +1,243 @@
+// Package cicadaplace chooses the runner of each request.
+//
+// It answers the load of long prompts that share parts: a request goes where
+// the time to its first token is estimated to be shortest, counting the prompt
+// tokens that wait there and those that the runner does not have cached. All
+// routers send a shared part to the same runner without talking to each other,
+// by rendezvous hashing, until what waits there outweighs reading it again.
+//
+// The package does no input or output and reads no clock; callers pass the time
+// in. A Fleet is safe for concurrent use.
+package cicadaplace
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+type (
+	// Entry is what a runner says of itself.
+	Entry struct {
+		ID, Service, Addr, Place string
+		Slots                    int
+		// Born is the Unix millisecond of the runner's start. The same ID with
+		// another Born is a new runner.
+		Born    int64
+		Leaving bool
+		// WarmIn is how much longer the runner stays slow after its start.
+		WarmIn time.Duration
+	}
+
+	// Part is a part of a prompt.
+	Part struct {
+		ID     string
+		Tokens int
+	}
+
+	// Config sets up a Fleet.
+	Config struct {
+		Place string // of this router
+		// HoldRemoved is how long entries removed while the store was away stay
+		// in use after its return, as the platform documents it.
+		HoldRemoved time.Duration
+	}
+
+	// Fleet is the set of runners that this router knows.
+	Fleet struct {
+		cfg Config
+
+		mu       sync.Mutex // guards the fields below
+		byID     map[string]*Runner
+		services map[string][]*Runner // in no order
+		// storeBack is when the store answered again after an outage.
+		storeBack time.Time
+	}
+
+	// Runner is one runner with what this router has seen of it.
+	Runner struct {
+		entry     Entry
+		hash      uint64
+		firstSeen time.Time
+		// removedAt is when the entry vanished while the store was unsure.
+		removedAt time.Time
+		gone      bool // removed for good or replaced; tickets may still hold it
+		leaving   bool // said so itself, on an answer
+
+		inFlight int
+		debt     int // prompt tokens of own requests that have no token yet
+
+		reported   Load
+		reportedAt time.Time
+
+		failures     int // in a row
+		ejectedUntil time.Time
+		ejections    int // since the last success
+
+		cached partSet
+	}
+
+	// Load is a runner's report on an answer.
+	Load struct{ Running, Waiting, Slots int }
+)
+
+// NewFleet returns an empty fleet.
+func NewFleet(cfg Config) *Fleet {
+	return &Fleet{cfg: cfg, byID: map[string]*Runner{}, services: map[string][]*Runner{}}
+}
+
+// ID returns the runner's id.
+func (r *Runner) ID() string { return r.entry.ID }
+
+// Addr returns the runner's address, IP:PORT.
+func (r *Runner) Addr() string { return r.entry.Addr }
+
+// Place returns the runner's data centre.
+func (r *Runner) Place() string { return r.entry.Place }
+
+// Apply takes a runner's entry. It returns the runner that the entry replaced,
+// if any, and whether anything but the time of the entry changed.
+func (f *Fleet) Apply(e Entry, now time.Time) (replaced *Runner, changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.byID[e.ID]
+	if old != nil && old.entry.Born == e.Born && old.entry.Addr == e.Addr && old.entry.Service == e.Service {
+		changed = old.entry.Leaving != e.Leaving || !old.removedAt.IsZero()
+		old.removedAt = time.Time{}
+		old.entry = e
+		return nil, changed
+	}
+	if old != nil {
+		f.drop(old)
+	}
+	r := &Runner{entry: e, hash: xxhash.Sum64String(e.ID), firstSeen: now}
+	f.byID[e.ID] = r
+	f.services[e.Service] = append(f.services[e.Service], r)
+	return old, true
+}
+
+// Remove takes a runner's entry away: at once, or after HoldRemoved if the store
+// has been away so recently that the entry may have lapsed meanwhile.
+func (f *Fleet) Remove(id string, now time.Time) *Runner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.byID[id]
+	if r == nil {
+		return nil
+	}
+	if !r.entry.Leaving && !f.storeBack.IsZero() && now.Sub(f.storeBack) < f.cfg.HoldRemoved {
+		r.removedAt = now
+		return nil
+	}
+	f.drop(r)
+	return r
+}
+
+// Retain removes all runners that are not in ids, as Remove does.
+func (f *Fleet) Retain(ids map[string]bool, now time.Time) []*Runner {
+	var out []*Runner
+	for _, id := range f.ids() {
+		if !ids[id] {
+			if r := f.Remove(id, now); r != nil {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// StoreBack notes that the store answers again after an outage.
+func (f *Fleet) StoreBack(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeBack = now
+}
+
+// Sweep removes the runners whose entries vanished in an outage and did not
+// come back in time.
+func (f *Fleet) Sweep(now time.Time) []*Runner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*Runner
+	for _, r := range f.byID {
+		if !r.removedAt.IsZero() && now.Sub(f.storeBack) >= f.cfg.HoldRemoved {
+			f.drop(r)
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Len returns the number of runners that are in use.
+func (f *Fleet) Len() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.byID)
+}
+
+// RunnerState describes a runner in a state dump.
+type RunnerState struct {
+	ID            string `json:"id"`
+	Service       string `json:"service"`
+	Addr          string `json:"addr"`
+	Place         string `json:"place"`
+	Leaving       bool   `json:"leaving"`
+	InFlight      int    `json:"inFlight"`
+	WaitingTokens int    `json:"waitingTokens"`
+	Running       int    `json:"reportedRunning"`
+	Waiting       int    `json:"reportedWaiting"`
+	ReportAgeMS   int64  `json:"reportAgeMillis"`
+	Ejected       bool   `json:"ejected"`
+}
+
+// State lists the runners.
+func (f *Fleet) State(now time.Time) []RunnerState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]RunnerState, 0, len(f.byID))
+	for _, r := range f.byID {
+		out = append(out, RunnerState{
+			ID: r.entry.ID, Service: r.entry.Service, Addr: r.entry.Addr, Place: r.entry.Place,
+			Leaving: r.entry.Leaving || r.leaving, InFlight: r.inFlight, WaitingTokens: r.debt,
+			Running: r.reported.Running, Waiting: r.reported.Waiting,
+			ReportAgeMS: now.Sub(r.reportedAt).Milliseconds(), Ejected: now.Before(r.ejectedUntil),
+		})
+	}
+	return out
+}
+
+func (f *Fleet) ids() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]string, 0, len(f.byID))
+	for id := range f.byID {
+		out = append(out, id)
+	}
+	return out
+}
+
+func (f *Fleet) drop(r *Runner) {
+	r.gone = true
+	if f.byID[r.entry.ID] == r {
+		delete(f.byID, r.entry.ID)
+	}
+	list := f.services[r.entry.Service]
+	for i, other := range list {
+		if other == r {
+			f.services[r.entry.Service] = append(list[:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+// Entries returns the entries of all runners in use.
+func (f *Fleet) Entries() []Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]Entry, 0, len(f.byID))
+	for _, r := range f.byID {
+		out = append(out, r.entry)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cicadastore/follow.go
@@ -0,0 +1,43 @@
+package cicadastore
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrHistoryLost means that the changes since a version are no longer kept: the
+// follower has to read the table again.
+var ErrHistoryLost = errors.New("platform no longer keeps the changes asked for")
+
+type (
+	// Change is a row as it is now, or the key of one that was deleted.
+	Change struct {
+		Row
+		Deleted bool
+	}
+
+	// Batch is a list of changes up to a version of the store.
+	Batch struct {
+		Changes []Change
+		// Version is where to go on.
+		Version uint64
+	}
+
+	// ChangesRequest asks for the changes of a table after a version. The call
+	// returns as soon as there is one, or after Wait with none.
+	ChangesRequest struct {
+		Table string
+		Since uint64
+		Wait  time.Duration
+	}
+
+	// Feeds lets tables be followed.
+	Feeds interface {
+		// Snapshot returns all rows of a table.
+		Snapshot(ctx context.Context, table string) (Batch, error)
+		// Changes returns what changed in a table, or ErrHistoryLost.
+		Changes(ctx context.Context, req ChangesRequest) (Batch, error)
+	}
+)
