--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -20,12 +20,21 @@
 	dryShare = 0.03
 	// maxDrawShare bounds one draw to a share of what is left undrawn.
 	maxDrawShare = 0.25
-	// firstHoldShare is the share of what is left that the routers together hold
-	// before they know their rates.
-	firstHoldShare = 0.08
+	// floorShare is the share of what is left that the routers together hold
+	// whatever their rates: requests are large and rare at each router, so that a
+	// rate of the last seconds says little about the next ones.
+	floorShare = 0.3
+	// floorRequests bounds that to so many requests of the usual size.
+	floorRequests = 3
+	// leastWindow is the shortest time over which a rate is taken.
+	leastWindow = 3 * time.Second
+	// usualWeight is the weight of one request in the average of their sizes.
+	usualWeight = 0.05
+	// refillShare is the share of the target below which more is drawn.
+	refillShare = 0.75
 	// useHalfLife is the time after which the observed rate of an idle account
-	// has halved.
-	useHalfLife = 3 * time.Second
+	// has halved: some requests of an organisation arrive at a router in it.
+	useHalfLife = 8 * time.Second
 	// idleShare is the smallest surplus worth a write to the store while the
 	// budget is not dry, as a share of the budget.
 	idleShare = 0.01
@@ -61,7 +70,8 @@
 	Accounts struct {
 		mu      sync.Mutex // guards the fields below
 		byOrg   map[string]*account
-		routers int // that live, this one included
+		routers int     // that live, this one included
+		usual   float64 // size of a request here, an exponential average
 	}
 
 	account struct {
@@ -72,8 +82,9 @@
 		poolAt       time.Time
 		free         Units
 		reserved     Units
-		rate         float64 // units a second
-		rateAt       time.Time
+		used         float64 // units, decayed by useHalfLife
+		usedAt       time.Time
+		since        time.Time // of the first use
 		waiters      []*Wait
 	}
 
@@ -136,6 +147,7 @@
 		return Dry, nil, Shortage{}
 	}
 	acc.observe(need, now)
+	a.usual += (float64(need) - a.usual) * usualWeight
 	if acc.free >= need && len(acc.waiters) == 0 {
 		acc.take(need)
 		return Granted, nil, Shortage{}
@@ -227,7 +239,7 @@
 	defer a.mu.Unlock()
 	var moves []Move
 	for org, acc := range a.byOrg {
-		delta := acc.delta(a.routers, now)
+		delta := acc.delta(a.floor(acc), now)
 		if delta == 0 || delta < 0 && drawOnly {
 			continue
 		}
@@ -312,14 +324,14 @@
 }
 
 // State lists the accounts.
-func (a *Accounts) State() []AccountState {
+func (a *Accounts) State(now time.Time) []AccountState {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	out := make([]AccountState, 0, len(a.byOrg))
 	for org, acc := range a.byOrg {
 		out = append(out, AccountState{
 			Organisation: org, Limit: acc.bound(), Drawn: acc.pool.Drawn,
-			Free: acc.free, Reserved: acc.reserved, Rate: int64(acc.rate),
+			Free: acc.free, Reserved: acc.reserved, Rate: int64(acc.rate(now)),
 		})
 	}
 	return out
@@ -368,34 +380,45 @@
 
 func (acc *account) left() Units { return max(acc.bound()-acc.pool.Drawn, 0) }
 
-// observe folds an amount into the rate of use, an exponential average.
+// observe counts units that were reserved, or that turned out unused.
 func (acc *account) observe(n Units, now time.Time) {
 	acc.decay(now)
-	acc.rate = max(acc.rate+float64(n)/(useHalfLife.Seconds()*1.44), 0)
+	acc.used = max(acc.used+float64(n), 0)
 }
 
 func (acc *account) decay(now time.Time) {
-	if dt := now.Sub(acc.rateAt); dt > 0 {
-		acc.rate *= math.Exp2(-dt.Seconds() / useHalfLife.Seconds())
-		acc.rateAt = now
+	if acc.since.IsZero() {
+		acc.since, acc.usedAt = now, now
+	}
+	if dt := now.Sub(acc.usedAt); dt > 0 {
+		acc.used *= math.Exp2(-dt.Seconds() / useHalfLife.Seconds())
+		acc.usedAt = now
 	}
 }
 
-// delta is what to draw, or to give back if negative.
-func (acc *account) delta(routers int, now time.Time) Units {
+// rate is the use in units a second, over the time since the first use as far
+// as it still counts.
+func (acc *account) rate(now time.Time) float64 {
 	acc.decay(now)
+	mean := useHalfLife.Seconds() / math.Ln2
+	window := mean * (1 - math.Exp(-now.Sub(acc.since).Seconds()/mean))
+	return acc.used / max(window, leastWindow.Seconds())
+}
+
+// delta is what to draw, or to give back if negative.
+func (acc *account) delta(floor Units, now time.Time) Units {
 	left := acc.left()
 	var missing Units
 	for _, w := range acc.waiters {
 		missing += w.need
 	}
 	missing = max(missing-acc.free, 0)
-	target := acc.target(left, routers)
+	target := acc.target(left, floor, now)
 	want := missing
 	if missing > left {
 		want = 0
 	}
-	if float64(acc.free) < lowWaterShare*float64(target) {
+	if float64(acc.free) < refillShare*float64(target) {
 		want = max(want, min(target-acc.free, Units(maxDrawShare*float64(left))))
 	}
 	if want > 0 {
@@ -413,12 +436,24 @@
 }
 
 // target is what this router would like to have free.
-func (acc *account) target(left Units, routers int) Units {
+func (acc *account) target(left, floor Units, now time.Time) Units {
 	if acc.dry(left) {
 		return 0
 	}
 	share := float64(left) / float64(max(acc.bound(), 1))
-	ahead := acc.rate * holdAhead * min(1, share/plentyShare)
-	floor := firstHoldShare * float64(left) / float64(routers)
-	return Units(max(ahead, floor))
+	ahead := Units(acc.rate(now) * holdAhead * min(1, share/plentyShare))
+	return max(ahead, floor)
+}
+
+// floor is what to hold of a budget whatever its rate: some requests of the
+// usual size, or nothing where the share of this router is less than one.
+func (a *Accounts) floor(acc *account) Units {
+	share := floorShare * float64(acc.left()) / float64(a.routers)
+	if share < a.usual {
+		return 0
+	}
+	if a.usual == 0 {
+		return Units(share / floorRequests)
+	}
+	return Units(min(share, floorRequests*a.usual))
 }
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -21,8 +21,10 @@
 
 const (
 	// relayAfter is the age of the view from which on other routers are asked:
-	// a healthy follower's view is never older than one call.
-	relayAfter = 1500 * time.Millisecond
+	// more than that of a healthy follower, which is twice its wait for changes
+	// at most, and well below the time within which changes must be in force
+	// while the store is unsure.
+	relayAfter = 2*deploymentWait + 500*time.Millisecond
 	// relayPause lies between two questions, relayTimeout bounds one.
 	relayPause   = 400 * time.Millisecond
 	relayTimeout = 300 * time.Millisecond
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -199,7 +199,7 @@
 		Runners         []cicadaplace.RunnerState   `json:"runners"`
 	}{
 		Host: rt.cfg.Name, Boot: rt.cfg.Boot, DeployAgeMillis: rt.deployAge(now).Milliseconds(), Routers: rt.peers.count(),
-		Accounts: rt.accounts.State(), Runners: rt.fleet.State(now),
+		Accounts: rt.accounts.State(now), Runners: rt.fleet.State(now),
 	}
 	if d := rt.deploy.Load(); d != nil {
 		state.Version = d.Version()
