--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -19,9 +19,9 @@
 	drawWait = 350 * time.Millisecond
 	// soon, later are when a refused caller is told to come back: soon if the
 	// cause passes within a draw or a runner's answer, later if an outage has to
-	// end first.
+	// end first: outages last seconds, and callers come back within a third of their time.
 	soon  = 200 * time.Millisecond
-	later = time.Second
+	later = 2 * time.Second
 )
 
 type (
