--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -11,7 +11,10 @@
 	// holdAhead is how many seconds of its own use a router holds while plenty
 	// is left: longer than the nine seconds for which hosts are cut off from the
 	// store on the deployments of today.
-	holdAhead = 12.0
+	holdAhead = 13.0
+	// activeAhead is how many of them may be spent at once. The rest is dormant,
+	// and is not lost if the process ends. It covers claimLapse.
+	activeAhead = 4.5
 	// plentyShare is the share of a budget left undrawn from which on routers
 	// hold for the whole of holdAhead; below it the time shrinks in proportion.
 	plentyShare = 0.5
@@ -26,6 +29,8 @@
 	floorShare = 0.3
 	// floorRequests bounds that to so many requests of the usual size.
 	floorRequests = 3
+	// activeRequests of them may be spent at once.
+	activeRequests = 1.2
 	// leastWindow is the shortest time over which a rate is taken.
 	leastWindow = 3 * time.Second
 	// usualWeight is the weight of one request in the average of their sizes.
@@ -67,11 +72,16 @@
 	// paused.
 	//
 	// Safe for concurrent use.
+	//
+	// Part of what is free is claimed to be dormant in the router's own row: it
+	// is not spent before releaseAt, so that a later process on the same host can
+	// take it over. See Book.
 	Accounts struct {
-		mu      sync.Mutex // guards the fields below
-		byOrg   map[string]*account
-		routers int     // that live, this one included
-		usual   float64 // size of a request here, an exponential average
+		mu        sync.Mutex // guards the fields below
+		releaseAt time.Time
+		byOrg     map[string]*account
+		routers   int     // that live, this one included
+		usual     float64 // size of a request here, an exponential average
 	}
 
 	account struct {
@@ -81,6 +91,7 @@
 		poolVersion  uint64
 		poolAt       time.Time
 		free         Units
+		claimed      Units // part of free that any row which may be in force claims
 		reserved     Units
 		used         float64 // units, decayed by useHalfLife
 		usedAt       time.Time
@@ -148,7 +159,7 @@
 	}
 	acc.observe(need, now)
 	a.usual += (float64(need) - a.usual) * usualWeight
-	if acc.free >= need && len(acc.waiters) == 0 {
+	if a.usable(acc, now) >= need && len(acc.waiters) == 0 {
 		acc.take(need)
 		return Granted, nil, Shortage{}
 	}
@@ -178,7 +189,6 @@
 		return false
 	}
 	acc.waiters = slices.Delete(acc.waiters, i, i+1)
-	acc.serveWaiters()
 	return true
 }
 
@@ -191,7 +201,7 @@
 	acc.reserved -= reserved
 	acc.free += reserved - used
 	acc.observe(used-reserved, now)
-	acc.serveWaiters()
+	a.serveWaiters(acc, now)
 }
 
 // Learn takes a reading of a pool at a version of its row.
@@ -286,7 +296,6 @@
 	if m.Delta > 0 {
 		acc.free += m.Delta
 	}
-	acc.serveWaiters()
 	acc.learn(after, version, now)
 }
 
@@ -295,9 +304,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if m.Delta < 0 {
-		acc := a.byOrg[m.Organisation]
-		acc.free -= m.Delta
-		acc.serveWaiters()
+		a.byOrg[m.Organisation].free -= m.Delta
 	}
 }
 
@@ -319,6 +326,7 @@
 	Limit        Units  `json:"limit"`
 	Drawn        Units  `json:"drawnByAll"`
 	Free         Units  `json:"free"`
+	Dormant      Units  `json:"dormant"`
 	Reserved     Units  `json:"reserved"`
 	Rate         int64  `json:"unitsPerSecond"`
 }
@@ -331,7 +339,7 @@
 	for org, acc := range a.byOrg {
 		out = append(out, AccountState{
 			Organisation: org, Limit: acc.bound(), Drawn: acc.pool.Drawn,
-			Free: acc.free, Reserved: acc.reserved, Rate: int64(acc.rate(now)),
+			Free: acc.free, Dormant: acc.claimed, Reserved: acc.reserved, Rate: int64(acc.rate(now)),
 		})
 	}
 	return out
@@ -342,8 +350,16 @@
 	acc.reserved += n
 }
 
-func (acc *account) serveWaiters() {
-	for len(acc.waiters) > 0 && acc.free >= acc.waiters[0].need {
+// usable is what may be reserved now.
+func (a *Accounts) usable(acc *account, now time.Time) Units {
+	if !now.Before(a.releaseAt) {
+		return acc.free
+	}
+	return acc.free - acc.claimed
+}
+
+func (a *Accounts) serveWaiters(acc *account, now time.Time) {
+	for len(acc.waiters) > 0 && a.usable(acc, now) >= acc.waiters[0].need {
 		w := acc.waiters[0]
 		acc.waiters = acc.waiters[1:]
 		acc.take(w.need)
@@ -424,7 +440,7 @@
 	if want > 0 {
 		return min(want, left)
 	}
-	surplus := acc.free - target
+	surplus := min(acc.free-target, acc.free-acc.claimed-acc.active(target, floor, now))
 	if surplus > 0 && (acc.dry(left) || float64(surplus) > idleShare*float64(acc.bound()) && acc.free > 2*target) {
 		return -surplus
 	}
@@ -445,6 +461,67 @@
 	return max(ahead, floor)
 }
 
+// active is the part of the target that may be spent at once.
+func (acc *account) active(target, floor Units, now time.Time) Units {
+	var waiting Units
+	for _, w := range acc.waiters {
+		waiting += w.need
+	}
+	n := max(Units(acc.rate(now)*activeAhead), Units(float64(floor)*activeRequests/floorRequests))
+	return max(min(n, target), waiting)
+}
+
+// claims returns what of each account's free units to declare dormant in a row
+// that is about to be sent. What the row's own moves draw is left out, so that
+// requests can be served while the row is on its way.
+func (a *Accounts) claims(now time.Time) map[string]Units {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := map[string]Units{}
+	for org, acc := range a.byOrg {
+		if acc.free <= 0 {
+			continue
+		}
+		floor := a.floor(acc)
+		target := acc.target(acc.left(), floor, now)
+		active := acc.active(target, floor, now)
+		if n := min(acc.free-active, target-active); n > 0 {
+			out[org] = n
+		}
+	}
+	return out
+}
+
+// setClaims sets what is claimed, by the rows of which any may be in force, and
+// until when.
+func (a *Accounts) setClaims(rows []map[string]Units, releaseAt, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.releaseAt = releaseAt
+	for org, acc := range a.byOrg {
+		acc.claimed = 0
+		for _, claims := range rows {
+			acc.claimed = max(acc.claimed, claims[org])
+		}
+		a.serveWaiters(acc, now)
+	}
+}
+
+// inherit adds what an earlier process on this host left untouched.
+func (a *Accounts) inherit(claims map[string]Units, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for org, n := range claims {
+		acc := a.byOrg[org]
+		if acc == nil {
+			acc = &account{}
+			a.byOrg[org] = acc
+		}
+		acc.free += n
+		a.serveWaiters(acc, now)
+	}
+}
+
 // floor is what to hold of a budget whatever its rate: some requests of the
 // usual size, or nothing where the share of this router is less than one.
 func (a *Accounts) floor(acc *account) Units {
--- a/internal/cicadabudget/book.go
+++ b/internal/cicadabudget/book.go
@@ -1,6 +1,23 @@
 package cicadabudget
 
-import "time"
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// claimRefresh is the usual time between two rows of a router that has
+	// dormant units, if the store lets so many routers write so often.
+	claimRefresh = 800 * time.Millisecond
+	// refreshesPerSecond bounds the rows of all routers together, below the 300
+	// transactions a second that one part of the store takes.
+	refreshesPerSecond = 150
+	// restartTime is how long a process on the same host takes to come back
+	// after most ends, with the time until it reaches the store.
+	restartTime = 3200 * time.Millisecond
+	// clockMargin covers the rounding of the store's clock.
+	clockMargin = 100 * time.Millisecond
+)
 
 type (
 	// Book orders the moves between accounts and store so that each move counts
@@ -12,13 +29,34 @@
 	// all transactions in doubt only one can ever have been performed, and the
 	// row's number tells whether it was.
 	//
+	// The row also claims units as dormant: this process does not spend them
+	// before Lapse has passed since AsOf on the store's clock. A later process on
+	// the same host proves that this one has ended. If it began before that time
+	// was over, the units are untouched, and it takes them over in the
+	// transaction that replaces the row. The local clock may stand still while
+	// the host is suspended, which only makes this process spend them later.
+	//
 	// A Book is used by one goroutine.
 	Book struct {
 		boot    string // of this process; an earlier one's numbers mean nothing
+		began   time.Time
 		accs    *Accounts
 		number  uint64 // of the last transaction sent
 		version uint64 // of the own row, as last seen
+		routers int
 		doubts  []*Txn // sent at the present version of the own row, outcome unknown
+		claimed map[string]Units
+		// claimedAt is when the row in force was sent.
+		claimedAt time.Time
+		// heritage is what the row of an earlier process leaves to this one.
+		heritage map[string]Units
+		clock    storeClock
+	}
+
+	// storeClock estimates the store's clock, never ahead of it.
+	storeClock struct {
+		millis int64
+		at     time.Time
 	}
 
 	// Txn is a set of moves that the store takes together or not at all.
@@ -28,22 +66,51 @@
 		OwnVersion uint64
 		Moves      []Move
 		After      []Pool // the pools after the moves, in the same order
+		claims     map[string]Units
+		heritage   map[string]Units
+		sentAt     time.Time // of the first in a series of doubts
 	}
 
 	// OwnRow is the value of a router's own row.
 	OwnRow struct {
 		Boot   string `json:"boot"`
 		Number uint64 `json:"number"`
+		// AsOf is a time of the store's clock, in milliseconds, and LapseMillis
+		// how long after it Dormant is not spent.
+		AsOf        int64            `json:"asOf,omitempty"`
+		LapseMillis int64            `json:"lapseMillis,omitempty"`
+		Dormant     map[string]Units `json:"dormant,omitempty"`
 	}
 )
 
-// NewBook returns a book for a process with a boot id of its own.
-func NewBook(boot string, accs *Accounts) *Book { return &Book{boot: boot, accs: accs} }
+// NewBook returns a book for a process that began at a time, with a boot id of
+// its own.
+func NewBook(boot string, began time.Time, accs *Accounts) *Book {
+	return &Book{boot: boot, began: began, accs: accs, routers: 1}
+}
+
+// SetRouters sets the number of routers that share the store.
+func (b *Book) SetRouters(n int) { b.routers = max(n, 1) }
+
+// refresh is the time between two rows while units are dormant.
+func (b *Book) refresh() time.Duration {
+	return max(claimRefresh, time.Duration(b.routers)*time.Second/refreshesPerSecond)
+}
+
+// lapse is how long after its row was sent dormant units are not spent.
+func (b *Book) lapse() time.Duration { return b.refresh() + restartTime }
+
+// Tick notes the store's clock from an answer that arrived at a time.
+func (b *Book) Tick(millis int64, arrived time.Time) {
+	if millis > 0 {
+		b.clock = storeClock{millis: millis, at: arrived}
+	}
+}
 
 // Begin makes a transaction of the moves that the pools cover, or returns nil if
 // there is nothing to do. A transaction in doubt is settled by the next one.
-func (b *Book) Begin(moves []Move) *Txn {
-	txn := &Txn{OwnVersion: b.version}
+func (b *Book) Begin(moves []Move, now time.Time) *Txn {
+	txn := &Txn{OwnVersion: b.version, heritage: b.heritage, sentAt: now}
 	for _, m := range moves {
 		after, ok := b.accs.Next(m)
 		if !ok {
@@ -53,16 +120,54 @@
 		txn.Moves = append(txn.Moves, m)
 		txn.After = append(txn.After, after)
 	}
-	if len(txn.Moves) == 0 && len(b.doubts) == 0 {
+	if b.clock.millis > 0 {
+		txn.claims = b.accs.claims(now)
+	}
+	if len(txn.Moves) == 0 && len(b.doubts) == 0 && len(b.heritage) == 0 && !b.rowDue(txn.claims, now) {
 		return nil
 	}
+	if len(b.doubts) > 0 {
+		txn.sentAt = b.doubts[0].sentAt
+	}
 	b.number++
 	txn.Number = b.number
+	b.claim(txn, now)
 	return txn
 }
 
+// rowDue tells whether the row has to be written for its claims alone: because
+// they grow old, or because requests wait for units that are dormant.
+func (b *Book) rowDue(claims map[string]Units, now time.Time) bool {
+	if len(claims) == 0 && len(b.claimed) == 0 {
+		return false
+	}
+	return now.Sub(b.claimedAt) >= b.refresh() || b.accs.Waiting() && !maps.Equal(claims, b.claimed)
+}
+
+// claim makes the accounts keep to all rows that may be in force.
+func (b *Book) claim(sent *Txn, now time.Time) {
+	rows := []map[string]Units{b.claimed}
+	at := b.claimedAt
+	for _, d := range b.doubts {
+		rows = append(rows, d.claims)
+		at = d.sentAt
+	}
+	if sent != nil {
+		rows = append(rows, sent.claims)
+		at = sent.sentAt
+	}
+	b.accs.setClaims(rows, at.Add(b.lapse()), now)
+}
+
 // Row returns the value of the own row under a transaction.
-func (b *Book) Row(txn *Txn) OwnRow { return OwnRow{Boot: b.boot, Number: txn.Number} }
+func (b *Book) Row(txn *Txn) OwnRow {
+	row := OwnRow{Boot: b.boot, Number: txn.Number, Dormant: txn.claims}
+	if len(txn.claims) > 0 {
+		row.AsOf = b.clock.millis + txn.sentAt.Sub(b.clock.at).Milliseconds()
+		row.LapseMillis = b.lapse().Milliseconds()
+	}
+	return row
+}
 
 // Committed notes that the store took a transaction at a version.
 func (b *Book) Committed(txn *Txn, version uint64, now time.Time) {
@@ -73,29 +178,49 @@
 	b.doubts = nil
 	b.version = version
 	b.apply(txn, version, now)
+	b.claim(nil, now)
 }
 
 // Rejected notes that the store did not take a transaction, as its conditions
 // did not hold. Own is the own row as it is, at a version; version 0 means that
-// there is none. Pools are learnt by the caller.
-func (b *Book) Rejected(txn *Txn, own OwnRow, version uint64, now time.Time) {
+// there is none. Asked is when the transaction was sent. Pools are learnt by the
+// caller.
+func (b *Book) Rejected(txn *Txn, own OwnRow, version uint64, asked, now time.Time) {
 	b.undo(txn)
-	if version == b.version {
-		return
-	}
-	b.version = version
-	for _, d := range b.doubts {
-		if own.Boot == b.boot && own.Number == d.Number {
-			b.apply(d, version, now)
-		} else {
-			b.undo(d)
+	if version != b.version {
+		b.version = version
+		b.heritage = nil
+		for _, d := range b.doubts {
+			if own.Boot == b.boot && own.Number == d.Number {
+				b.apply(d, version, now)
+			} else {
+				b.undo(d)
+			}
+		}
+		b.doubts = nil
+		if own.Boot != b.boot {
+			b.heritage = b.left(&own, asked)
 		}
 	}
-	b.doubts = nil
+	b.claim(nil, now)
+}
+
+// left returns what an earlier process on this host cannot have spent: it ended
+// before this one began, and that was before its claims lapsed.
+func (b *Book) left(own *OwnRow, asked time.Time) map[string]Units {
+	// The store's clock was at most clock.millis when the question was sent.
+	began := b.clock.millis - asked.Sub(b.began).Milliseconds()
+	if own.AsOf == 0 || began-own.AsOf+clockMargin.Milliseconds() >= own.LapseMillis {
+		return nil
+	}
+	return own.Dormant
 }
 
 // Refused notes that the store turned a transaction away unread.
-func (b *Book) Refused(txn *Txn) { b.undo(txn) }
+func (b *Book) Refused(txn *Txn, now time.Time) {
+	b.undo(txn)
+	b.claim(nil, now)
+}
 
 // Lost notes that no answer came: the transaction may have been performed, or
 // may be performed later while its conditions hold. Its draws are not used, and
@@ -105,10 +230,18 @@
 // InDoubt tells whether the outcome of a transaction is unknown.
 func (b *Book) InDoubt() bool { return len(b.doubts) > 0 }
 
+// Heritage is what the next transaction takes over from an earlier process.
+func (t *Txn) Heritage() map[string]Units { return t.heritage }
+
 func (b *Book) apply(txn *Txn, version uint64, now time.Time) {
 	for i, m := range txn.Moves {
 		b.accs.Done(m, txn.After[i], version, now)
 	}
+	if len(txn.heritage) > 0 {
+		b.accs.inherit(txn.heritage, now)
+	}
+	b.heritage = nil
+	b.claimed, b.claimedAt = txn.claims, txn.sentAt
 }
 
 func (b *Book) undo(txn *Txn) {
--- a/internal/cicadacmd/node.go
+++ b/internal/cicadacmd/node.go
@@ -86,7 +86,7 @@
 func edgeConfig(ctx context.Context, s *cicadaplatform.Settings, logger log.Interface) (cicadaedge.Config, error) {
 	metrics := cicadaedge.NewMetrics()
 	cfg := cicadaedge.Config{
-		Name: s.Name(), Place: s.Place(), Boot: strconv.FormatInt(time.Now().UnixNano(), 36),
+		Name: s.Name(), Place: s.Place(), Host: s.Name() + "@" + s.Host(), Boot: strconv.FormatInt(time.Now().UnixNano(), 36), Began: time.Now(),
 		ReadyPath: cicadaplatform.ReadyPath, Seeds: s.Seeds(),
 		Store: cicadaplatform.NewStore(cicadaplatform.StoreConfig{
 			Addr: s.StoreAddr(), Timeout: storeTimeout, OnCall: metrics.StoreCalled,
--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -17,7 +17,7 @@
 	// idle ones skip nearly all.
 	bankPause = 400 * time.Millisecond
 	// bankTick is how often an account is looked at without any event.
-	bankTick = time.Second
+	bankTick = 400 * time.Millisecond
 	// urgentPause is the least time between two transactions while requests wait.
 	urgentPause = 20 * time.Millisecond
 	// txnMoves bounds the organisations in one transaction, below the store's
@@ -34,12 +34,13 @@
 	book   *cicadabudget.Book
 	wakeCh chan struct{}
 	// up tells whether the last transaction was answered.
-	up   atomic.Bool
-	done chan struct{}
+	up      atomic.Bool
+	routers atomic.Int64
+	done    chan struct{}
 }
 
 func newBank(rt *Router) *bank {
-	b := &bank{rt: rt, book: cicadabudget.NewBook(rt.cfg.Boot, rt.accounts), wakeCh: make(chan struct{}, 1), done: make(chan struct{})}
+	b := &bank{rt: rt, book: cicadabudget.NewBook(rt.cfg.Boot, rt.cfg.Began, rt.accounts), wakeCh: make(chan struct{}, 1), done: make(chan struct{})}
 	b.up.Store(true)
 	return b
 }
@@ -93,13 +94,14 @@
 // balance sends what is to be moved, and once more right away if other routers
 // came first.
 func (b *bank) balance(ctx context.Context) {
+	b.book.SetRouters(int(b.routers.Load()))
 	for range 4 {
 		moves := b.rt.accounts.Plan(b.book.InDoubt(), time.Now())
 		for len(moves) > txnMoves {
 			b.rt.accounts.Drop(moves[txnMoves:])
 			moves = moves[:txnMoves]
 		}
-		if !b.commit(ctx, b.book.Begin(moves)) {
+		if !b.commit(ctx, b.book.Begin(moves, time.Now())) {
 			return
 		}
 	}
@@ -111,29 +113,32 @@
 	if txn == nil {
 		return false
 	}
-	own := cicadastore.Ref{Table: tableDraws, Key: b.rt.cfg.Name}
+	own := cicadastore.Ref{Table: tableDraws, Key: b.rt.cfg.Host}
 	sent, err := b.encode(txn, own)
 	if err != nil {
 		b.rt.cfg.Log.WithError(err).Error("transaction not encoded")
-		b.book.Refused(txn)
+		b.book.Refused(txn, time.Now())
 		return false
 	}
+	asked := time.Now()
 	done, err := b.rt.cfg.Store.Commit(ctx, sent)
 	now := time.Now()
 	var conflict *cicadastore.ConflictError
 	switch {
 	case err == nil:
 		b.setUp(true, nil)
+		b.book.Tick(done.NowMillis, now)
 		b.book.Committed(txn, done.Version, now)
 		b.log(txn, done.Version)
 		return false
 	case errors.As(err, &conflict):
 		b.setUp(true, nil)
-		b.learn(txn, conflict, own, now)
+		b.book.Tick(conflict.NowMillis, now)
+		b.learn(txn, conflict, own, asked, now)
 		return true
 	case errors.Is(err, cicadastore.ErrThrottled):
 		b.setUp(false, err)
-		b.book.Refused(txn)
+		b.book.Refused(txn, now)
 	default:
 		b.setUp(false, err)
 		b.book.Lost(txn)
@@ -174,7 +179,7 @@
 }
 
 // learn takes the rows as they are from a conflict.
-func (b *bank) learn(txn *cicadabudget.Txn, conflict *cicadastore.ConflictError, own cicadastore.Ref, now time.Time) {
+func (b *bank) learn(txn *cicadabudget.Txn, conflict *cicadastore.ConflictError, own cicadastore.Ref, asked, now time.Time) {
 	var row cicadabudget.OwnRow
 	var version uint64
 	for _, r := range conflict.Failed {
@@ -195,10 +200,14 @@
 		}
 		b.rt.accounts.Correct(r.Key, p, r.Version, now)
 	}
-	b.book.Rejected(txn, row, version, now)
+	b.book.Rejected(txn, row, version, asked, now)
 }
 
 func (b *bank) log(txn *cicadabudget.Txn, version uint64) {
+	for org, n := range txn.Heritage() {
+		b.rt.cfg.Log.WithField("organisation", org).WithField("units", int64(n)).WithField("version", version).
+			Info("units taken over from an ended process")
+	}
 	for i, m := range txn.Moves {
 		b.rt.cfg.Log.WithField("organisation", m.Organisation).WithField("units", int64(m.Delta)).
 			WithField("drawnByAll", int64(txn.After[i].Drawn)).WithField("limit", int64(txn.After[i].Limit)).
@@ -211,7 +220,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
 	defer cancel()
 	for range 4 {
-		if !b.commit(ctx, b.book.Begin(b.rt.accounts.ReturnAll())) {
+		if !b.commit(ctx, b.book.Begin(b.rt.accounts.ReturnAll(), time.Now())) {
 			return
 		}
 	}
--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -82,8 +82,13 @@
 	// Config sets up a Router.
 	Config struct {
 		Name, Place string
-		// Boot tells this process from earlier ones on the same host.
+		// Host names the machine, address included: a later process of the same
+		// Host proves that the earlier one has ended.
+		Host string
+		// Boot tells this process from earlier ones on the same host, Began is
+		// when it started.
 		Boot      string
+		Began     time.Time
 		Callers   net.Listener
 		Health    net.Listener // readiness, metrics, state
 		ReadyPath string
--- a/internal/cicadaedge/views.go
+++ b/internal/cicadaedge/views.go
@@ -141,4 +141,5 @@
 	rt.accounts.SetRouters(n)
 	rt.retries.SetRouters(n)
 	rt.upstreams.setRouters(n)
+	rt.bank.routers.Store(int64(n))
 }
--- a/internal/cicadastore/store.go
+++ b/internal/cicadastore/store.go
@@ -57,12 +57,16 @@
 	// Committed is the version that a transaction gave to its rows.
 	Committed struct {
 		Version uint64 `json:"version"`
+		// NowMillis is the platform's steady clock; zero if it tells none.
+		NowMillis int64 `json:"nowMillis,omitempty"`
 	}
 
 	// ConflictError lists the conditions of a transaction that did not hold.
 	// Nothing was written.
 	ConflictError struct {
 		Failed []Row
+		// NowMillis is the platform's steady clock; zero if it tells none.
+		NowMillis int64
 	}
 
 	// ScanRequest asks for rows of a table with a key prefix, in key order.
