--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -14,7 +14,7 @@
 	holdAhead = 13.0
 	// activeAhead is how many of them may be spent at once. The rest is dormant,
 	// and is not lost if the process ends. It covers claimLapse.
-	activeAhead = 4.5
+	activeAhead = 3.4
 	// plentyShare is the share of a budget left undrawn from which on routers
 	// hold for the whole of holdAhead; below it the time shrinks in proportion.
 	plentyShare = 0.5
@@ -157,15 +157,13 @@
 	if acc == nil {
 		return Dry, nil, Shortage{}
 	}
-	acc.observe(need, now)
 	a.usual += (float64(need) - a.usual) * usualWeight
 	if a.usable(acc, now) >= need && len(acc.waiters) == 0 {
-		acc.take(need)
+		acc.take(need, now)
 		return Granted, nil, Shortage{}
 	}
 	short := Shortage{Free: acc.free, Left: acc.left(), PoolAge: now.Sub(acc.poolAt)}
 	if acc.left()+acc.free < need && short.PoolAge < poolTrust {
-		acc.observe(-need, now)
 		return Dry, nil, short
 	}
 	w := &Wait{need: need, ready: make(chan struct{})}
@@ -345,9 +343,10 @@
 	return out
 }
 
-func (acc *account) take(n Units) {
+func (acc *account) take(n Units, now time.Time) {
 	acc.free -= n
 	acc.reserved += n
+	acc.observe(n, now)
 }
 
 // usable is what may be reserved now.
@@ -362,7 +361,7 @@
 	for len(acc.waiters) > 0 && a.usable(acc, now) >= acc.waiters[0].need {
 		w := acc.waiters[0]
 		acc.waiters = acc.waiters[1:]
-		acc.take(w.need)
+		acc.take(w.need, now)
 		w.granted = true
 		close(w.ready)
 	}
@@ -456,9 +455,12 @@
 	if acc.dry(left) {
 		return 0
 	}
-	share := float64(left) / float64(max(acc.bound(), 1))
-	ahead := Units(acc.rate(now) * holdAhead * min(1, share/plentyShare))
-	return max(ahead, floor)
+	return max(Units(acc.rate(now)*holdAhead*acc.plenty()), floor)
+}
+
+// plenty is 1 while much of the budget is left, and falls to 0 as it runs dry.
+func (acc *account) plenty() float64 {
+	return min(1, float64(acc.left())/float64(max(acc.bound(), 1))/plentyShare)
 }
 
 // active is the part of the target that may be spent at once.
@@ -467,25 +469,29 @@
 	for _, w := range acc.waiters {
 		waiting += w.need
 	}
-	n := max(Units(acc.rate(now)*activeAhead), Units(float64(floor)*activeRequests/floorRequests))
+	n := max(Units(acc.rate(now)*activeAhead*acc.plenty()), Units(float64(floor)*activeRequests/floorRequests))
 	return max(min(n, target), waiting)
 }
 
 // claims returns what of each account's free units to declare dormant in a row
-// that is about to be sent. What the row's own moves draw is left out, so that
-// requests can be served while the row is on its way.
-func (a *Accounts) claims(now time.Time) map[string]Units {
+// that is about to be sent with some moves.
+func (a *Accounts) claims(moves []Move, now time.Time) map[string]Units {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	drawn := map[string]Units{}
+	for _, m := range moves {
+		drawn[m.Organisation] = max(m.Delta, 0)
+	}
 	out := map[string]Units{}
 	for org, acc := range a.byOrg {
-		if acc.free <= 0 {
+		free := acc.free + drawn[org]
+		if free <= 0 {
 			continue
 		}
 		floor := a.floor(acc)
 		target := acc.target(acc.left(), floor, now)
 		active := acc.active(target, floor, now)
-		if n := min(acc.free-active, target-active); n > 0 {
+		if n := min(free, target) - active; n > 0 {
 			out[org] = n
 		}
 	}
--- a/internal/cicadabudget/book.go
+++ b/internal/cicadabudget/book.go
@@ -50,9 +50,18 @@
 		claimedAt time.Time
 		// heritage is what the row of an earlier process leaves to this one.
 		heritage map[string]Units
+		found    *Legacy
 		clock    storeClock
 	}
 
+	// Legacy is the row that an earlier process on this host left. AgeMillis is
+	// how old its claims were when this process began.
+	Legacy struct {
+		Row       OwnRow
+		AgeMillis int64
+		TakenOver bool
+	}
+
 	// storeClock estimates the store's clock, never ahead of it.
 	storeClock struct {
 		millis int64
@@ -65,8 +74,8 @@
 		// OwnVersion is the version that the router's own row must have.
 		OwnVersion uint64
 		Moves      []Move
-		After      []Pool // the pools after the moves, in the same order
-		claims     map[string]Units
+		After      []Pool           // the pools after the moves, in the same order
+		claims     map[string]Units // dormant once the moves are done
 		heritage   map[string]Units
 		sentAt     time.Time // of the first in a series of doubts
 	}
@@ -121,7 +130,7 @@
 		txn.After = append(txn.After, after)
 	}
 	if b.clock.millis > 0 {
-		txn.claims = b.accs.claims(now)
+		txn.claims = b.accs.claims(txn.Moves, now)
 	}
 	if len(txn.Moves) == 0 && len(b.doubts) == 0 && len(b.heritage) == 0 && !b.rowDue(txn.claims, now) {
 		return nil
@@ -149,16 +158,28 @@
 	rows := []map[string]Units{b.claimed}
 	at := b.claimedAt
 	for _, d := range b.doubts {
-		rows = append(rows, d.claims)
+		rows = append(rows, d.withheld())
 		at = d.sentAt
 	}
 	if sent != nil {
-		rows = append(rows, sent.claims)
+		rows = append(rows, sent.withheld())
 		at = sent.sentAt
 	}
 	b.accs.setClaims(rows, at.Add(b.lapse()), now)
 }
 
+// withheld is what must not be spent of the units held before the moves, so that
+// the claims are true if the transaction is performed.
+func (t *Txn) withheld() map[string]Units {
+	out := maps.Clone(t.claims)
+	for _, m := range t.Moves {
+		if n, ok := out[m.Organisation]; ok && m.Delta > 0 {
+			out[m.Organisation] = max(n-m.Delta, 0)
+		}
+	}
+	return out
+}
+
 // Row returns the value of the own row under a transaction.
 func (b *Book) Row(txn *Txn) OwnRow {
 	row := OwnRow{Boot: b.boot, Number: txn.Number, Dormant: txn.claims}
@@ -200,17 +221,30 @@
 		b.doubts = nil
 		if own.Boot != b.boot {
 			b.heritage = b.left(&own, asked)
+			b.found = &Legacy{Row: own, AgeMillis: b.beganAt(asked) - own.AsOf, TakenOver: len(b.heritage) > 0}
 		}
 	}
 	b.claim(nil, now)
 }
 
+// Found returns what is known of an earlier process on this host since the last
+// call, or nil.
+func (b *Book) Found() *Legacy {
+	found := b.found
+	b.found = nil
+	return found
+}
+
+// beganAt is when this process began, on the store's clock, or later: that clock
+// was at most at the answer's time when the question was sent.
+func (b *Book) beganAt(asked time.Time) int64 {
+	return b.clock.millis - asked.Sub(b.began).Milliseconds()
+}
+
 // left returns what an earlier process on this host cannot have spent: it ended
 // before this one began, and that was before its claims lapsed.
 func (b *Book) left(own *OwnRow, asked time.Time) map[string]Units {
-	// The store's clock was at most clock.millis when the question was sent.
-	began := b.clock.millis - asked.Sub(b.began).Milliseconds()
-	if own.AsOf == 0 || began-own.AsOf+clockMargin.Milliseconds() >= own.LapseMillis {
+	if own.AsOf == 0 || b.beganAt(asked)-own.AsOf+clockMargin.Milliseconds() >= own.LapseMillis {
 		return nil
 	}
 	return own.Dormant
--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -23,8 +23,6 @@
 	// txnMoves bounds the organisations in one transaction, below the store's
 	// hundred entries.
 	txnMoves = 40
-	// returnTimeout bounds the giving back at a planned stop.
-	returnTimeout = 700 * time.Millisecond
 )
 
 // bank moves units between this router's accounts and the pools in the store.
@@ -201,6 +199,14 @@
 		b.rt.accounts.Correct(r.Key, p, r.Version, now)
 	}
 	b.book.Rejected(txn, row, version, asked, now)
+	if found := b.book.Found(); found != nil {
+		var dormant cicadabudget.Units
+		for _, n := range found.Row.Dormant {
+			dormant += n
+		}
+		b.rt.cfg.Log.WithField("earlierBoot", found.Row.Boot).WithField("ageMillis", found.AgeMillis).WithField("dormant", int64(dormant)).
+			WithField("lapseMillis", found.Row.LapseMillis).WithField("takenOver", found.TakenOver).Info("row of an ended process")
+	}
 }
 
 func (b *bank) log(txn *cicadabudget.Txn, version uint64) {
@@ -215,13 +221,14 @@
 	}
 }
 
-// giveBack returns all free units at a planned stop.
-func (b *bank) giveBack() {
-	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
-	defer cancel()
-	for range 4 {
-		if !b.commit(ctx, b.book.Begin(b.rt.accounts.ReturnAll(), time.Now())) {
+// giveBack returns all free units at a planned stop. It tries until ctx ends: an
+// outage of the store may be over before the process has to end.
+func (b *bank) giveBack(ctx context.Context) {
+	for {
+		again := b.commit(ctx, b.book.Begin(b.rt.accounts.ReturnAll(), time.Now()))
+		if ctx.Err() != nil || !again && b.up.Load() {
 			return
 		}
+		pause(ctx, urgentPause)
 	}
 }
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -225,7 +225,7 @@
 	}
 	rt.cancel()
 	<-rt.bank.done
-	rt.bank.giveBack()
+	rt.bank.giveBack(ctx)
 	rt.health.Close()
 	rt.upstreams.close()
 	rt.cfg.Log.WithField("millis", time.Since(began).Milliseconds()).Info("stopped")
