--- a/internal/cicadaedge/metrics.go
+++ b/internal/cicadaedge/metrics.go
@@ -126,6 +126,7 @@
 	if !q.firstAt.IsZero() {
 		rt.cfg.Metrics.FirstByte.Record(q.firstAt.Sub(q.arrived))
 		f["firstMillis"] = q.firstAt.Sub(q.arrived).Milliseconds()
+		f["longestPauseMillis"] = q.longestPause.Milliseconds()
 	}
 	if res.refusal != nil {
 		f["detail"] = res.refusal.detail
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -50,7 +50,10 @@
 		cost     float64
 		cached   int
 		firstAt  time.Time
-		cause    error
+		eventAt  time.Time // of the last event
+		// longestPause lies between two events of a stream.
+		longestPause time.Duration
+		cause        error
 	}
 
 	// result is how a request ended: exactly one of its fields is set, or none
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -97,9 +97,13 @@
 }
 
 func (x *exchange) sendEvent(rc *http.ResponseController, ev *event, flush bool) error {
+	now := time.Now()
 	if x.delivered == 0 {
-		x.firstAt = time.Now()
+		x.firstAt = now
+	} else {
+		x.longestPause = max(x.longestPause, now.Sub(x.eventAt))
 	}
+	x.eventAt = now
 	if _, err := x.w.Write(ev.raw); err != nil {
 		return &callerError{cause: err}
 	}
