A desk for each group of runners places the prompts of all routers

Cause: routers could not see each other's prompts, so two long ones met at a runner while others were free.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -48,7 +48,7 @@
 
 	// attempt is one send to one runner.
 	attempt struct {
-		ticket *cicadaplace.Ticket
+		ticket *placement
 		resp   *http.Response
 		answer Answer
 		cancel context.CancelCauseFunc
@@ -106,9 +106,9 @@
 	if left := x.deadline.Sub(now); left <= headroom {
 		return x.timedOut(), false
 	}
-	ticket, err := x.rt.fleet.Choose(&cicadaplace.Request{
+	ticket, err := x.rt.desks.choose(ctx, &cicadaplace.Request{
 		Service: x.service.Name, Parts: x.demand.Parts, Tokens: int(x.demand.PromptTokens), Tried: x.tried,
-	}, now)
+	}, x.deadline)
 	if err != nil {
 		return x.noRunner(err), false
 	}
@@ -142,7 +142,7 @@
 }
 
 // send sends the request and returns once the answer's header is there.
-func (x *exchange) send(ctx context.Context, ticket *cicadaplace.Ticket) (*attempt, error) {
+func (x *exchange) send(ctx context.Context, ticket *placement) (*attempt, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	req, err := x.outgoing(ctx, ticket)
 	if err != nil {
@@ -181,7 +181,7 @@
 	return time.Duration(repeatShare * float64(left))
 }
 
-func (x *exchange) outgoing(ctx context.Context, ticket *cicadaplace.Ticket) (*http.Request, error) {
+func (x *exchange) outgoing(ctx context.Context, ticket *placement) (*http.Request, error) {
 	target := &url.URL{Scheme: "http", Host: ticket.Runner().Addr(), Opaque: x.r.RequestURI}
 	req := &http.Request{
 		Method: x.r.Method, URL: target, Host: x.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -217,14 +217,14 @@
 }
 
 // sendFailed sorts a failure before an answer began.
-func (x *exchange) sendFailed(ticket *cicadaplace.Ticket, err error) (result, bool) {
+func (x *exchange) sendFailed(ticket *placement, err error) (result, bool) {
 	x.cause = err
 	var failed *sendError
 	if !errors.As(err, &failed) {
 		failed = &sendError{cause: err, sent: true}
 	}
 	if x.r.Context().Err() != nil {
-		ticket.End(cicadaplace.CallerLeft, time.Now())
+		x.rt.desks.end(ticket, cicadaplace.CallerLeft)
 		return result{left: true}, false
 	}
 	if !failed.sent {
@@ -246,8 +246,8 @@
 }
 
 // ended gives the ticket back and logs if the runner is left out from now on.
-func (x *exchange) ended(ticket *cicadaplace.Ticket, res cicadaplace.Result, cause error) {
-	if d := ticket.End(res, time.Now()); d > 0 {
+func (x *exchange) ended(ticket *placement, res cicadaplace.Result, cause error) {
+	if d := x.rt.desks.end(ticket, res); d > 0 {
 		x.rt.cfg.Log.WithField("runner", ticket.Runner().ID()).WithField("requestId", x.demand.ID).
 			WithField("forMillis", d.Milliseconds()).WithError(cause).Info("runner left out after failures")
 	}
@@ -315,7 +315,7 @@
 	}
 	if err != nil {
 		if x.r.Context().Err() != nil {
-			a.ticket.End(cicadaplace.CallerLeft, time.Now())
+			x.rt.desks.end(a.ticket, cicadaplace.CallerLeft)
 			return result{left: true}, false
 		}
 		if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -89,6 +89,27 @@
 	return n
 }
 
+// names returns the routers, this one included.
+func (p *peers) names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]string, 0, len(p.byName)+1)
+	out = append(out, p.self)
+	for name := range p.byName {
+		if name != p.self {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// addr returns where a router relays; empty if that is not known.
+func (p *peers) addr(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byName[name]
+}
+
 // some returns the other routers' addresses in random order.
 func (p *peers) some() []string {
 	p.mu.Lock()
@@ -113,7 +134,10 @@
 
 // serveRelay answers other routers until the listener is closed.
 func (rt *Router) serveRelay(ctx context.Context) {
-	methods := handler.Map{methodView: handler.New(rt.view)}
+	methods := handler.Map{
+		methodView: handler.New(rt.view), methodPlace: handler.New(rt.desk.handlePlace),
+		methodStarted: handler.New(rt.desk.handleStarted), methodEnded: handler.New(rt.desk.handleEnded),
+	}
 	acc := server.NetAccepter(rt.cfg.Relay, channel.Line)
 	if err := server.Loop(ctx, acc, server.Static(methods), &server.LoopOptions{}); err != nil && ctx.Err() == nil {
 		rt.cfg.Log.WithError(err).Error("relay ended")
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -41,6 +41,8 @@
 	upstreams *upstreams
 	bank      *bank
 	peers     *peers
+	desk      *desk
+	desks     *desks
 
 	deploy   atomic.Pointer[cicadadeploy.Snapshot]
 	deployMu sync.Mutex // orders changes of deploy
@@ -72,6 +74,8 @@
 	}
 	rt.peers = newPeers(cfg.Name, relay, cfg.Seeds)
 	rt.bank = newBank(rt)
+	rt.desk = newDesk(rt.fleet)
+	rt.desks = newDesks(rt)
 	return rt
 }
 
@@ -228,5 +232,6 @@
 	rt.bank.giveBack(ctx)
 	rt.health.Close()
 	rt.upstreams.close()
+	rt.desks.close()
 	rt.cfg.Log.WithField("millis", time.Since(began).Milliseconds()).Info("stopped")
 }
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -40,7 +40,6 @@
 	if !resumed {
 		x.begin(a, a.resp.ContentLength)
 	}
-	a.ticket.Started()
 	err := x.forward(a, resumed)
 	var left *callerError
 	switch {
@@ -48,10 +47,10 @@
 		x.ended(a.ticket, cicadaplace.Answered, nil)
 		return result{}, false
 	case errors.As(err, &left) || x.r.Context().Err() != nil:
-		a.ticket.End(cicadaplace.CallerLeft, time.Now())
+		x.rt.desks.end(a.ticket, cicadaplace.CallerLeft)
 		return result{left: true}, false
 	case errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(x.deadline):
-		a.ticket.End(cicadaplace.CallerLeft, time.Now())
+		x.rt.desks.end(a.ticket, cicadaplace.CallerLeft)
 		return result{cut: err}, false
 	}
 	x.cause = err
@@ -89,17 +88,18 @@
 		if x.repeated(ev.id) {
 			continue
 		}
-		if err := x.sendEvent(rc, &ev, r.Buffered() == 0); err != nil {
+		if err := x.sendEvent(a, rc, &ev, r.Buffered() == 0); err != nil {
 			return err
 		}
 		x.rearm(silence)
 	}
 }
 
-func (x *exchange) sendEvent(rc *http.ResponseController, ev *event, flush bool) error {
+func (x *exchange) sendEvent(a *attempt, rc *http.ResponseController, ev *event, flush bool) error {
 	now := time.Now()
 	if x.delivered == 0 {
 		x.firstAt = now
+		x.rt.desks.started(a.ticket)
 	} else {
 		x.longestPause = max(x.longestPause, now.Sub(x.eventAt))
 	}
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -1,6 +1,7 @@
 package cicadaplace
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -54,13 +55,13 @@
 		Parts  []Part
 		Tokens int      // of the whole prompt
 		Tried  []string // ids of runners not to use again
+		Place  string   // data centre of the router that sends it; empty for this one
 	}
 
 	// Ticket is a request's place at a runner, from its choice to its end.
 	Ticket struct {
 		f       *Fleet
 		r       *Runner
-		parts   []Part
 		debt    int
 		started bool
 		ended   bool
@@ -103,15 +104,19 @@
 	if best == nil {
 		return nil, ErrNoRunner
 	}
-	t := &Ticket{f: f, r: best, parts: req.Parts, cost: bestCost}
-	t.cached = best.cachedTokens(req, best == home, now)
+	return f.take(best, req, best == home, now), nil
+}
+
+// take gives a request its place at a runner.
+func (f *Fleet) take(r *Runner, req *Request, home bool, now time.Time) *Ticket {
+	t := &Ticket{f: f, r: r, cost: f.cost(r, req, home, now), cached: r.cachedTokens(req, home, now)}
 	t.debt = max(req.Tokens-t.cached, 0)
-	best.inFlight++
-	best.debt += t.debt
+	r.inFlight++
+	r.debt += t.debt
 	for i := range len(req.Parts) - 1 {
-		best.cached.add(req.Parts[i].ID, now)
+		r.cached.add(req.Parts[i].ID, now)
 	}
-	return t, nil
+	return t
 }
 
 func (r *Runner) leftOut(req *Request, ignoreEjection bool, now time.Time) bool {
@@ -157,7 +162,7 @@
 	} else {
 		cost = float64(running+waiting) / float64(max(r.entry.Slots, 1)) * plainCost
 	}
-	if r.entry.Place != f.cfg.Place {
+	if r.entry.Place != cmp.Or(req.Place, f.cfg.Place) {
 		cost += remoteCost
 	}
 	if r.entry.WarmIn > now.Sub(r.firstSeen) {
