Long cold prompts go where few streams run

Cause: each of an engine's steps slows while it reads a long prompt; at depth the pauses of all its streams pass the objective.

--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -28,6 +28,14 @@
 	remoteCost = 6.0
 	// reportTrust is how long a runner's own report counts.
 	reportTrust = 600 * time.Millisecond
+	// longRead is the number of uncached tokens, two of an engine's chunks, from
+	// which on reading a prompt slows several events of each running stream.
+	// Steps grow with the depth of the prompt: at deepPrompt tokens their pauses
+	// reach the objectives. pauseCost is charged for each stream that would
+	// pause, in milliseconds.
+	longRead   = 8192
+	deepPrompt = 25000.0
+	pauseCost  = 30.0
 	// coldCost is charged for a runner that is still slow after its start.
 	coldCost = 150.0
 
@@ -159,6 +167,9 @@
 	if len(req.Parts) > 0 {
 		missing := req.Tokens - r.cachedTokens(req, home, now)
 		cost = float64(r.debt+missing)/prefillRate + float64(running)*decodeCost + float64(waiting)*queueCost
+		if missing >= longRead {
+			cost += float64(r.inFlight) * min(float64(req.Tokens)/deepPrompt, 1) * pauseCost
+		}
 	} else {
 		cost = float64(running+waiting) / float64(max(r.entry.Slots, 1)) * plainCost
 	}
