--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -14,7 +14,7 @@
 	holdAhead = 13.0
 	// activeAhead is how many of them may be spent at once. The rest is dormant,
 	// and is not lost if the process ends. It covers claimLapse.
-	activeAhead = 3.4
+	activeAhead = 2.8
 	// plentyShare is the share of a budget left undrawn from which on routers
 	// hold for the whole of holdAhead; below it the time shrinks in proportion.
 	plentyShare = 0.5
@@ -30,7 +30,7 @@
 	// floorRequests bounds that to so many requests of the usual size.
 	floorRequests = 3
 	// activeRequests of them may be spent at once.
-	activeRequests = 1.2
+	activeRequests = 1.5
 	// leastWindow is the shortest time over which a rate is taken.
 	leastWindow = 3 * time.Second
 	// usualWeight is the weight of one request in the average of their sizes.
--- a/internal/cicadabudget/book.go
+++ b/internal/cicadabudget/book.go
@@ -8,13 +8,13 @@
 const (
 	// claimRefresh is the usual time between two rows of a router that has
 	// dormant units, if the store lets so many routers write so often.
-	claimRefresh = 800 * time.Millisecond
+	claimRefresh = 400 * time.Millisecond
 	// refreshesPerSecond bounds the rows of all routers together, below the 300
 	// transactions a second that one part of the store takes.
 	refreshesPerSecond = 150
 	// restartTime is how long a process on the same host takes to come back
 	// after most ends, with the time until it reaches the store.
-	restartTime = 3200 * time.Millisecond
+	restartTime = 2100 * time.Millisecond
 	// clockMargin covers the rounding of the store's clock.
 	clockMargin = 100 * time.Millisecond
 )
@@ -101,13 +101,13 @@
 // SetRouters sets the number of routers that share the store.
 func (b *Book) SetRouters(n int) { b.routers = max(n, 1) }
 
-// refresh is the time between two rows while units are dormant.
-func (b *Book) refresh() time.Duration {
+// Refresh is the time between two rows while units are dormant.
+func (b *Book) Refresh() time.Duration {
 	return max(claimRefresh, time.Duration(b.routers)*time.Second/refreshesPerSecond)
 }
 
 // lapse is how long after its row was sent dormant units are not spent.
-func (b *Book) lapse() time.Duration { return b.refresh() + restartTime }
+func (b *Book) lapse() time.Duration { return b.Refresh() + restartTime }
 
 // Tick notes the store's clock from an answer that arrived at a time.
 func (b *Book) Tick(millis int64, arrived time.Time) {
@@ -150,7 +150,7 @@
 	if len(claims) == 0 && len(b.claimed) == 0 {
 		return false
 	}
-	return now.Sub(b.claimedAt) >= b.refresh() || b.accs.Waiting() && !maps.Equal(claims, b.claimed)
+	return now.Sub(b.claimedAt) >= b.Refresh() || b.accs.Waiting() && !maps.Equal(claims, b.claimed)
 }
 
 // claim makes the accounts keep to all rows that may be in force.
--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -13,11 +13,10 @@
 
 const (
 	// bankPause is the least time between two transactions of a router unless a
-	// request waits: at 410 routers that is 410 transactions a second, of which
-	// idle ones skip nearly all.
-	bankPause = 400 * time.Millisecond
+	// request waits.
+	bankPause = 200 * time.Millisecond
 	// bankTick is how often an account is looked at without any event.
-	bankTick = 400 * time.Millisecond
+	bankTick = 200 * time.Millisecond
 	// urgentPause is the least time between two transactions while requests wait.
 	urgentPause = 20 * time.Millisecond
 	// txnMoves bounds the organisations in one transaction, below the store's
@@ -68,8 +67,11 @@
 		case <-b.wakeCh:
 		case <-tick.C:
 		}
+		began := time.Now()
 		b.balance(ctx)
-		least := bankPause
+		// A slow store is not asked more than half of the time, and many routers
+		// together not more often than their claims need.
+		least := max(bankPause, time.Since(began), b.book.Refresh()/2)
 		if b.rt.accounts.Waiting() && b.up.Load() {
 			least = urgentPause
 		}
