--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -17,7 +17,9 @@
 	activeAhead = 2.8
 	// plentyShare is the share of a budget left undrawn from which on routers
 	// hold for the whole of holdAhead; below it the time shrinks in proportion.
-	plentyShare = 0.5
+	plentyShare = 0.25
+	// activeShare is the same for the active part, which is lost with a process.
+	activeShare = 0.5
 	// dryShare is the share left undrawn below which routers hold nothing beyond
 	// what requests reserve, and give back what they hold at once.
 	dryShare = 0.03
@@ -455,12 +457,12 @@
 	if acc.dry(left) {
 		return 0
 	}
-	return max(Units(acc.rate(now)*holdAhead*acc.plenty()), floor)
+	return max(Units(acc.rate(now)*holdAhead*acc.plenty(plentyShare)), floor)
 }
 
-// plenty is 1 while much of the budget is left, and falls to 0 as it runs dry.
-func (acc *account) plenty() float64 {
-	return min(1, float64(acc.left())/float64(max(acc.bound(), 1))/plentyShare)
+// plenty is 1 while a share of the budget is left, and falls to 0 as it runs dry.
+func (acc *account) plenty(share float64) float64 {
+	return min(1, float64(acc.left())/float64(max(acc.bound(), 1))/share)
 }
 
 // active is the part of the target that may be spent at once.
@@ -469,7 +471,7 @@
 	for _, w := range acc.waiters {
 		waiting += w.need
 	}
-	n := max(Units(acc.rate(now)*activeAhead*acc.plenty()), Units(float64(floor)*activeRequests/floorRequests))
+	n := max(Units(acc.rate(now)*activeAhead*acc.plenty(activeShare)), Units(float64(floor)*activeRequests/floorRequests))
 	return max(min(n, target), waiting)
 }
 
