--- /dev/null
+++ b/internal/cicadabudget/holding.go
@@ -0,0 +1,195 @@
+package cicadabudget
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// holdAhead is how many seconds of its own use a router holds while plenty
+	// is left: longer than the nine seconds for which hosts are cut off from the
+	// store on the deployments of today.
+	holdAhead = 13.0
+	// activeAhead is how many of them may be spent at once. The rest is dormant,
+	// and is not lost if the process ends. It covers the time from the last row
+	// to the lapse of its claims.
+	activeAhead = 3.0
+	// plentyShare is the share of a budget left undrawn from which on routers
+	// hold for the whole of holdAhead; below it the time shrinks in proportion.
+	plentyShare = 0.25
+	// activeShare is the same for the active part, which is lost with a process.
+	activeShare = 0.5
+	// dryShare is the share left undrawn below which routers hold nothing beyond
+	// what requests reserve, and give back what they hold at once.
+	dryShare = 0.03
+	// maxDrawShare bounds one draw to a share of what is left undrawn.
+	maxDrawShare = 0.25
+	// floorShare is the share of what is left that the routers together hold
+	// whatever their rates: requests are large and rare at each router, so that a
+	// rate of the last seconds says little about the next ones.
+	floorShare = 0.3
+	// floorRequests bounds that to so many requests of the usual size.
+	floorRequests = 3
+	// activeRequests of them may be spent at once.
+	activeRequests = 1.5
+	// leastWindow is the shortest time over which a rate is taken.
+	leastWindow = 3 * time.Second
+	// usualWeight is the weight of one request in the average of their sizes.
+	usualWeight = 0.05
+	// refillShare is the share of the target below which more is drawn.
+	refillShare = 0.75
+	// useHalfLife is the time after which the observed rate of an idle account
+	// has halved: some requests of an organisation arrive at a router in it.
+	useHalfLife = 8 * time.Second
+	// idleShare is the smallest surplus worth a write to the store while the
+	// budget is not dry, as a share of the budget.
+	idleShare = 0.01
+	// poolTrust is how long a reading of the pool proves that a budget is dry.
+	poolTrust = 1500 * time.Millisecond
+)
+
+// observe counts units that were reserved, or that turned out unused.
+func (acc *account) observe(n Units, now time.Time) {
+	acc.decay(now)
+	acc.used = max(acc.used+float64(n), 0)
+}
+
+func (acc *account) decay(now time.Time) {
+	if acc.since.IsZero() {
+		acc.since, acc.usedAt = now, now
+	}
+	if dt := now.Sub(acc.usedAt); dt > 0 {
+		acc.used *= math.Exp2(-dt.Seconds() / useHalfLife.Seconds())
+		acc.usedAt = now
+	}
+}
+
+// rate is the use in units a second, over the time since the first use as far
+// as it still counts.
+func (acc *account) rate(now time.Time) float64 {
+	acc.decay(now)
+	mean := useHalfLife.Seconds() / math.Ln2
+	window := mean * (1 - math.Exp(-now.Sub(acc.since).Seconds()/mean))
+	return acc.used / max(window, leastWindow.Seconds())
+}
+
+// delta is what to draw, or to give back if negative.
+func (acc *account) delta(floor Units, now time.Time) Units {
+	left := acc.left()
+	var missing Units
+	for _, w := range acc.waiters {
+		missing += w.need
+	}
+	missing = max(missing-acc.free, 0)
+	target := acc.target(left, floor, now)
+	want := missing
+	if missing > left {
+		want = 0
+	}
+	if float64(acc.free) < refillShare*float64(target) {
+		want = max(want, min(target-acc.free, Units(maxDrawShare*float64(left))))
+	}
+	if want > 0 {
+		return min(want, left)
+	}
+	surplus := min(acc.free-target, acc.free-acc.claimed-acc.active(target, floor, now))
+	if surplus > 0 && (acc.dry(left) || float64(surplus) > idleShare*float64(acc.bound()) && acc.free > 2*target) {
+		return -surplus
+	}
+	return 0
+}
+
+func (acc *account) dry(left Units) bool {
+	return float64(left) < dryShare*float64(acc.bound())
+}
+
+// target is what this router would like to have free.
+func (acc *account) target(left, floor Units, now time.Time) Units {
+	if acc.dry(left) {
+		return 0
+	}
+	return max(Units(acc.rate(now)*holdAhead*acc.plenty(plentyShare)), floor)
+}
+
+// plenty is 1 while a share of the budget is left, and falls to 0 as it runs dry.
+func (acc *account) plenty(share float64) float64 {
+	return min(1, float64(acc.left())/float64(max(acc.bound(), 1))/share)
+}
+
+// active is the part of the target that may be spent at once.
+func (acc *account) active(target, floor Units, now time.Time) Units {
+	var waiting Units
+	for _, w := range acc.waiters {
+		waiting += w.need
+	}
+	n := max(Units(acc.rate(now)*activeAhead*acc.plenty(activeShare)), Units(float64(floor)*activeRequests/floorRequests))
+	return max(min(n, target), waiting)
+}
+
+// claims returns what of each account's free units to declare dormant in a row
+// that is about to be sent with some moves.
+func (a *Accounts) claims(moves []Move, now time.Time) map[string]Units {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	drawn := map[string]Units{}
+	for _, m := range moves {
+		drawn[m.Organisation] = max(m.Delta, 0)
+	}
+	out := map[string]Units{}
+	for org, acc := range a.byOrg {
+		free := acc.free + drawn[org]
+		if free <= 0 {
+			continue
+		}
+		floor := a.floor(acc)
+		target := acc.target(acc.left(), floor, now)
+		active := acc.active(target, floor, now)
+		if n := min(free, target) - active; n > 0 {
+			out[org] = n
+		}
+	}
+	return out
+}
+
+// setClaims sets what is claimed, by the rows of which any may be in force, and
+// until when.
+func (a *Accounts) setClaims(rows []map[string]Units, releaseAt, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.releaseAt = releaseAt
+	for org, acc := range a.byOrg {
+		acc.claimed = 0
+		for _, claims := range rows {
+			acc.claimed = max(acc.claimed, claims[org])
+		}
+		a.serveWaiters(acc, now)
+	}
+}
+
+// inherit adds what an earlier process on this host left untouched.
+func (a *Accounts) inherit(claims map[string]Units, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for org, n := range claims {
+		acc := a.byOrg[org]
+		if acc == nil {
+			acc = &account{}
+			a.byOrg[org] = acc
+		}
+		acc.free += n
+		a.serveWaiters(acc, now)
+	}
+}
+
+// floor is what to hold of a budget whatever its rate: some requests of the
+// usual size, or nothing where the share of this router is less than one.
+func (a *Accounts) floor(acc *account) Units {
+	share := floorShare * float64(acc.left()) / float64(a.routers)
+	if share < a.usual {
+		return 0
+	}
+	if a.usual == 0 {
+		return Units(share / floorRequests)
+	}
+	return Units(min(share, floorRequests*a.usual))
+}
--- a/internal/cicadadeploy/snapshot_test.go
+++ b/internal/cicadadeploy/snapshot_test.go
@@ -62,8 +62,9 @@
 	counts := map[string]int{}
 	for i := range 10_000 {
 		id := fmt.Sprint(i)
-		counts[r.Target(id)]++
-		if r.Target(id) != r.Target(id) {
+		first, second := r.Target(id), r.Target(id)
+		counts[first]++
+		if first != second {
 			t.Fatalf("id %s goes to two services", id)
 		}
 	}
--- a/internal/cicadaedge/desk.go
+++ b/internal/cicadaedge/desk.go
@@ -231,7 +231,7 @@
 	ds.mu.Lock()
 	defer ds.mu.Unlock()
 	if old := ds.clients[name]; old != nil && !old.IsStopped() {
-		go c.Close()
+		go ds.closeClient(c)
 		return old, nil
 	}
 	ds.clients[name] = c
@@ -252,7 +252,7 @@
 	ds.downTil[name] = time.Now().Add(deskDown)
 	ds.mu.Unlock()
 	if c != nil {
-		go c.Close()
+		go ds.closeClient(c)
 	}
 	ds.rt.cfg.Log.WithField("desk", name).WithError(cause).Info("desk passed over")
 }
@@ -261,7 +261,15 @@
 	ds.mu.Lock()
 	defer ds.mu.Unlock()
 	for _, c := range ds.clients {
-		c.Close()
+		ds.closeClient(c)
+	}
+}
+
+// closeClient ends a connection to a desk; an error is that of the connection
+// before.
+func (ds *desks) closeClient(c *jrpc2.Client) {
+	if err := c.Close(); err != nil {
+		ds.rt.cfg.Log.WithError(err).Debug("connection to a desk ended")
 	}
 }
 
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -154,7 +154,8 @@
 		return nil, &sendError{cause: err}
 	}
 	silence := time.AfterFunc(x.silence(), func() { cancel(errSilent) })
-	resp, sent, err := x.rt.upstreams.do(ticket.Runner(), x.service, req, x.body)
+	resp, sent, err := x.rt.upstreams.do( //nolint:bodyclose // attempt.close closes it
+		ticket.Runner(), x.service, req, x.body)
 	silence.Stop()
 	if sent {
 		x.attempts++
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -359,7 +359,7 @@
 func (r *runner) answer(text string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		r.runs.Add(1)
-		fmt.Fprint(w, text)
+		fmt.Fprintf(w, "%s", text)
 	}
 }
 
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -199,7 +199,7 @@
 
 func (rt *Router) askConn(ctx context.Context, conn net.Conn, addr string) error {
 	client := jrpc2.NewClient(channel.Line(conn, conn), nil)
-	defer client.Close()
+	defer rt.desks.closeClient(client)
 	asked := time.Now()
 	var req viewRequest
 	if d := rt.deploy.Load(); d != nil {
@@ -210,7 +210,7 @@
 		return errors.Wrap(err, "ask peer")
 	}
 	if reply.Deployment != nil {
-		rt.enforce(reply.Deployment, "peer "+addr, time.Now())
+		rt.enforce(reply.Deployment, "peer "+addr)
 	}
 	freshAt := asked.Add(-time.Duration(reply.AgeMillis) * time.Millisecond)
 	rt.notePeerView(freshAt)
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -100,8 +100,9 @@
 	}
 	rt.callers = rt.server(rt)
 	rt.callers.IdleTimeout = defaultIdle
+	rt.callers.ConnState = noteState
 	rt.health = rt.server(rt.healthMux())
-	rt.goPart(func() { rt.serve(rt.callers, rt.cfg.Callers) })
+	rt.goPart(func() { rt.serve(rt.callers, &callerListener{Listener: rt.cfg.Callers, rt: rt}) })
 	rt.goPart(func() { rt.serve(rt.health, rt.cfg.Health) })
 }
 
@@ -230,7 +231,9 @@
 	rt.cancel()
 	<-rt.bank.done
 	rt.bank.giveBack(ctx)
-	rt.health.Close()
+	if err := rt.health.Close(); err != nil {
+		rt.cfg.Log.WithError(err).Warn("health listener not closed")
+	}
 	rt.upstreams.close()
 	rt.desks.close()
 	rt.cfg.Log.WithField("millis", time.Since(began).Milliseconds()).Info("stopped")
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -17,6 +17,9 @@
 	// drawWait bounds the wait for units from the store: several of its usual
 	// answer times, and well below the objectives of today's routes.
 	drawWait = 350 * time.Millisecond
+	// filesPerRequest is the descriptors that a request may need: its caller's
+	// connection, its runner's, and as much again for idle ones.
+	filesPerRequest = 4
 	// soon, later are when a refused caller is told to come back: soon if the
 	// cause passes within a draw or a runner's answer, later if an outage has to
 	// end first: outages last seconds, and callers come back within a third of their time.
@@ -92,6 +95,9 @@
 }
 
 func (q *request) serve() result {
+	if n := q.rt.cfg.Metrics.InFlight.Value(); q.rt.cfg.MaxFiles > 0 && n > int64(q.rt.cfg.MaxFiles/filesPerRequest) {
+		return refuse(RefuseBusy, soon, "this router has as many requests as its descriptors allow")
+	}
 	if f := q.identify(); f != nil {
 		return result{refusal: f}
 	}
@@ -238,7 +244,10 @@
 }
 
 func (q *request) await(ctx context.Context, wait *cicadabudget.Wait) *refusal {
-	unsure := &refusal{kind: RefuseBudgetUnsure, after: later, detail: "the organisation's units held here do not cover the request, and the store does not answer"}
+	unsure := &refusal{
+		kind: RefuseBudgetUnsure, after: later,
+		detail: "the organisation's units held here do not cover the request, and the store does not answer",
+	}
 	if !q.rt.bank.reachable() {
 		if q.rt.accounts.Cancel(q.org.Name, wait) {
 			return unsure
--- a/internal/cicadaedge/serve_test.go
+++ b/internal/cicadaedge/serve_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -107,15 +108,18 @@
 		"failed":  func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
 		"truncated": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
-			fmt.Fprint(w, "part")
+			fmt.Fprintf(w, "%s", "part")
 			w.(http.Flusher).Flush()
 			cut()
 		},
 		"foreign": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Id", "another")
-			fmt.Fprint(w, "another caller's answer")
+			fmt.Fprintf(w, "%s", "another caller's answer")
+		},
+		"unsealed": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Del("X-Sealed")
+			fmt.Fprintf(w, "%s", "made up")
 		},
-		"unsealed": func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("X-Sealed"); fmt.Fprint(w, "made up") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -143,7 +147,7 @@
 	f := newFleet(t)
 	f.addRunner(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "100")
-		fmt.Fprint(w, "part")
+		fmt.Fprintf(w, "%s", "part")
 		w.(http.Flusher).Flush()
 		cut()
 	})
@@ -246,3 +250,33 @@
 		t.Errorf("%d units are drawn after the stop, 103 were used", got)
 	}
 }
+
+// TestIdleConnectionsFollowTheConfiguration changes the idle time while the
+// router runs.
+func TestIdleConnectionsFollowTheConfiguration(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	r := f.addRunner(nil)
+	r.does(r.answer("ok"))
+	f.doc.Version, f.doc.Limits.IdleTimeout = 2, 300*time.Millisecond
+	f.publish()
+	n := f.ready(f.node("n1"))
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ask := func() time.Duration {
+		if _, err := fmt.Fprintf(conn, "GET /again/ HTTP/1.1\r\nHost: %s\r\nX-Id: q\r\nX-Key: k1\r\n\r\n", callerHost); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		if _, err := io.ReadAll(conn); err != nil {
+			t.Fatal(err)
+		}
+		return time.Since(began)
+	}
+	if open := ask(); open < 250*time.Millisecond || open > 2*time.Second {
+		t.Errorf("an idle connection was open for %v, configured 300 ms", open)
+	}
+}
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -79,10 +79,10 @@
 	defer silence.Stop()
 	for {
 		ev, err := readEvent(r)
-		if err != nil && !(errors.Is(err, io.EOF) && len(ev.raw) > 0) {
-			if errors.Is(err, io.EOF) {
-				return nil
-			}
+		switch {
+		case errors.Is(err, io.EOF) && len(ev.raw) == 0:
+			return nil
+		case err != nil && !errors.Is(err, io.EOF):
 			return x.causeOf(a, err)
 		}
 		if x.repeated(ev.id) {
--- a/internal/cicadaedge/stream_test.go
+++ b/internal/cicadaedge/stream_test.go
@@ -10,9 +10,9 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-func wholeStream(from, to int) string {
+func wholeStream(to int) string {
 	var b strings.Builder
-	for i := from; i < to; i++ {
+	for i := 1; i < to; i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", i, i)
 	}
 	return b.String()
@@ -24,7 +24,7 @@
 	f.addRunner(func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 6) })
 	n := f.ready(f.node("n1"))
 	got := call(t, n, "/stream/", map[string]string{"X-Tokens": "100,10"}, "")
-	if diff := cmp.Diff(wholeStream(1, 6), got.body); diff != "" || got.err != nil {
+	if diff := cmp.Diff(wholeStream(6), got.body); diff != "" || got.err != nil {
 		t.Errorf("stream (-want +got), error %v:\n%s", got.err, diff)
 	}
 	eventually(t, "the use is settled", func() bool { return n.Accounts()[0].Reserved == 0 })
@@ -36,7 +36,7 @@
 	f := newFleet(t)
 	f.addRunner(func(w http.ResponseWriter, _ *http.Request) {
 		events(w, 1, 3)
-		fmt.Fprint(w, "id: 3\nda")
+		fmt.Fprintf(w, "id: 3\nda")
 		w.(http.Flusher).Flush()
 		cut()
 	})
@@ -45,7 +45,7 @@
 	if got.err == nil {
 		t.Error("the answer ended as if it were whole")
 	}
-	if !strings.HasPrefix(wholeStream(1, 3), got.body) && got.body != wholeStream(1, 3) {
+	if !strings.HasPrefix(wholeStream(3), got.body) && got.body != wholeStream(3) {
 		t.Errorf("part of an event was forwarded: %q", got.body)
 	}
 }
@@ -57,7 +57,7 @@
 	for name, fault := range map[string]func(http.ResponseWriter){
 		"cut": func(w http.ResponseWriter) {
 			events(w, 1, 4)
-			fmt.Fprint(w, "id: 4\ndata")
+			fmt.Fprintf(w, "id: 4\ndata")
 			w.(http.Flusher).Flush()
 			cut()
 		},
@@ -84,7 +84,7 @@
 			f.addRunner(serve)
 			n := f.ready(f.node("n1"))
 			got := call(t, n, "/resume/", nil, "")
-			if diff := cmp.Diff(wholeStream(1, 8), got.body); diff != "" || got.err != nil {
+			if diff := cmp.Diff(wholeStream(8), got.body); diff != "" || got.err != nil {
 				t.Errorf("stream (-want +got), error %v:\n%s", got.err, diff)
 			}
 		})
--- a/internal/cicadaedge/views.go
+++ b/internal/cicadaedge/views.go
@@ -24,7 +24,7 @@
 
 // takeDeployment takes the newest configuration. An older one than that in
 // force is ignored, whichever way it came.
-func (rt *Router) takeDeployment(b cicadastore.Batch, _ bool, now time.Time) {
+func (rt *Router) takeDeployment(b cicadastore.Batch, _ bool, _ time.Time) {
 	for i := range b.Changes {
 		c := &b.Changes[i]
 		if c.Key != rt.cfg.Sources.DeploymentKey || c.Deleted {
@@ -36,12 +36,12 @@
 			rt.cfg.Log.WithError(err).Error("configuration cannot be read, the one in force stays")
 			continue
 		}
-		rt.enforce(doc, "store", now)
+		rt.enforce(doc, "store")
 	}
 }
 
 // enforce puts a configuration in force if it is newer than the present one.
-func (rt *Router) enforce(doc *cicadadeploy.Document, from string, now time.Time) {
+func (rt *Router) enforce(doc *cicadadeploy.Document, from string) {
 	rt.deployMu.Lock()
 	defer rt.deployMu.Unlock()
 	var before uint64
