--- a/internal/cicadaedge/serve_test.go
+++ b/internal/cicadaedge/serve_test.go
@@ -265,7 +265,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	ask := func() time.Duration {
 		if _, err := fmt.Fprintf(conn, "GET /again/ HTTP/1.1\r\nHost: %s\r\nX-Id: q\r\nX-Key: k1\r\n\r\n", callerHost); err != nil {
 			t.Fatal(err)
