No floor in the active part of what is held

Cause: floors of eight routers for ten organisations came to seven in a hundred of all budgets, lost when all processes end.

--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -30,8 +30,6 @@
 	floorShare = 0.3
 	// floorRequests bounds that to so many requests of the usual size.
 	floorRequests = 3
-	// activeRequests of them may be spent at once.
-	activeRequests = 1.5
 	// leastWindow is the shortest time over which a rate is taken.
 	leastWindow = 3 * time.Second
 	// usualWeight is the weight of one request in the average of their sizes.
@@ -92,7 +90,7 @@
 	if want > 0 {
 		return min(want, left)
 	}
-	surplus := min(acc.free-target, acc.free-acc.claimed-acc.active(target, floor, now))
+	surplus := min(acc.free-target, acc.free-acc.claimed-acc.active(target, now))
 	if surplus > 0 && (acc.dry(left) || float64(surplus) > idleShare*float64(acc.bound()) && acc.free > 2*target) {
 		return -surplus
 	}
@@ -117,12 +115,12 @@
 }
 
 // active is the part of the target that may be spent at once.
-func (acc *account) active(target, floor Units, now time.Time) Units {
+func (acc *account) active(target Units, now time.Time) Units {
 	var waiting Units
 	for _, w := range acc.waiters {
 		waiting += w.need
 	}
-	n := max(Units(acc.rate(now)*activeAhead*acc.plenty(activeShare)), Units(float64(floor)*activeRequests/floorRequests))
+	n := Units(acc.rate(now) * activeAhead * acc.plenty(activeShare))
 	return max(min(n, target), waiting)
 }
 
@@ -143,7 +141,7 @@
 		}
 		floor := a.floor(acc)
 		target := acc.target(acc.left(), floor, now)
-		active := acc.active(target, floor, now)
+		active := acc.active(target, now)
 		if n := min(free, target) - active; n > 0 {
 			out[org] = n
 		}
