The store is found again sooner after an outage

Cause: calls that an outage had caught held the next ones up for a second, and callers refused in it came back meanwhile.

--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -19,6 +19,9 @@
 	bankTick = 200 * time.Millisecond
 	// urgentPause is the least time between two transactions while requests wait.
 	urgentPause = 20 * time.Millisecond
+	// probeTimeout bounds a transaction while the store does not answer: more
+	// than it takes when it is slow.
+	probeTimeout = 500 * time.Millisecond
 	// txnMoves bounds the organisations in one transaction, below the store's
 	// hundred entries.
 	txnMoves = 40
@@ -121,6 +124,12 @@
 		return false
 	}
 	asked := time.Now()
+	if !b.up.Load() {
+		// A call that was caught by the outage shall not delay the next one.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+	}
 	done, err := b.rt.cfg.Store.Commit(ctx, sent)
 	now := time.Now()
 	var conflict *cicadastore.ConflictError
--- a/internal/cicadaedge/follow.go
+++ b/internal/cicadaedge/follow.go
@@ -26,7 +26,10 @@
 	tableWait = 500 * time.Millisecond
 	// firstRetry and mostRetry bound the pause after a failed call.
 	firstRetry = 60 * time.Millisecond
-	mostRetry  = 400 * time.Millisecond
+	mostRetry  = 250 * time.Millisecond
+	// probeWait is how long a call waits for a change while the store does not
+	// answer: the call shall show soon whether it does again.
+	probeWait = 50 * time.Millisecond
 )
 
 type (
@@ -77,7 +80,7 @@
 	failing := false
 	for ctx.Err() == nil {
 		asked := time.Now()
-		batch, whole, err := f.read(ctx, since)
+		batch, whole, err := f.read(ctx, since, failing)
 		switch {
 		case errors.Is(err, cicadastore.ErrHistoryLost):
 			f.rt.cfg.Log.WithField("table", f.cfg.table).WithField("since", since).Info("history lost, table is read again")
@@ -111,12 +114,16 @@
 }
 
 // read reads the whole table first and after lost history, and changes then.
-func (f *follower) read(ctx context.Context, since uint64) (cicadastore.Batch, bool, error) {
+func (f *follower) read(ctx context.Context, since uint64, failing bool) (cicadastore.Batch, bool, error) {
 	if since == 0 {
 		b, err := f.store.Snapshot(ctx, f.cfg.table)
 		return b, true, err
 	}
-	b, err := f.store.Changes(ctx, cicadastore.ChangesRequest{Table: f.cfg.table, Since: since, Wait: f.cfg.wait})
+	wait := f.cfg.wait
+	if failing {
+		wait = probeWait
+	}
+	b, err := f.store.Changes(ctx, cicadastore.ChangesRequest{Table: f.cfg.table, Since: since, Wait: wait})
 	return b, false, err
 }
 
