Callers wait for dormant units, or are told when they are released

Cause: in the first seconds of an outage, requests were refused though the units held cover them soon.

--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -72,6 +72,9 @@
 	Shortage struct {
 		Free, Left Units
 		PoolAge    time.Duration
+		// ReleaseIn is when dormant units that cover the request may be spent
+		// without asking the store; zero if there are none.
+		ReleaseIn time.Duration
 	}
 )
 
@@ -125,6 +128,9 @@
 	if acc.left()+acc.free < need && short.PoolAge < poolTrust {
 		return Dry, nil, short
 	}
+	if acc.free >= need && now.Before(a.releaseAt) {
+		short.ReleaseIn = a.releaseAt.Sub(now)
+	}
 	w := &Wait{need: need, ready: make(chan struct{})}
 	acc.waiters = append(acc.waiters, w)
 	return Awaiting, w, short
@@ -136,6 +142,15 @@
 // Granted tells whether the units are reserved. Call it after Ready is closed.
 func (w *Wait) Granted() bool { return w.granted }
 
+// Release ends a wait unless units that are no longer dormant cover it now. It
+// returns false if the wait has ended with an answer.
+func (a *Accounts) Release(org string, w *Wait, now time.Time) bool {
+	a.mu.Lock()
+	a.serveWaiters(a.byOrg[org], now)
+	a.mu.Unlock()
+	return a.Cancel(org, w)
+}
+
 // Cancel ends a wait. It returns false if the wait had ended before.
 func (a *Accounts) Cancel(org string, w *Wait) bool {
 	a.mu.Lock()
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -17,6 +17,9 @@
 	// drawWait bounds the wait for units from the store: several of its usual
 	// answer times, and well below the objectives of today's routes.
 	drawWait = 350 * time.Millisecond
+	// releaseWait is how long a request waits for dormant units: what leaves the
+	// objectives of today's routes time for the answer.
+	releaseWait = 450 * time.Millisecond
 	// filesPerRequest is the descriptors that a request may need: its caller's
 	// connection, its runner's, and as much again for idle ones.
 	filesPerRequest = 4
@@ -235,7 +238,7 @@
 	case cicadabudget.Dry:
 		return dryRefusal(&short)
 	case cicadabudget.Awaiting:
-		if f := q.await(ctx, wait); f != nil {
+		if f := q.await(ctx, wait, &short); f != nil {
 			return f
 		}
 	}
@@ -243,25 +246,32 @@
 	return nil
 }
 
-func (q *request) await(ctx context.Context, wait *cicadabudget.Wait) *refusal {
+// await waits for units: for a draw while the store answers, or for dormant
+// units that are released soon. Else the caller is told when to come back.
+func (q *request) await(ctx context.Context, wait *cicadabudget.Wait, short *cicadabudget.Shortage) *refusal {
 	unsure := &refusal{
 		kind: RefuseBudgetUnsure, after: later,
 		detail: "the organisation's units held here do not cover the request, and the store does not answer",
 	}
+	patience := drawWait
 	if !q.rt.bank.reachable() {
-		if q.rt.accounts.Cancel(q.org.Name, wait) {
+		patience = short.ReleaseIn
+		if patience > 0 {
+			unsure.after = patience
+		}
+		if (patience == 0 || patience > releaseWait) && q.rt.accounts.Cancel(q.org.Name, wait) {
 			return unsure
 		}
 	}
 	q.rt.bank.wake()
-	timer := time.NewTimer(drawWait)
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case <-wait.Ready():
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if q.rt.accounts.Cancel(q.org.Name, wait) {
+	if q.rt.accounts.Release(q.org.Name, wait, time.Now()) {
 		return unsure
 	}
 	if !wait.Granted() {
