--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -221,7 +221,7 @@
 	defer a.mu.Unlock()
 	var moves []Move
 	for org, acc := range a.byOrg {
-		delta := acc.delta(a.floor(acc), now)
+		delta := acc.delta(a.floor(acc), a.usual, now)
 		if delta == 0 || delta < 0 && drawOnly {
 			continue
 		}
--- a/internal/cicadabudget/account_test.go
+++ b/internal/cicadabudget/account_test.go
@@ -243,3 +243,17 @@
 		t.Errorf("rate %d after refusals, %d before", got, rate)
 	}
 }
+
+// TestCutSoonAfterTheFirstRequests starts a router long before its traffic, and
+// cuts it off three seconds after the first request.
+func TestCutSoonAfterTheFirstRequests(t *testing.T) {
+	r := newRig(t, 10_000_000)
+	for range 50 {
+		r.now = r.now.Add(200 * time.Millisecond)
+		r.balance()
+	}
+	r.spendFor(3*time.Second, 1000, r.balance)
+	if got := r.spendFor(9*time.Second, 1000, r.lose); got < 90 {
+		t.Errorf("%d of 90 requests were served during the cut: %+v", got, r.state())
+	}
+}
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -48,13 +48,16 @@
 
 // observe counts units that were reserved, or that turned out unused.
 func (acc *account) observe(n Units, now time.Time) {
+	if acc.since.IsZero() {
+		acc.since, acc.usedAt = now, now
+	}
 	acc.decay(now)
 	acc.used = max(acc.used+float64(n), 0)
 }
 
 func (acc *account) decay(now time.Time) {
 	if acc.since.IsZero() {
-		acc.since, acc.usedAt = now, now
+		return
 	}
 	if dt := now.Sub(acc.usedAt); dt > 0 {
 		acc.used *= math.Exp2(-dt.Seconds() / useHalfLife.Seconds())
@@ -71,15 +74,25 @@
 	return acc.used / max(window, leastWindow.Seconds())
 }
 
+// likelyRate is the rate plus a standard deviation of what it is taken from:
+// few requests of a usual size say little about the next ones.
+func (acc *account) likelyRate(usual float64, now time.Time) float64 {
+	rate := acc.rate(now)
+	if acc.used <= 0 {
+		return rate
+	}
+	return rate * (1 + math.Sqrt(usual/acc.used))
+}
+
 // delta is what to draw, or to give back if negative.
-func (acc *account) delta(floor Units, now time.Time) Units {
+func (acc *account) delta(floor Units, usual float64, now time.Time) Units {
 	left := acc.left()
 	var missing Units
 	for _, w := range acc.waiters {
 		missing += w.need
 	}
 	missing = max(missing-acc.free, 0)
-	target := acc.target(left, floor, now)
+	target := acc.target(floor, usual, now)
 	want := missing
 	if missing > left {
 		want = 0
@@ -102,11 +115,11 @@
 }
 
 // target is what this router would like to have free.
-func (acc *account) target(left, floor Units, now time.Time) Units {
-	if acc.dry(left) {
+func (acc *account) target(floor Units, usual float64, now time.Time) Units {
+	if acc.dry(acc.left()) {
 		return 0
 	}
-	return max(Units(acc.rate(now)*holdAhead*acc.plenty(plentyShare)), floor)
+	return max(Units(acc.likelyRate(usual, now)*holdAhead*acc.plenty(plentyShare)), floor)
 }
 
 // plenty is 1 while a share of the budget is left, and falls to 0 as it runs dry.
@@ -140,7 +153,7 @@
 			continue
 		}
 		floor := a.floor(acc)
-		target := acc.target(acc.left(), floor, now)
+		target := acc.target(floor, a.usual, now)
 		active := acc.active(target, now)
 		if n := min(free, target) - active; n > 0 {
 			out[org] = n
