--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -31,7 +31,7 @@
 	// floorRequests bounds that to so many requests of the usual size.
 	floorRequests = 3
 	// leastWindow is the shortest time over which a rate is taken.
-	leastWindow = 3 * time.Second
+	leastWindow = 2 * time.Second
 	// usualWeight is the weight of one request in the average of their sizes.
 	usualWeight = 0.05
 	// refillShare is the share of the target below which more is drawn.
