--- a/model/slices.pml
+++ b/model/slices.pml
@@ -21,7 +21,7 @@
 #define HOSTS 1
 #define LAPSE 2
 #define TICKS 4
-#define MAXTX 3
+#define MAXTX 2
 #define MAXBOOT 2
 
 byte prepaid = 2;
