--- a/internal/cicadacmd/node.go
+++ b/internal/cicadacmd/node.go
@@ -78,16 +78,20 @@
 	}
 	rt := cicadaedge.New(cfg)
 	rt.Start()
-	watchSettings(ctx, path, logger)
+	watchSettings(ctx, path, rt, logger)
 	rt.Stop()
 	return nil
 }
 
+func boundsOf(s *cicadaplatform.Settings) cicadaedge.Bounds {
+	return cicadaedge.Bounds{Retries: s.Retries(), InForce: s.InForce(), Stretch: s.Stretch(), Seeds: s.Seeds()}
+}
+
 func edgeConfig(ctx context.Context, s *cicadaplatform.Settings, logger log.Interface) (cicadaedge.Config, error) {
 	metrics := cicadaedge.NewMetrics()
 	cfg := cicadaedge.Config{
 		Name: s.Name(), Place: s.Place(), Host: s.Name() + "@" + s.Host(), Boot: strconv.FormatInt(time.Now().UnixNano(), 36), Began: time.Now(),
-		ReadyPath: cicadaplatform.ReadyPath, Seeds: s.Seeds(),
+		ReadyPath: cicadaplatform.ReadyPath, Bounds: boundsOf(s),
 		Store: cicadaplatform.NewStore(cicadaplatform.StoreConfig{
 			Addr: s.StoreAddr(), Timeout: storeTimeout, OnCall: metrics.StoreCalled,
 		}),
@@ -96,8 +100,8 @@
 			RunnerTable:      cicadaplatform.TableRunners,
 			DecodeDeployment: cicadaplatform.DecodeDeployment, DecodeRunner: cicadaplatform.DecodeRunner,
 		},
-		Dialect: cicadaplatform.Dialect{}, Retries: s.Retries(), StopTimeout: s.StopTimeout(),
-		InForce: s.InForce(), Stretch: s.Stretch(), HoldRemoved: holdRemoved, MaxFiles: s.MaxFiles(),
+		Dialect: cicadaplatform.Dialect{}, StopTimeout: s.StopTimeout(),
+		HoldRemoved: holdRemoved, MaxFiles: s.MaxFiles(),
 		Log: logger, Metrics: metrics,
 	}
 	for _, l := range []struct {
@@ -116,9 +120,9 @@
 	return cfg, nil
 }
 
-// watchSettings checks the settings file whenever it changes, until ctx ends.
-// What a running process listens on and holds does not change with it.
-func watchSettings(ctx context.Context, path string, logger log.Interface) {
+// watchSettings puts settings in force whenever the file changes, with a signal or
+// without, until ctx ends.
+func watchSettings(ctx context.Context, path string, rt *cicadaedge.Router, logger log.Interface) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -137,11 +141,13 @@
 			}
 			last = at
 		}
-		if _, err := cicadaplatform.LoadSettings(path); err != nil {
+		settings, err := cicadaplatform.LoadSettings(path)
+		if err != nil {
 			logger.WithError(err).Error("settings cannot be read, the present ones stay")
 			continue
 		}
-		logger.WithField("path", path).Info("settings read again")
+		rt.Apply(boundsOf(settings))
+		logger.WithField("path", path).Info("reload")
 	}
 }
 
--- /dev/null
+++ b/internal/cicadacmd/node_test.go
@@ -0,0 +1,33 @@
+package cicadacmd_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadacmd"
+)
+
+// TestNodeWithBadSettings checks that nothing starts on settings that are wrong,
+// and that each mistake is named.
+func TestNodeWithBadSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	if err := os.WriteFile(path, []byte("NodeName: n\nBounds: {GraceS: 8}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	code := cicadacmd.Run(t.Context(), []string{"node", "--settings", path}, os.DirFS("."), cicadacmd.IO{Out: &out, Err: &errs})
+	if code != cicadacmd.ExitUsage {
+		t.Errorf("exit code %d", code)
+	}
+	for _, want := range []string{path, "Zone", "Listen.Front", "Platform.Address", "Bounds.ConfigMs"} {
+		if !strings.Contains(errs.String(), want) {
+			t.Errorf("the message lacks %q: %s", want, errs.String())
+		}
+	}
+	if out.Len() > 0 {
+		t.Errorf("something started: %s", out.String())
+	}
+}
--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -79,6 +79,16 @@
 		RefusalStatus(k RefusalKind) int
 	}
 
+	// Bounds are settings that may change while a router runs.
+	Bounds struct {
+		Retries cicadaretry.Config
+		// InForce is the time within which a change must be in force, and
+		// Stretch what is added while the store is unsure.
+		InForce, Stretch time.Duration
+		// Seeds are relay addresses of other routers that may be stale.
+		Seeds []string
+	}
+
 	// Config sets up a Router.
 	Config struct {
 		Name, Place string
@@ -93,18 +103,13 @@
 		Health    net.Listener // readiness, metrics, state
 		ReadyPath string
 		// Relay is where other routers ask; nil for no relay.
-		Relay net.Listener
-		// Seeds are relay addresses that may be stale.
-		Seeds   []string
+		Relay   net.Listener
 		Store   Store
 		Sources Sources
 		Dialect Dialect
-		Retries cicadaretry.Config
+		Bounds  Bounds
 		// StopTimeout is the time between the signal to stop and the kill.
 		StopTimeout time.Duration
-		// InForce is the time within which a change must be in force, and
-		// Stretch what is added while the store is unsure.
-		InForce, Stretch time.Duration
 		// HoldRemoved is for how long after an outage of the store the entries
 		// that vanished in it are kept.
 		HoldRemoved time.Duration
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -401,8 +401,11 @@
 		Name: name, Host: name, Place: "p", Boot: name + strconv.FormatInt(time.Now().UnixNano(), 36), Began: time.Now(),
 		Callers: listen(), Health: listen(), Relay: listen(), ReadyPath: "/ready",
 		Store: view, Dialect: dialect{}, StopTimeout: 4 * time.Second,
-		InForce: 500 * time.Millisecond, Stretch: time.Second, HoldRemoved: 400 * time.Millisecond,
-		Retries: cicadaretry.Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		HoldRemoved: 400 * time.Millisecond,
+		Bounds: cicadaedge.Bounds{
+			InForce: 500 * time.Millisecond, Stretch: time.Second,
+			Retries: cicadaretry.Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		},
 		Sources: cicadaedge.Sources{
 			DeploymentTable: tableDeploy, DeploymentKey: "config", RunnerTable: tableRunners,
 			DecodeDeployment: func(data []byte) (*cicadadeploy.Document, error) {
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -49,9 +49,9 @@
 	// peers are the other routers.
 	peers struct {
 		self, selfAddr string
-		seeds          []string
 
-		mu     sync.Mutex // guards the field below
+		mu     sync.Mutex // guards the fields below
+		seeds  []string
 		byName map[string]string
 	}
 )
@@ -60,6 +60,12 @@
 	return &peers{self: self, selfAddr: selfAddr, seeds: seeds, byName: map[string]string{}}
 }
 
+func (p *peers) setSeeds(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+}
+
 func (p *peers) take(b cicadastore.Batch, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -44,6 +44,7 @@
 	desk      *desk
 	desks     *desks
 
+	bounds   atomic.Pointer[Bounds]
 	deploy   atomic.Pointer[cicadadeploy.Snapshot]
 	deployMu sync.Mutex // orders changes of deploy
 
@@ -65,14 +66,15 @@
 		cfg:       cfg,
 		fleet:     cicadaplace.NewFleet(cicadaplace.Config{Place: cfg.Place, HoldRemoved: cfg.HoldRemoved}),
 		accounts:  cicadabudget.NewAccounts(),
-		retries:   cicadaretry.NewBudget(cfg.Retries),
+		retries:   cicadaretry.NewBudget(cfg.Bounds.Retries),
 		upstreams: newUpstreams(cfg.Metrics),
 	}
 	relay := ""
 	if cfg.Relay != nil {
 		relay = cfg.Relay.Addr().String()
 	}
-	rt.peers = newPeers(cfg.Name, relay, cfg.Seeds)
+	rt.bounds.Store(&cfg.Bounds)
+	rt.peers = newPeers(cfg.Name, relay, cfg.Bounds.Seeds)
 	rt.bank = newBank(rt)
 	rt.desk = newDesk(rt.fleet)
 	rt.desks = newDesks(rt)
@@ -106,6 +108,14 @@
 	rt.goPart(func() { rt.serve(rt.health, rt.cfg.Health) })
 }
 
+// Apply puts changed settings in force. What the router listens on and holds
+// stays.
+func (rt *Router) Apply(b Bounds) {
+	rt.bounds.Store(&b)
+	rt.retries.Configure(b.Retries)
+	rt.peers.setSeeds(b.Seeds)
+}
+
 func (rt *Router) goPart(run func()) {
 	rt.parts.Add(1)
 	go func() {
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -162,7 +162,8 @@
 
 // denied refuses for good, if the configuration that says so is current.
 func (rt *Router) denied(k RefusalKind, detail string) *refusal {
-	if age := rt.deployAge(time.Now()); age > rt.cfg.InForce+rt.cfg.Stretch {
+	bounds := rt.bounds.Load()
+	if age := rt.deployAge(time.Now()); age > bounds.InForce+bounds.Stretch {
 		return &refusal{kind: RefuseNoDeployment, after: later, detail: "the configuration in force is " + age.String() + " old"}
 	}
 	return &refusal{kind: k, detail: detail}
--- a/internal/cicadaedge/views_test.go
+++ b/internal/cicadaedge/views_test.go
@@ -244,3 +244,37 @@
 		t.Errorf("status %d, ready %v", got.status, n.Ready())
 	}
 }
+
+// TestDeskThatDoesNotAnswer ends one of two routers, so that for about half of
+// the prompts the desk is gone: they are placed all the same, in good time.
+func TestDeskThatDoesNotAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.addRunner(func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 3) })
+	n1, n2 := f.ready(f.node("n1")), f.ready(f.node("n2"))
+	eventually(t, "the routers know each other", func() bool { return n1.Peers() == 2 && n2.Peers() == 2 })
+	n2.stop()
+	for _, parts := range []string{"a,b", "c,d", "e,f", "g,h", "i,j"} {
+		began := time.Now()
+		got := call(t, n1, "/stream/", map[string]string{"X-Tokens": "100,10", "X-Parts": parts}, "")
+		if took := time.Since(began); got.status != http.StatusOK || got.err != nil || took > time.Second {
+			t.Errorf("parts %s: status %d, error %v, after %v", parts, got.status, got.err, took)
+		}
+	}
+}
+
+// TestSettingsApplyToARunningRouter lowers the age at which a configuration says
+// nothing about what is missing.
+func TestSettingsApplyToARunningRouter(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.addRunner(refuses)
+	n := f.ready(f.node("n1"))
+	if got := call(t, n, "/other/", nil, "").status; got != http.StatusNotFound {
+		t.Errorf("status %d of a path without a route", got)
+	}
+	n.Apply(cicadaedge.Bounds{InForce: time.Nanosecond})
+	if got := call(t, n, "/other/", nil, "").status; got != http.StatusServiceUnavailable {
+		t.Errorf("status %d when no view is fresh enough", got)
+	}
+}
--- a/internal/cicadaretry/budget.go
+++ b/internal/cicadaretry/budget.go
@@ -54,6 +54,13 @@
 	return &Budget{cfg: cfg, routers: 1, services: map[string]*bucket{}}
 }
 
+// Configure changes the bound. What has been spent stays spent.
+func (b *Budget) Configure(cfg Config) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg = cfg
+}
+
 // SetRouters sets the number of routers that share the budget.
 func (b *Budget) SetRouters(n int) {
 	b.mu.Lock()
