--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -18,7 +18,7 @@
 	// hold for the whole of holdAhead; below it the time shrinks in proportion.
 	plentyShare = 0.25
 	// activeShare is the same for the active part, which is lost with a process.
-	activeShare = 0.5
+	activeShare = 0.95
 	// dryShare is the share left undrawn below which routers hold nothing beyond
 	// what requests reserve, and give back what they hold at once.
 	dryShare = 0.03
