Active part of a router bounded to a share of the budget

Cause: one process that ended in the morning took 8% of a large organisation's budget with it, and all its requests of the evening were refused.

--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -34,6 +34,10 @@
 	leastWindow = 2 * time.Second
 	// usualWeight is the weight of one request in the average of their sizes.
 	usualWeight = 0.05
+	// mostActive bounds the active part of one router to a share of the budget:
+	// what a process loses when it ends is out of reach for the rest of the day,
+	// and callers are owed service until less than three in a hundred are left.
+	mostActive = 0.025
 	// refillShare is the share of the target below which more is drawn.
 	refillShare = 0.75
 	// useHalfLife is the time after which the observed rate of an idle account
@@ -133,7 +137,7 @@
 	for _, w := range acc.waiters {
 		waiting += w.need
 	}
-	n := Units(acc.rate(now) * activeAhead * acc.plenty(activeShare))
+	n := Units(min(acc.rate(now)*activeAhead*acc.plenty(activeShare), mostActive*float64(acc.bound())))
 	return max(min(n, target), waiting)
 }
 
