--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -53,10 +53,6 @@
 	}
 }
 
-// settled tells that a reservation ended. A waiting request may be served by it;
-// what is to be given back waits for the next tick.
-func (b *bank) settled() {}
-
 func (b *bank) reachable() bool { return b.up.Load() }
 
 func (b *bank) run(ctx context.Context) {
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -66,7 +66,9 @@
 	p.seeds = seeds
 }
 
-func (p *peers) take(b cicadastore.Batch, whole bool) {
+// take learns the routers' rows. It returns the rows that cannot be read, which
+// name no router.
+func (p *peers) take(b cicadastore.Batch, whole bool) (unreadable []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if whole {
@@ -75,12 +77,16 @@
 	for i := range b.Changes {
 		c := &b.Changes[i]
 		var row routerRow
-		if c.Deleted || json.Unmarshal(c.Value, &row) != nil {
+		if !c.Deleted && json.Unmarshal(c.Value, &row) != nil {
+			unreadable = append(unreadable, c.Key)
+		}
+		if row.Boot == "" {
 			delete(p.byName, c.Key)
 			continue
 		}
 		p.byName[c.Key] = row.Relay
 	}
+	return unreadable
 }
 
 // count is the number of routers, this one included. Rows of routers that ended
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -297,7 +297,6 @@
 		used = q.demand.PromptTokens + min(q.demand.MaxOutput, q.delivered*q.tokensPerEvent())
 	}
 	q.rt.accounts.Settle(q.org.Name, q.reserved, cicadabudget.Units(used), time.Now())
-	q.rt.bank.settled()
 }
 
 func (q *request) tokensPerEvent() int64 {
--- a/internal/cicadaedge/views.go
+++ b/internal/cicadaedge/views.go
@@ -136,7 +136,9 @@
 
 // takeRouters counts the routers and learns where they relay.
 func (rt *Router) takeRouters(b cicadastore.Batch, whole bool, _ time.Time) {
-	rt.peers.take(b, whole)
+	for _, key := range rt.peers.take(b, whole) {
+		rt.cfg.Log.WithField("router", key).Error("row of a router cannot be read")
+	}
 	n := rt.peers.count()
 	rt.accounts.SetRouters(n)
 	rt.retries.SetRouters(n)
--- a/internal/cicadanet/net.go
+++ b/internal/cicadanet/net.go
@@ -22,9 +22,30 @@
 	keepAliveMiss = 2
 )
 
+// Config sets up a dialer.
+type Config struct {
+	// Timeout bounds the making of a connection.
+	Timeout time.Duration
+	// Silence ends a connection whose sent data nobody acknowledges; zero for
+	// userTimeout.
+	Silence time.Duration
+	// KeepAlive finds idle connections that went silent; the zero value for
+	// probes after keepAliveIdle.
+	KeepAlive net.KeepAliveConfig
+}
+
 // NewDialer returns a dialer whose connections end when the other side is silent.
-func NewDialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, Control: control, KeepAliveConfig: keepAlive()}
+func NewDialer(timeout time.Duration) *net.Dialer { return Dialer(Config{Timeout: timeout}) }
+
+// Dialer returns a dialer with bounds of its own.
+func Dialer(cfg Config) *net.Dialer {
+	if cfg.Silence == 0 {
+		cfg.Silence = userTimeout
+	}
+	if !cfg.KeepAlive.Enable {
+		cfg.KeepAlive = keepAlive()
+	}
+	return &net.Dialer{Timeout: cfg.Timeout, Control: cfg.control, KeepAliveConfig: cfg.KeepAlive}
 }
 
 // Listen opens a TCP listener on addr; its connections are kept alive by probes.
@@ -38,10 +59,12 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveGap, Count: keepAliveMiss}
 }
 
-func control(_, _ string, c syscall.RawConn) error {
+// control makes the kernel give up a connection whose data is not acknowledged,
+// as happens when something between the ends has lost it.
+func (cfg Config) control(_, _ string, c syscall.RawConn) error {
 	var optErr error
 	err := c.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(cfg.Silence.Milliseconds()))
 	})
 	if err != nil {
 		return errors.Wrap(err, "reach socket")
--- a/internal/cicadapeer/conn.go
+++ b/internal/cicadapeer/conn.go
@@ -3,12 +3,11 @@
 import (
 	"io"
 	"net"
-	"syscall"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/creachadair/jrpc2/channel"
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -84,26 +83,12 @@
 	return &boundedChannel{Channel: channel.Header("")(r, conn), r: r}
 }
 
-// controlSocket makes the kernel give up a connection whose data is not
-// acknowledged, as happens when something between the ends has lost it.
-func controlSocket(_, _ string, c syscall.RawConn) error {
-	var optErr error
-	err := c.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return errors.Wrap(err, "set user timeout")
-	}
-	return errors.Wrap(optErr, "set user timeout")
-}
-
 // Dialer returns a dialer whose connections end when the other side is silent.
 func Dialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout:         dialTimeout,
-		Control:         controlSocket,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveGap, Interval: keepAliveGap, Count: 3},
-	}
+	return cicadanet.Dialer(cicadanet.Config{
+		Timeout: dialTimeout, Silence: userTimeout,
+		KeepAlive: net.KeepAliveConfig{Enable: true, Idle: keepAliveGap, Interval: keepAliveGap, Count: 3},
+	})
 }
 
 // dialTimeout bounds the making of a connection.
