Ages of views on the steady clock

Cause, found by reading: the time at which a view was current was kept as time of day, which may jump by seconds; a jump back hid that a view was stale.

--- a/internal/cicadaedge/follow.go
+++ b/internal/cicadaedge/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
@@ -52,8 +51,8 @@
 		cfg   followConfig
 		store Store
 		rt    *Router
-		// freshAt is when the last answered call was sent, in Unix nanoseconds.
-		freshAt atomic.Int64
+		// freshAt is when the last answered call was sent.
+		freshAt instant
 		done    chan struct{}
 	}
 )
@@ -66,11 +65,7 @@
 
 // age is the time since the view was known to be current.
 func (f *follower) age(now time.Time) time.Duration {
-	at := f.freshAt.Load()
-	if at == 0 {
-		return time.Hour
-	}
-	return now.Sub(time.Unix(0, at))
+	return f.freshAt.age(now)
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -105,7 +100,7 @@
 		failing, retry = false, firstRetry
 		since = batch.Version
 		f.cfg.take(batch, whole, now)
-		f.freshAt.Store(asked.UnixNano())
+		f.freshAt.set(asked)
 		if f.cfg.fresh != nil {
 			f.cfg.fresh(asked)
 		}
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -225,9 +225,9 @@
 		rt.enforce(reply.Deployment, "peer "+addr)
 	}
 	freshAt := asked.Add(-time.Duration(reply.AgeMillis) * time.Millisecond)
-	rt.notePeerView(freshAt)
+	rt.peerViewAt.advance(freshAt)
 	runnersAt := asked.Add(-time.Duration(reply.RunnersAgeMillis) * time.Millisecond)
-	if runnersAt.After(rt.runnersFreshAt()) && len(reply.Runners) > 0 {
+	if now := time.Now(); now.Sub(runnersAt) < rt.runnersAge(now) && len(reply.Runners) > 0 {
 		rt.takePeerRunners(reply.Runners, runnersAt)
 	}
 	return nil
@@ -247,5 +247,5 @@
 		rt.cfg.Log.WithField("runner", r.ID()).WithField("why", "another router's view").Info("runner removed")
 		rt.upstreams.forget(r)
 	}
-	rt.peerRunnersAt.Store(at.UnixNano())
+	rt.peerRunnersAt.set(at)
 }
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -50,8 +50,8 @@
 
 	deployments, runners *follower
 	// peerViewAt and peerRunnersAt are how current the views of other routers
-	// were, in Unix nanoseconds.
-	peerViewAt, peerRunnersAt atomic.Int64
+	// were.
+	peerViewAt, peerRunnersAt instant
 
 	stopping atomic.Bool
 	callers  *http.Server
@@ -175,31 +175,11 @@
 // deployAge is the time since the configuration in force was known to be the
 // newest.
 func (rt *Router) deployAge(now time.Time) time.Duration {
-	return min(rt.deployments.age(now), ageOf(&rt.peerViewAt, now))
+	return min(rt.deployments.age(now), rt.peerViewAt.age(now))
 }
 
 func (rt *Router) runnersAge(now time.Time) time.Duration {
-	return min(rt.runners.age(now), ageOf(&rt.peerRunnersAt, now))
-}
-
-func (rt *Router) runnersFreshAt() time.Time {
-	now := time.Now()
-	return now.Add(-rt.runnersAge(now))
-}
-
-func ageOf(at *atomic.Int64, now time.Time) time.Duration {
-	t := at.Load()
-	if t == 0 {
-		return time.Hour
-	}
-	return now.Sub(time.Unix(0, t))
-}
-
-// notePeerView notes how current the view of another router was.
-func (rt *Router) notePeerView(at time.Time) {
-	if at.UnixNano() > rt.peerViewAt.Load() {
-		rt.peerViewAt.Store(at.UnixNano())
-	}
+	return min(rt.runners.age(now), rt.peerRunnersAt.age(now))
 }
 
 func (rt *Router) serveState(w http.ResponseWriter, _ *http.Request) {
