A claim holds for as long as its row says

Cause, found by reading: the time was worked out anew from the number of routers at each look; had that number fallen, dormant units were spent while the row still claimed them, and a later process could have taken them over too. TestFewerRoutersDoNotShortenAClaim fails without the change (53 of 117,700 claimed units left).

--- a/internal/cicadabudget/account_test.go
+++ b/internal/cicadabudget/account_test.go
@@ -261,3 +261,20 @@
 		t.Errorf("%d of 90 requests were served during the cut: %+v", got, r.state())
 	}
 }
+
+// TestFewerRoutersDoNotShortenAClaim writes a row for many routers and learns
+// that there are few: what the row claims is kept for as long as the row says.
+func TestFewerRoutersDoNotShortenAClaim(t *testing.T) {
+	r := newRig(t, 10_000_000)
+	r.book.SetRouters(400)
+	r.spendFor(10*time.Second, 1000, r.balance)
+	dormant, lapse := r.own.Dormant[org], time.Duration(r.own.LapseMillis)*time.Millisecond
+	r.book.SetRouters(1)
+	r.now = r.now.Add(lapse / 2)
+	r.book.Refused(r.book.Begin(r.accs.Plan(false, r.now), r.now), r.now)
+	for r.spend(1000, func() {}) {
+	}
+	if got := r.state().Free; got < dormant {
+		t.Errorf("%d units free half a lapse of %v after the row, which claims %d", got, lapse, dormant)
+	}
+}
--- a/internal/cicadabudget/book.go
+++ b/internal/cicadabudget/book.go
@@ -46,8 +46,10 @@
 		routers int
 		doubts  []*Txn // sent at the present version of the own row, outcome unknown
 		claimed map[string]Units
-		// claimedAt is when the row in force was sent.
-		claimedAt time.Time
+		// claimedAt is when the row in force was sent, and claimedLapse how long
+		// it says that its claims hold.
+		claimedAt    time.Time
+		claimedLapse time.Duration
 		// heritage is what the row of an earlier process leaves to this one.
 		heritage map[string]Units
 		found    *Legacy
@@ -78,6 +80,7 @@
 		claims     map[string]Units // dormant once the moves are done
 		heritage   map[string]Units
 		sentAt     time.Time // of the first in a series of doubts
+		lapse      time.Duration
 	}
 
 	// OwnRow is the value of a router's own row.
@@ -119,7 +122,7 @@
 // Begin makes a transaction of the moves that the pools cover, or returns nil if
 // there is nothing to do. A transaction in doubt is settled by the next one.
 func (b *Book) Begin(moves []Move, now time.Time) *Txn {
-	txn := &Txn{OwnVersion: b.version, heritage: b.heritage, sentAt: now}
+	txn := &Txn{OwnVersion: b.version, heritage: b.heritage, sentAt: now, lapse: b.lapse()}
 	for _, m := range moves {
 		after, ok := b.accs.Next(m)
 		if !ok {
@@ -156,16 +159,20 @@
 // claim makes the accounts keep to all rows that may be in force.
 func (b *Book) claim(sent *Txn, now time.Time) {
 	rows := []map[string]Units{b.claimed}
-	at := b.claimedAt
+	release := b.claimedAt.Add(b.claimedLapse)
+	later := func(t *Txn) {
+		rows = append(rows, t.withheld())
+		if at := t.sentAt.Add(t.lapse); at.After(release) {
+			release = at
+		}
+	}
 	for _, d := range b.doubts {
-		rows = append(rows, d.withheld())
-		at = d.sentAt
+		later(d)
 	}
 	if sent != nil {
-		rows = append(rows, sent.withheld())
-		at = sent.sentAt
+		later(sent)
 	}
-	b.accs.setClaims(rows, at.Add(b.lapse()), now)
+	b.accs.setClaims(rows, release, now)
 }
 
 // withheld is what must not be spent of the units held before the moves, so that
@@ -185,7 +192,7 @@
 	row := OwnRow{Boot: b.boot, Number: txn.Number, Dormant: txn.claims}
 	if len(txn.claims) > 0 {
 		row.AsOf = b.clock.millis + txn.sentAt.Sub(b.clock.at).Milliseconds()
-		row.LapseMillis = b.lapse().Milliseconds()
+		row.LapseMillis = txn.lapse.Milliseconds()
 	}
 	return row
 }
@@ -275,7 +282,7 @@
 		b.accs.inherit(txn.heritage, now)
 	}
 	b.heritage = nil
-	b.claimed, b.claimedAt = txn.claims, txn.sentAt
+	b.claimed, b.claimedAt, b.claimedLapse = txn.claims, txn.sentAt, txn.lapse
 }
 
 func (b *Book) undo(txn *Txn) {
--- a/internal/cicadabudget/book_test.go
+++ b/internal/cicadabudget/book_test.go
@@ -274,6 +274,10 @@
 				w.used += need
 			}
 		}),
+		"routers": onAwake(func(t *rapid.T, _ int, p *process) {
+			// The time for which claims hold follows the number of routers.
+			p.book.SetRouters(rapid.SampledFrom([]int{1, 400}).Draw(t, "routers"))
+		}),
 		"outage": func(*rapid.T) { w.down = !w.down },
 		"restart": func(t *rapid.T) {
 			host := rapid.IntRange(0, hostCount-1).Draw(t, "host")
