A home that has been given up by its checkpoint is no home for a record

Cause: a checkpoint that finds the fence lost forgets the partition while the committer writes a record of it; the record's fence was then read from nothing. Seen once, as a crash of the demo's test of under eight busy loops; not seen since, and no test brings it about.

--- a/internal/cicadahome/commit.go
+++ b/internal/cicadahome/commit.go
@@ -197,6 +197,10 @@
 	}
 	for _, b := range batches {
 		o := h.part(b.Partition)
+		if o == nil {
+			// Another goroutine has found that this process is no longer its home.
+			return map[cicadaledger.PartitionID]bool{b.Partition: true}, nil
+		}
 		txn.Conditions = append(txn.Conditions, cicadastore.Condition{Ref: fenceRef(b.Partition), Version: o.version})
 	}
 	conflict, err := h.commitUntilKnown(txn, row)
@@ -365,6 +369,10 @@
 	defer h.mu.Unlock()
 	for i := range batches {
 		o := h.parts[batches[i].Partition]
+		if o == nil {
+			// Given up since; the next home reads the record from the log.
+			continue
+		}
 		if err := o.ledger.Apply(&batches[i]); err != nil {
 			h.impossible(err)
 			delete(h.parts, o.id)
