Sessions start no goroutine once they are abandoned, and say what kept them open

Found by TestPromisesHoldOnABadDay; TestUseWhileTheProcessEnds fails before this change with the race detector and passes after it.

--- a/internal/cicadasession/manager.go
+++ b/internal/cicadasession/manager.go
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -92,6 +94,8 @@
 		lastLoan uint64
 		closing  bool
 		ended    bool
+		// abandoned means that no goroutine is started any more.
+		abandoned bool
 	}
 
 	// waitList is the requests that wait for units of one budget.
@@ -301,8 +305,10 @@
 	if !ok {
 		p = newPart(m, id)
 		m.parts[id] = p
-		m.wg.Add(1)
-		go p.run()
+		if !m.abandoned {
+			m.wg.Add(1)
+			go p.run()
+		}
 	}
 	return p
 }
@@ -325,14 +331,38 @@
 	case <-ended:
 		return nil
 	case <-ctx.Done():
+		left := m.unclosed()
 		close(m.stop)
 		<-ended
-		return errors.Wrap(ErrHomeAway, "not every unit was returned")
+		return errors.Wrapf(ErrHomeAway, "not every unit was returned: %s", strings.Join(left, "; "))
 	}
 }
 
+// unclosed describes the sessions that have not ended and what keeps each open.
+func (m *Manager) unclosed() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for id, p := range m.parts {
+		if p.closed {
+			continue
+		}
+		why := "no exchange is open"
+		if p.lastErr != nil {
+			why = p.lastErr.Error()
+		}
+		out = append(out, fmt.Sprintf("partition %s: %d bills queued, %d units reserved, last exchange: %s",
+			id, len(p.bills), m.slices.ReservedIn(p.contains), why))
+	}
+	return out
+}
+
 // Abandon ends the sessions without a word to the homes, as a crash does.
+// Requests may still be in progress; what they settle from now on is lost.
 func (m *Manager) Abandon() {
+	m.mu.Lock()
+	m.closing, m.abandoned = true, true
+	m.mu.Unlock()
 	close(m.stop)
 	m.wg.Wait()
 }
--- a/internal/cicadasession/part.go
+++ b/internal/cicadasession/part.go
@@ -36,6 +36,8 @@
 		moves  []cicadaledger.Move
 		// sentMoves are those of the open exchange.
 		sentMoves []cicadaledger.Move
+		closed    bool  // the home has taken the session's end
+		lastErr   error // of the open exchange, nil if it has not been tried or was answered
 	}
 
 	pendingBill struct {
@@ -214,6 +216,7 @@
 // manager ends first.
 func (p *part) send(o *open) bool {
 	if o.exchange.Seq == 0 {
+		p.note(o, nil)
 		return true
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -228,6 +231,7 @@
 	item := &cicadapeer.ExchangeItem{Partition: p.id, Exchange: o.exchange}
 	for wait := retryFirst; ; wait = min(2*wait, retryLongest) {
 		answer, err := p.m.cfg.Homes.Exchange(ctx, item)
+		p.note(o, err)
 		if err == nil {
 			p.take(o, answer)
 			return true
@@ -246,6 +250,14 @@
 	}
 }
 
+// note keeps the outcome of a try for those who ask why a session stays open.
+func (p *part) note(o *open, err error) {
+	p.m.mu.Lock()
+	defer p.m.mu.Unlock()
+	p.lastErr = err
+	p.closed = err == nil && o.exchange.Closing
+}
+
 // take applies an answer and tells everybody who waits for it.
 func (p *part) take(o *open, a *cicadaledger.Answer) {
 	m := p.m
--- a/internal/cicadasession/session_test.go
+++ b/internal/cicadasession/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -253,3 +254,23 @@
 	}
 	m.Abandon()
 }
+
+// TestUseWhileTheProcessEnds settles requests of many partitions while the
+// manager ends as in a crash: the race detector must find nothing.
+func TestUseWhileTheProcessEnds(t *testing.T) {
+	for range 20 {
+		m := newManager(t, newHome(1000), nil)
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for n := range 50 {
+					m.Release(fmt.Sprintf("svc/%d-%d", i, n), cicadaledger.Claim{Key: "k", RequestID: "r"})
+				}
+			}()
+		}
+		m.Abandon()
+		wg.Wait()
+	}
+}
