What a row declares dormant is withheld from the moment it is worked out

Cause: Book.Begin worked out the dormant units under the accounts' lock and withheld them in a second step. A request between the two could take units that the row then claimed; if the process ended before the claim lapsed, a later process on the host took them over although they were spent.

TestClaimsAreTrueWhileRequestsArrive fails before (a row claims 15,467 units, 12,594 are there) and passes after; the state machine of the book passes as before.

--- a/internal/cicadabudget/account_test.go
+++ b/internal/cicadabudget/account_test.go
@@ -1,6 +1,7 @@
 package cicadabudget_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -278,3 +279,53 @@
 		t.Errorf("%d units free half a lapse of %v after the row, which claims %d", got, lapse, dormant)
 	}
 }
+
+// TestClaimsAreTrueWhileRequestsArrive takes and settles units beside a book that
+// declares some of them dormant: what a row claims is never spent before the
+// claim has lapsed.
+func TestClaimsAreTrueWhileRequestsArrive(t *testing.T) {
+	r := newRig(t, 1_000_000)
+	r.spendFor(4*time.Second, 400, r.balance)
+	r.now = r.now.Add(5 * time.Second) // the claims in force have lapsed
+	stop, now := make(chan struct{}), r.now
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				var taken int
+				for {
+					verdict, wait, _ := r.accs.Reserve(org, 100, now)
+					if verdict != cicadabudget.Granted {
+						r.accs.Cancel(org, wait)
+						break
+					}
+					taken++
+				}
+				for range taken {
+					r.accs.Settle(org, 100, 0, now)
+				}
+			}
+		}()
+	}
+	for range 4_000 {
+		txn := r.book.Begin(nil, now)
+		if txn == nil {
+			t.Fatal("no row is due")
+		}
+		claimed := r.book.Row(txn).Dormant[org]
+		if free := r.state().Free; claimed > free {
+			t.Errorf("a row claims %d units as dormant, %d are there", claimed, free)
+			break
+		}
+		r.book.Refused(txn, now)
+	}
+	close(stop)
+	wg.Wait()
+}
--- a/internal/cicadabudget/book.go
+++ b/internal/cicadabudget/book.go
@@ -132,15 +132,16 @@
 		txn.Moves = append(txn.Moves, m)
 		txn.After = append(txn.After, after)
 	}
+	if len(b.doubts) > 0 {
+		txn.sentAt = b.doubts[0].sentAt
+	}
 	if b.clock.millis > 0 {
-		txn.claims = b.accs.claims(txn.Moves, now)
+		txn.claims = b.accs.claims(txn.Moves, txn.sentAt.Add(txn.lapse), now)
 	}
 	if len(txn.Moves) == 0 && len(b.doubts) == 0 && len(b.heritage) == 0 && !b.rowDue(txn.claims, now) {
+		b.claim(nil, now)
 		return nil
 	}
-	if len(b.doubts) > 0 {
-		txn.sentAt = b.doubts[0].sentAt
-	}
 	b.number++
 	txn.Number = b.number
 	b.claim(txn, now)
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -141,9 +141,10 @@
 	return max(min(n, target), waiting)
 }
 
-// claims returns what of each account's free units to declare dormant in a row
-// that is about to be sent with some moves.
-func (a *Accounts) claims(moves []Move, now time.Time) map[string]Units {
+// claims returns what of each account's free units to declare dormant until
+// releaseAt in a row that is about to be sent with some moves. From here on they
+// are not spent: a request that came between would make the row untrue.
+func (a *Accounts) claims(moves []Move, releaseAt, now time.Time) map[string]Units {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	drawn := map[string]Units{}
@@ -161,8 +162,12 @@
 		active := acc.active(target, now)
 		if n := min(free, target) - active; n > 0 {
 			out[org] = n
+			acc.claimed = max(acc.claimed, n-drawn[org])
 		}
 	}
+	if releaseAt.After(a.releaseAt) {
+		a.releaseAt = releaseAt
+	}
 	return out
 }
 
