Each organisation has a lender that draws for the other routers

Change: from 16 routers on a router asks an organisation's lender, the first in a rendezvous order that answers and reaches the store, and gives surpluses back to it; only lenders write the row of an organisation. Below 16 a router that the store turns away borrows. Lent units leave the lender before they are sent.

Two faults came to light on the way, each with a test that failed first: - Units drawn by a transaction could be spent between its answer and the withholding of what its row claims (TestDrawnUnitsAreDormantFromTheStart: 36,118 claimed, 35,518 there). The state machine found it once a waiting request was served there. - Requests that together lacked more than the budget had left all waited in vain (TestLastUnitsGoToThoseThatTheyCover).

Tried first: lenders that are passed over for a second when they have nothing.

--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -52,15 +52,15 @@
 		free         Units
 		claimed      Units // part of free that any row which may be in force claims
 		reserved     Units
-		used         float64 // units, decayed by useHalfLife
-		usedAt       time.Time
-		since        time.Time // of the first use
+		own, lend    flow // of units to requests here and to other routers
 		waiters      []*Wait
+		lent         bool // units come from a lender, not from the pool
 	}
 
 	// Wait is a reservation that waits for a draw.
 	Wait struct {
 		need    Units
+		lent    bool // to another router
 		ready   chan struct{}
 		granted bool // valid once ready is closed
 	}
@@ -125,7 +125,7 @@
 		return Granted, nil, Shortage{}
 	}
 	short := Shortage{Free: acc.free, Left: acc.left(), PoolAge: now.Sub(acc.poolAt)}
-	if acc.left()+acc.free < need && short.PoolAge < poolTrust {
+	if acc.isDry(need, now) {
 		return Dry, nil, short
 	}
 	if acc.free >= need && now.Before(a.releaseAt) {
@@ -172,7 +172,7 @@
 	used = min(max(used, 0), reserved)
 	acc.reserved -= reserved
 	acc.free += reserved - used
-	acc.observe(used-reserved, now)
+	acc.own.add(float64(used-reserved), now)
 	a.serveWaiters(acc, now)
 }
 
@@ -182,6 +182,7 @@
 	defer a.mu.Unlock()
 	if acc := a.byOrg[org]; acc != nil {
 		acc.learn(p, version, now)
+		a.serveWaiters(acc, now)
 	}
 }
 
@@ -194,6 +195,7 @@
 	if acc := a.byOrg[org]; acc != nil {
 		acc.poolVersion = 0
 		acc.learn(p, version, now)
+		a.serveWaiters(acc, now)
 	}
 }
 
@@ -210,6 +212,8 @@
 	defer a.mu.Unlock()
 	for _, acc := range a.byOrg {
 		acc.poolAt = now
+		acc.denyWaiters()
+		a.serveWaiters(acc, now)
 	}
 }
 
@@ -222,7 +226,7 @@
 	var moves []Move
 	for org, acc := range a.byOrg {
 		delta := acc.delta(a.floor(acc), a.usual, now)
-		if delta == 0 || delta < 0 && drawOnly {
+		if delta == 0 || delta < 0 && drawOnly || acc.lent {
 			continue
 		}
 		if delta < 0 {
@@ -280,12 +284,13 @@
 	}
 }
 
-// Waiting tells whether a request waits for a draw.
-func (a *Accounts) Waiting() bool {
+// Waiting tells whether a request waits for units, from the store or, if lent,
+// from a lender.
+func (a *Accounts) Waiting(lent bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, acc := range a.byOrg {
-		if len(acc.waiters) > 0 {
+		if len(acc.waiters) > 0 && acc.lent == lent {
 			return true
 		}
 	}
@@ -311,7 +316,7 @@
 	for org, acc := range a.byOrg {
 		out = append(out, AccountState{
 			Organisation: org, Limit: acc.bound(), Drawn: acc.pool.Drawn,
-			Free: acc.free, Dormant: acc.claimed, Reserved: acc.reserved, Rate: int64(acc.rate(now)),
+			Free: acc.free, Dormant: acc.claimed, Reserved: acc.reserved, Rate: int64(acc.own.rate(now)),
 		})
 	}
 	return out
@@ -320,7 +325,7 @@
 func (acc *account) take(n Units, now time.Time) {
 	acc.free -= n
 	acc.reserved += n
-	acc.observe(n, now)
+	acc.own.add(float64(n), now)
 }
 
 // usable is what may be reserved now.
@@ -331,20 +336,49 @@
 	return acc.free - acc.claimed
 }
 
+// serveWaiters serves the requests that wait in their order. One that the pool
+// cannot cover any more does not stand before smaller ones.
 func (a *Accounts) serveWaiters(acc *account, now time.Time) {
-	for len(acc.waiters) > 0 && a.usable(acc, now) >= acc.waiters[0].need {
+	for len(acc.waiters) > 0 {
 		w := acc.waiters[0]
+		switch {
+		case a.usable(acc, now) >= w.need:
+			acc.grant(w, now)
+		case !acc.isDry(w.need, now):
+			return
+		}
 		acc.waiters = acc.waiters[1:]
-		acc.take(w.need, now)
-		w.granted = true
 		close(w.ready)
 	}
 }
 
+func (acc *account) grant(w *Wait, now time.Time) {
+	w.granted = true
+	if !w.lent {
+		acc.take(w.need, now)
+		return
+	}
+	acc.free -= w.need
+	acc.reserved += w.need
+	acc.lend.add(float64(w.need), now)
+}
+
+// isDry tells whether the pool is known not to cover a request.
+func (acc *account) isDry(need Units, now time.Time) bool {
+	return !acc.lent && acc.left()+acc.free < need && now.Sub(acc.poolAt) < poolTrust
+}
+
 // denyWaiters ends the waits that a fresh reading of the pool cannot serve.
 func (acc *account) denyWaiters() {
+	if !acc.lent {
+		acc.deny(acc.left() + acc.free)
+	}
+}
+
+// deny ends the waits for more than most units.
+func (acc *account) deny(most Units) {
 	acc.waiters = slices.DeleteFunc(acc.waiters, func(w *Wait) bool {
-		if acc.left()+acc.free >= w.need {
+		if most >= w.need {
 			return false
 		}
 		close(w.ready)
--- a/internal/cicadabudget/account_test.go
+++ b/internal/cicadabudget/account_test.go
@@ -280,14 +280,8 @@
 	}
 }
 
-// TestClaimsAreTrueWhileRequestsArrive takes and settles units beside a book that
-// declares some of them dormant: what a row claims is never spent before the
-// claim has lapsed.
-func TestClaimsAreTrueWhileRequestsArrive(t *testing.T) {
-	r := newRig(t, 1_000_000)
-	r.spendFor(4*time.Second, 400, r.balance)
-	r.now = r.now.Add(5 * time.Second) // the claims in force have lapsed
-	stop, now := make(chan struct{}), r.now
+// hammer takes all usable units and settles them unused, until stop.
+func hammer(a *cicadabudget.Accounts, now time.Time, stop <-chan struct{}) (wait func()) {
 	var wg sync.WaitGroup
 	for range 4 {
 		wg.Add(1)
@@ -301,19 +295,49 @@
 				}
 				var taken int
 				for {
-					verdict, wait, _ := r.accs.Reserve(org, 100, now)
+					verdict, wait, _ := a.Reserve(org, 100, now)
 					if verdict != cicadabudget.Granted {
-						r.accs.Cancel(org, wait)
+						a.Cancel(org, wait)
 						break
 					}
 					taken++
 				}
 				for range taken {
-					r.accs.Settle(org, 100, 0, now)
+					a.Settle(org, 100, 0, now)
 				}
 			}
 		}()
 	}
+	return wg.Wait
+}
+
+// TestDrawnUnitsAreDormantFromTheStart has requests arrive beside the draws of a
+// new process: what its row claims is there.
+func TestDrawnUnitsAreDormantFromTheStart(t *testing.T) {
+	for range 300 {
+		r := newRig(t, 1_000_000)
+		stop, now := make(chan struct{}), r.now
+		wait := hammer(r.accs, now, stop)
+		for range 20 {
+			r.balance()
+			if claimed, free := r.own.Dormant[org], r.state().Free; claimed > free {
+				t.Errorf("the row claims %d units as dormant, %d are there", claimed, free)
+			}
+		}
+		close(stop)
+		wait()
+	}
+}
+
+// TestClaimsAreTrueWhileRequestsArrive takes and settles units beside a book that
+// declares some of them dormant: what a row claims is never spent before the
+// claim has lapsed.
+func TestClaimsAreTrueWhileRequestsArrive(t *testing.T) {
+	r := newRig(t, 1_000_000)
+	r.spendFor(4*time.Second, 400, r.balance)
+	r.now = r.now.Add(5 * time.Second) // the claims in force have lapsed
+	stop, now := make(chan struct{}), r.now
+	wait := hammer(r.accs, now, stop)
 	for range 4_000 {
 		txn := r.book.Begin(nil, now)
 		if txn == nil {
@@ -327,5 +351,5 @@
 		r.book.Refused(txn, now)
 	}
 	close(stop)
-	wg.Wait()
+	wait()
 }
--- a/internal/cicadabudget/book.go
+++ b/internal/cicadabudget/book.go
@@ -154,7 +154,7 @@
 	if len(claims) == 0 && len(b.claimed) == 0 {
 		return false
 	}
-	return now.Sub(b.claimedAt) >= b.Refresh() || b.accs.Waiting() && !maps.Equal(claims, b.claimed)
+	return now.Sub(b.claimedAt) >= b.Refresh() || b.accs.Waiting(false) && !maps.Equal(claims, b.claimed)
 }
 
 // claim makes the accounts keep to all rows that may be in force.
@@ -276,6 +276,9 @@
 func (t *Txn) Heritage() map[string]Units { return t.heritage }
 
 func (b *Book) apply(txn *Txn, version uint64, now time.Time) {
+	// Drawn units that the row claims are withheld from the moment they are there.
+	b.claimed, b.claimedAt, b.claimedLapse = txn.claims, txn.sentAt, txn.lapse
+	b.claim(nil, now)
 	for i, m := range txn.Moves {
 		b.accs.Done(m, txn.After[i], version, now)
 	}
@@ -283,7 +286,6 @@
 		b.accs.inherit(txn.heritage, now)
 	}
 	b.heritage = nil
-	b.claimed, b.claimedAt, b.claimedLapse = txn.claims, txn.sentAt, txn.lapse
 }
 
 func (b *Book) undo(txn *Txn) {
--- a/internal/cicadabudget/book_test.go
+++ b/internal/cicadabudget/book_test.go
@@ -48,7 +48,8 @@
 		frozen  time.Duration // time that its clock stood still
 		running []cicadabudget.Units
 		waits   []wait
-		version uint64 // of the configuration that it knows
+		loans   []*cicadabudget.Wait // that others wait for
+		version uint64               // of the configuration that it knows
 	}
 
 	wait struct {
@@ -174,7 +175,40 @@
 	return host
 }
 
+// lend asks another process for units. The message with them may be lost.
+func (w *world) lend(t *rapid.T, p, from *process, n cicadabudget.Need) {
+	verdict, units, wt := from.accs.Lend(n, w.now(from))
+	switch verdict {
+	case cicadabudget.Awaiting:
+		from.loans = append(from.loans, wt)
+		return
+	case cicadabudget.Dry:
+		p.accs.Deny(org, from.accs.Within(org), w.now(p))
+	case cicadabudget.Granted:
+	}
+	if rapid.Bool().Draw(t, "arrives") {
+		p.accs.Receive(org, units, w.now(p))
+	}
+}
+
+// handOver takes granted loans out of a process; those that asked have given up.
+func (p *process) handOver() {
+	kept := p.loans[:0]
+	for _, wt := range p.loans {
+		select {
+		case <-wt.Ready():
+			if wt.Granted() {
+				p.accs.HandOver(org, wt)
+			}
+		default:
+			kept = append(kept, wt)
+		}
+	}
+	p.loans = kept
+}
+
 func (w *world) collect(p *process) {
+	p.handOver()
 	kept := p.waits[:0]
 	for _, x := range p.waits {
 		select {
@@ -274,6 +308,24 @@
 				w.used += need
 			}
 		}),
+		"lentMode": onAwake(func(t *rapid.T, _ int, p *process) {
+			lent := rapid.Bool().Draw(t, "lent")
+			p.accs.SetLent(func(string) bool { return lent })
+		}),
+		"borrow": onAwake(func(t *rapid.T, host int, p *process) {
+			from := w.procs[1-host]
+			if from == nil || w.asleep[1-host] {
+				return
+			}
+			for _, n := range p.accs.Needs(w.now(p)) {
+				w.lend(t, p, from, n)
+			}
+			for _, s := range p.accs.Surpluses(w.now(p)) {
+				if rapid.Bool().Draw(t, "arrives") {
+					from.accs.TakeBack(s, w.now(from))
+				}
+			}
+		}),
 		"routers": onAwake(func(t *rapid.T, _ int, p *process) {
 			// The time for which claims hold follows the number of routers.
 			p.book.SetRouters(rapid.SampledFrom([]int{1, 400}).Draw(t, "routers"))
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -14,6 +14,9 @@
 	// and is not lost if the process ends. It covers the time from the last row
 	// to the lapse of its claims.
 	activeAhead = 3.0
+	// lendAhead is how many seconds of its lending a lender holds: some of its own
+	// draws. The borrowers hold for a cut.
+	lendAhead = 1.5
 	// plentyShare is the share of a budget left undrawn from which on routers
 	// hold for the whole of holdAhead; below it the time shrinks in proportion.
 	plentyShare = 0.25
@@ -50,42 +53,49 @@
 	poolTrust = 1500 * time.Millisecond
 )
 
-// observe counts units that were reserved, or that turned out unused.
-func (acc *account) observe(n Units, now time.Time) {
-	if acc.since.IsZero() {
-		acc.since, acc.usedAt = now, now
+// flow is a rate of units, over the time since the first of them as far as it
+// still counts.
+type flow struct {
+	units float64 // decayed by useHalfLife
+	at    time.Time
+	since time.Time
+}
+
+// add counts units, or takes back those that turned out unused.
+func (f *flow) add(n float64, now time.Time) {
+	if f.since.IsZero() {
+		f.since, f.at = now, now
 	}
-	acc.decay(now)
-	acc.used = max(acc.used+float64(n), 0)
+	f.decay(now)
+	f.units = max(f.units+n, 0)
 }
 
-func (acc *account) decay(now time.Time) {
-	if acc.since.IsZero() {
+func (f *flow) decay(now time.Time) {
+	if f.since.IsZero() {
 		return
 	}
-	if dt := now.Sub(acc.usedAt); dt > 0 {
-		acc.used *= math.Exp2(-dt.Seconds() / useHalfLife.Seconds())
-		acc.usedAt = now
+	if dt := now.Sub(f.at); dt > 0 {
+		f.units *= math.Exp2(-dt.Seconds() / useHalfLife.Seconds())
+		f.at = now
 	}
 }
 
-// rate is the use in units a second, over the time since the first use as far
-// as it still counts.
-func (acc *account) rate(now time.Time) float64 {
-	acc.decay(now)
+// rate is in units a second.
+func (f *flow) rate(now time.Time) float64 {
+	f.decay(now)
 	mean := useHalfLife.Seconds() / math.Ln2
-	window := mean * (1 - math.Exp(-now.Sub(acc.since).Seconds()/mean))
-	return acc.used / max(window, leastWindow.Seconds())
+	window := mean * (1 - math.Exp(-now.Sub(f.since).Seconds()/mean))
+	return f.units / max(window, leastWindow.Seconds())
 }
 
 // likelyRate is the rate plus a standard deviation of what it is taken from:
 // few requests of a usual size say little about the next ones.
 func (acc *account) likelyRate(usual float64, now time.Time) float64 {
-	rate := acc.rate(now)
-	if acc.used <= 0 {
+	rate := acc.own.rate(now)
+	if acc.own.units <= 0 {
 		return rate
 	}
-	return rate * (1 + math.Sqrt(usual/acc.used))
+	return rate * (1 + math.Sqrt(usual/acc.own.units))
 }
 
 // delta is what to draw, or to give back if negative.
@@ -98,9 +108,12 @@
 	missing = max(missing-acc.free, 0)
 	target := acc.target(floor, usual, now)
 	want := missing
-	if missing > left {
-		want = 0
+	if acc.lent {
+		// The lender knows what is left.
+		left = max(left, missing)
 	}
+	// What is left goes to those that it covers.
+	want = min(want, left)
 	if float64(acc.free) < refillShare*float64(target) {
 		want = max(want, min(target-acc.free, Units(maxDrawShare*float64(left))))
 	}
@@ -123,7 +136,8 @@
 	if acc.dry(acc.left()) {
 		return 0
 	}
-	return max(Units(acc.likelyRate(usual, now)*holdAhead*acc.plenty(plentyShare)), floor)
+	own := max(Units(acc.likelyRate(usual, now)*holdAhead*acc.plenty(plentyShare)), floor)
+	return own + Units(acc.lend.rate(now)*lendAhead*acc.plenty(plentyShare))
 }
 
 // plenty is 1 while a share of the budget is left, and falls to 0 as it runs dry.
@@ -137,7 +151,8 @@
 	for _, w := range acc.waiters {
 		waiting += w.need
 	}
-	n := Units(min(acc.rate(now)*activeAhead*acc.plenty(activeShare), mostActive*float64(acc.bound())))
+	ahead := acc.own.rate(now)*activeAhead*acc.plenty(activeShare) + acc.lend.rate(now)*lendAhead*acc.plenty(plentyShare)
+	n := Units(min(ahead, mostActive*float64(acc.bound())))
 	return max(min(n, target), waiting)
 }
 
--- /dev/null
+++ b/internal/cicadabudget/lending_test.go
@@ -0,0 +1,135 @@
+package cicadabudget_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/google/go-cmp/cmp"
+)
+
+// lent is a router whose units come from a lender.
+func lent(limit cicadabudget.Units) *cicadabudget.Accounts {
+	a := cicadabudget.NewAccounts()
+	a.SetRouters(80)
+	a.Configure(org, limit, 1)
+	a.SetLent(func(string) bool { return true })
+	return a
+}
+
+// borrow lets a router ask the lender once.
+func borrow(r *rig, from *cicadabudget.Accounts) {
+	for _, n := range from.Needs(r.now) {
+		verdict, units, w := r.accs.Lend(n, r.now)
+		if verdict == cicadabudget.Awaiting {
+			r.balance()
+			select {
+			case <-w.Ready():
+			default:
+			}
+			if r.accs.Cancel(org, w) {
+				continue
+			}
+			verdict = cicadabudget.Dry
+			if w.Granted() {
+				verdict, units = cicadabudget.Granted, r.accs.HandOver(org, w)
+			}
+		}
+		if verdict == cicadabudget.Dry {
+			from.Deny(org, r.accs.Within(org), r.now)
+			continue
+		}
+		from.Receive(org, units, r.now)
+	}
+	for _, s := range from.Surpluses(r.now) {
+		r.accs.TakeBack(s, r.now)
+	}
+}
+
+// verdicts reserves needs at once and tells which were granted after some asks.
+func verdicts(r *rig, a *cicadabudget.Accounts, needs []cicadabudget.Units, ask func()) []string {
+	waits := make([]*cicadabudget.Wait, len(needs))
+	out := make([]string, len(needs))
+	for i, n := range needs {
+		var v cicadabudget.Verdict
+		v, waits[i], _ = a.Reserve(org, n, r.now)
+		out[i] = map[cicadabudget.Verdict]string{cicadabudget.Granted: "granted", cicadabudget.Dry: "dry", cicadabudget.Awaiting: "waits"}[v]
+	}
+	for range len(needs) + 1 {
+		ask()
+	}
+	for i, w := range waits {
+		if w == nil {
+			continue
+		}
+		select {
+		case <-w.Ready():
+			out[i] = map[bool]string{true: "granted", false: "dry"}[w.Granted()]
+		default:
+		}
+	}
+	return out
+}
+
+// TestLastUnitsGoToThoseThatTheyCover has more requests at once than the budget
+// covers: the first ones are served, and the others are told that it is dry.
+func TestLastUnitsGoToThoseThatTheyCover(t *testing.T) {
+	needs := []cicadabudget.Units{400, 400, 900, 400, 100}
+	want := []string{"granted", "granted", "dry", "dry", "granted"}
+	t.Run("drawn", func(t *testing.T) {
+		r := newRig(t, 1000)
+		if diff := cmp.Diff(want, verdicts(r, r.accs, needs, r.balance)); diff != "" {
+			t.Errorf("(-want +got)\n%s", diff)
+		}
+	})
+	t.Run("lent", func(t *testing.T) {
+		r := newRig(t, 1000)
+		a := lent(1000)
+		if diff := cmp.Diff(want, verdicts(r, a, needs, func() { borrow(r, a) })); diff != "" {
+			t.Errorf("(-want +got)\n%s", diff)
+		}
+	})
+}
+
+// TestBorrowersNeverTouchTheRow has a router that borrows: it plans no move, even
+// for what it has too much of, so that only the lender writes the row.
+func TestBorrowersNeverTouchTheRow(t *testing.T) {
+	r := newRig(t, 1_000_000)
+	a := lent(1_000_000)
+	for range 40 {
+		r.now = r.now.Add(250 * time.Millisecond)
+		verdict, w, _ := a.Reserve(org, 5000, r.now)
+		borrow(r, a)
+		if verdict == cicadabudget.Awaiting {
+			<-w.Ready()
+		}
+		a.Settle(org, 5000, 5000, r.now)
+		if moves := a.Plan(false, r.now); len(moves) > 0 {
+			t.Fatalf("a borrower plans %+v", moves)
+		}
+	}
+	r.now = r.now.Add(time.Minute)
+	before := a.State(r.now)[0].Free
+	borrow(r, a)
+	if after := a.State(r.now)[0].Free; after >= before/2 {
+		t.Errorf("%d units of %d are still held after an idle minute", after, before)
+	}
+}
+
+// TestLenderKeepsLittleOfWhatItLends lends much and uses nothing itself.
+func TestLenderKeepsLittleOfWhatItLends(t *testing.T) {
+	const rate = 20_000 // units a second
+	r := newRig(t, 10_000_000)
+	for range 100 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		verdict, _, w := r.accs.Lend(cicadabudget.Need{Organisation: org, Least: rate / 10, Want: rate / 10}, r.now)
+		r.balance()
+		if verdict == cicadabudget.Awaiting {
+			<-w.Ready()
+			r.accs.HandOver(org, w)
+		}
+	}
+	if free := r.state().Free; free > 3*rate {
+		t.Errorf("the lender holds %d units, %.1f s of its lending", free, float64(free)/rate)
+	}
+}
--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -71,7 +71,7 @@
 		// A slow store is not asked more than half of the time, and many routers
 		// together not more often than their claims need.
 		least := max(bankPause, time.Since(began), b.book.Refresh()/2)
-		if b.rt.accounts.Waiting() && b.up.Load() {
+		if b.rt.accounts.Waiting(false) && b.up.Load() {
 			least = urgentPause
 		}
 		b.rest(ctx, least)
@@ -82,7 +82,7 @@
 func (b *bank) rest(ctx context.Context, d time.Duration) {
 	until := time.Now().Add(d)
 	for left := d; left > 0 && ctx.Err() == nil; left = time.Until(until) {
-		if b.up.Load() && b.rt.accounts.Waiting() {
+		if b.up.Load() && b.rt.accounts.Waiting(false) {
 			pause(ctx, min(left, urgentPause))
 			return
 		}
--- a/internal/cicadaedge/desk.go
+++ b/internal/cicadaedge/desk.go
@@ -6,10 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/creachadair/jrpc2"
-	"github.com/creachadair/jrpc2/channel"
 	"github.com/pkg/errors"
 )
 
@@ -17,8 +15,6 @@
 	// deskTimeout bounds a question to another router's desk: several round
 	// trips between data centres, and a small part of the objectives.
 	deskTimeout = 40 * time.Millisecond
-	// deskDown is how long a desk that did not answer is passed over.
-	deskDown = 2 * time.Second
 	// deskTries bounds the desks asked for one request.
 	deskTries = 2
 	// deskSlack is how long after its request's deadline a place that nobody
@@ -51,10 +47,7 @@
 	// desks are the other routers' desks as this router uses them.
 	desks struct {
 		rt *Router
-
-		mu      sync.Mutex // guards the fields below
-		clients map[string]*jrpc2.Client
-		downTil map[string]time.Time
+		*links
 	}
 
 	placeRequest struct {
@@ -143,7 +136,7 @@
 }
 
 func newDesks(rt *Router) *desks {
-	return &desks{rt: rt, clients: map[string]*jrpc2.Client{}, downTil: map[string]time.Time{}}
+	return &desks{rt: rt, links: rt.links}
 }
 
 // choose returns a place for a request: from the desk of its group, or by this
@@ -165,7 +158,7 @@
 // of them that is up, or none answers.
 func (ds *desks) ask(ctx context.Context, req *cicadaplace.Request, deadline time.Time) *placement {
 	group, _ := ds.rt.fleet.Group(req)
-	names := cicadaplace.Rank(req.Service+"/"+strconv.Itoa(group), ds.rt.peers.names())
+	names := ds.rt.peers.ranked(req.Service + "/" + strconv.Itoa(group))
 	tries := 0
 	for _, name := range names {
 		if name == ds.rt.cfg.Name || tries == deskTries {
@@ -216,73 +209,6 @@
 	return &placement{Ticket: t, client: client, place: reply.Place, desk: name}, nil
 }
 
-func (ds *desks) client(ctx context.Context, name string) (*jrpc2.Client, error) {
-	ds.mu.Lock()
-	c := ds.clients[name]
-	ds.mu.Unlock()
-	if c != nil && !c.IsStopped() {
-		return c, nil
-	}
-	conn, err := cicadanet.NewDialer(deskTimeout).DialContext(ctx, "tcp", ds.rt.peers.addr(name))
-	if err != nil {
-		return nil, errors.Wrap(err, "reach desk")
-	}
-	c = jrpc2.NewClient(channel.Line(conn, conn), nil)
-	ds.mu.Lock()
-	defer ds.mu.Unlock()
-	if old := ds.clients[name]; old != nil && !old.IsStopped() {
-		go ds.closeClient(c)
-		return old, nil
-	}
-	ds.clients[name] = c
-	return c, nil
-}
-
-func (ds *desks) isDown(name string) bool {
-	ds.mu.Lock()
-	defer ds.mu.Unlock()
-	return time.Now().Before(ds.downTil[name])
-}
-
-// drop passes a desk over for a while.
-func (ds *desks) drop(name string, cause error) {
-	ds.mu.Lock()
-	c := ds.clients[name]
-	delete(ds.clients, name)
-	ds.downTil[name] = time.Now().Add(deskDown)
-	ds.mu.Unlock()
-	if c != nil {
-		go ds.closeClient(c)
-	}
-	ds.rt.cfg.Log.WithField("desk", name).WithError(cause).Info("desk passed over")
-}
-
-func (ds *desks) close() {
-	ds.mu.Lock()
-	defer ds.mu.Unlock()
-	for _, c := range ds.clients {
-		ds.closeClient(c)
-	}
-}
-
-// closeClient ends a connection to a desk; an error is that of the connection
-// before.
-func (ds *desks) closeClient(c *jrpc2.Client) {
-	if err := c.Close(); err != nil {
-		ds.rt.cfg.Log.WithError(err).Debug("connection to a desk ended")
-	}
-}
-
-// note tells a desk something. A note that is lost costs it a little knowledge
-// until the place runs out.
-func (ds *desks) note(c *jrpc2.Client, method string, params any) {
-	ctx, cancel := context.WithTimeout(context.Background(), deskTimeout)
-	defer cancel()
-	if err := c.Notify(ctx, method, params); err != nil {
-		ds.rt.cfg.Metrics.Errors.Add("deskNote", 1)
-	}
-}
-
 // started tells that the runner has read the prompt.
 func (ds *desks) started(p *placement) {
 	p.Started()
--- a/internal/cicadaedge/follow.go
+++ b/internal/cicadaedge/follow.go
@@ -21,6 +21,10 @@
 	poolPause = time.Second
 	// routerPause lies between two readings of the routers' rows.
 	routerPause = 4 * time.Second
+	// youngTime is how long after its start a router expects others to start with
+	// it, and youngPause lies between two readings of the routers' rows then.
+	youngTime  = 8 * time.Second
+	youngPause = 700 * time.Millisecond
 	// tableWait is how long one call waits for a change of the other tables.
 	tableWait = 500 * time.Millisecond
 	// firstRetry and mostRetry bound the pause after a failed call.
@@ -36,7 +40,9 @@
 	followConfig struct {
 		table string
 		pause time.Duration // between two readings
-		wait  time.Duration // for a change, in one call
+		// youngPause replaces pause while the follower is young; zero for none.
+		youngPause time.Duration
+		wait       time.Duration // for a change, in one call
 		// take is told of all rows (whole) or of changes.
 		take func(b cicadastore.Batch, whole bool, now time.Time)
 		// fresh is told of each answer, with the time at which it was asked for.
@@ -71,6 +77,7 @@
 func (f *follower) run(ctx context.Context) {
 	defer close(f.done)
 	var since uint64
+	began := time.Now()
 	retry := firstRetry
 	failing := false
 	for ctx.Err() == nil {
@@ -104,10 +111,18 @@
 		if f.cfg.fresh != nil {
 			f.cfg.fresh(asked)
 		}
-		pause(ctx, f.cfg.pause)
+		pause(ctx, f.cfg.pauseAt(time.Since(began)))
 	}
 }
 
+// pauseAt is the pause between two readings at a follower's age.
+func (cfg *followConfig) pauseAt(age time.Duration) time.Duration {
+	if age < youngTime && cfg.youngPause > 0 {
+		return cfg.youngPause
+	}
+	return cfg.pause
+}
+
 // read reads the whole table first and after lost history, and changes then.
 func (f *follower) read(ctx context.Context, since uint64, failing bool) (cicadastore.Batch, bool, error) {
 	if since == 0 {
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -41,6 +41,8 @@
 		version uint64
 		changed chan struct{}
 		lostAll bool // history is gone
+		// conflicts counts the transactions that met changed rows.
+		conflicts int
 	}
 
 	// storeView is one router's way to the store.
@@ -166,6 +168,7 @@
 		broken = broken || row.Version != c.Version
 	}
 	if broken {
+		v.conflicts++
 		conflict.NowMillis = time.Now().UnixMilli()
 		return cicadastore.Committed{}, &conflict
 	}
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -29,6 +29,9 @@
 	relayPause   = 400 * time.Millisecond
 	relayTimeout = 300 * time.Millisecond
 	methodView   = "view"
+	// relayConcurrency is how many questions of one router are answered at once:
+	// those that wait for a draw shall not delay the others.
+	relayConcurrency = 16
 )
 
 type (
@@ -53,6 +56,7 @@
 		mu     sync.Mutex // guards the fields below
 		seeds  []string
 		byName map[string]string
+		ranks  map[string][]string // of the present names, by key
 	}
 )
 
@@ -74,6 +78,9 @@
 	if whole {
 		p.byName = map[string]string{}
 	}
+	if len(b.Changes) > 0 {
+		p.ranks = nil
+	}
 	for i := range b.Changes {
 		c := &b.Changes[i]
 		var row routerRow
@@ -101,18 +108,26 @@
 	return n
 }
 
-// names returns the routers, this one included.
-func (p *peers) names() []string {
+// ranked returns the routers, this one included, in an order for a key that all
+// routers share. The list must not be changed.
+func (p *peers) ranked(key string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]string, 0, len(p.byName)+1)
-	out = append(out, p.self)
+	if names, ok := p.ranks[key]; ok {
+		return names
+	}
+	names := make([]string, 0, len(p.byName)+1)
+	names = append(names, p.self)
 	for name := range p.byName {
 		if name != p.self {
-			out = append(out, name)
+			names = append(names, name)
 		}
 	}
-	return out
+	if p.ranks == nil {
+		p.ranks = map[string][]string{}
+	}
+	p.ranks[key] = cicadaplace.Rank(key, names)
+	return p.ranks[key]
 }
 
 // addr returns where a router relays; empty if that is not known.
@@ -149,9 +164,12 @@
 	methods := handler.Map{
 		methodView: handler.New(rt.view), methodPlace: handler.New(rt.desk.handlePlace),
 		methodStarted: handler.New(rt.desk.handleStarted), methodEnded: handler.New(rt.desk.handleEnded),
+		methodLend: handler.New(rt.lend),
 	}
 	acc := server.NetAccepter(rt.cfg.Relay, channel.Line)
-	if err := server.Loop(ctx, acc, server.Static(methods), &server.LoopOptions{}); err != nil && ctx.Err() == nil {
+	if err := server.Loop(ctx, acc, server.Static(methods), &server.LoopOptions{
+		ServerOptions: &jrpc2.ServerOptions{Concurrency: relayConcurrency},
+	}); err != nil && ctx.Err() == nil {
 		rt.cfg.Log.WithError(err).Error("relay ended")
 	}
 }
@@ -211,7 +229,7 @@
 
 func (rt *Router) askConn(ctx context.Context, conn net.Conn, addr string) error {
 	client := jrpc2.NewClient(channel.Line(conn, conn), nil)
-	defer rt.desks.closeClient(client)
+	defer rt.links.closeClient(client)
 	asked := time.Now()
 	var req viewRequest
 	if d := rt.deploy.Load(); d != nil {
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -43,6 +43,8 @@
 	peers     *peers
 	desk      *desk
 	desks     *desks
+	links     *links
+	borrower  *borrower
 
 	bounds   atomic.Pointer[Bounds]
 	deploy   atomic.Pointer[cicadadeploy.Snapshot]
@@ -77,7 +79,9 @@
 	rt.peers = newPeers(cfg.Name, relay, cfg.Bounds.Seeds)
 	rt.bank = newBank(rt)
 	rt.desk = newDesk(rt.fleet)
+	rt.links = newLinks(rt)
 	rt.desks = newDesks(rt)
+	rt.borrower = newBorrower(rt)
 	return rt
 }
 
@@ -93,12 +97,13 @@
 		table: rt.cfg.Sources.RunnerTable, wait: tableWait, pause: runnerPause, take: rt.takeRunners, back: rt.fleet.StoreBack,
 	})
 	rt.follow(ctx, followConfig{table: tablePools, wait: tableWait, pause: poolPause, take: rt.takePools})
-	rt.follow(ctx, followConfig{table: tableRouters, wait: tableWait, pause: routerPause, take: rt.takeRouters})
+	rt.follow(ctx, followConfig{table: tableRouters, wait: tableWait, pause: routerPause, youngPause: youngPause, take: rt.takeRouters})
 	rt.goPart(func() { rt.bank.run(ctx) })
 	rt.goPart(func() { rt.announce(ctx) })
 	if rt.cfg.Relay != nil {
 		rt.goPart(func() { rt.serveRelay(ctx) })
 		rt.goPart(func() { rt.askPeers(ctx) })
+		rt.goPart(func() { rt.borrower.run(ctx) })
 	}
 	rt.callers = rt.server(rt)
 	rt.callers.IdleTimeout = defaultIdle
@@ -225,7 +230,7 @@
 		rt.cfg.Log.WithError(err).Warn("health listener not closed")
 	}
 	rt.upstreams.close()
-	rt.desks.close()
+	rt.links.close()
 	rt.cfg.Log.WithField("millis", time.Since(began).Milliseconds()).Info("stopped")
 }
 
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -255,7 +255,7 @@
 		detail: "the organisation's units held here do not cover the request, and the store does not answer",
 	}
 	patience := drawWait
-	if !q.rt.bank.reachable() {
+	if !q.rt.bank.reachable() && !q.rt.accounts.Lent(q.org.Name) {
 		patience = short.ReleaseIn
 		if patience > 0 {
 			unsure.after = patience
@@ -265,6 +265,7 @@
 		}
 	}
 	q.rt.bank.wake()
+	q.rt.borrower.wake()
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
