Lenders hold for outages, and a refusal for want of units says what was there

In most cuts the routers reach each other.

Change: a lender holds eight seconds of its lending, most of it dormant, and borrowers six seconds of their use instead of thirteen. The refusal's detail names free, dormant and undrawn units and their age.

TestLenderHoldsForAnOutage fails before.

--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -71,6 +71,7 @@
 	// Shortage explains a reservation that was not granted.
 	Shortage struct {
 		Free, Left Units
+		Dormant    Units // part of Free
 		PoolAge    time.Duration
 		// ReleaseIn is when dormant units that cover the request may be spent
 		// without asking the store; zero if there are none.
@@ -124,7 +125,7 @@
 		acc.take(need, now)
 		return Granted, nil, Shortage{}
 	}
-	short := Shortage{Free: acc.free, Left: acc.left(), PoolAge: now.Sub(acc.poolAt)}
+	short := Shortage{Free: acc.free, Dormant: acc.free - a.usable(acc, now), Left: acc.left(), PoolAge: now.Sub(acc.poolAt)}
 	if acc.isDry(need, now) {
 		return Dry, nil, short
 	}
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -14,9 +14,13 @@
 	// and is not lost if the process ends. It covers the time from the last row
 	// to the lapse of its claims.
 	activeAhead = 3.0
-	// lendAhead is how many seconds of its lending a lender holds: some of its own
-	// draws. The borrowers hold for a cut.
-	lendAhead = 1.5
+	// borrowAhead is the same where a lender holds for most cuts, as routers that
+	// the store cannot be reached from mostly reach each other.
+	borrowAhead = 6.0
+	// lendAhead is how many seconds of its lending a lender holds, and lendActive
+	// how many of them it may lend at once: those of a few of its own draws.
+	lendAhead  = 8.0
+	lendActive = 1.5
 	// plentyShare is the share of a budget left undrawn from which on routers
 	// hold for the whole of holdAhead; below it the time shrinks in proportion.
 	plentyShare = 0.25
@@ -136,7 +140,11 @@
 	if acc.dry(acc.left()) {
 		return 0
 	}
-	own := max(Units(acc.likelyRate(usual, now)*holdAhead*acc.plenty(plentyShare)), floor)
+	ahead := holdAhead
+	if acc.lent {
+		ahead = borrowAhead
+	}
+	own := max(Units(acc.likelyRate(usual, now)*ahead*acc.plenty(plentyShare)), floor)
 	return own + Units(acc.lend.rate(now)*lendAhead*acc.plenty(plentyShare))
 }
 
@@ -151,7 +159,7 @@
 	for _, w := range acc.waiters {
 		waiting += w.need
 	}
-	ahead := acc.own.rate(now)*activeAhead*acc.plenty(activeShare) + acc.lend.rate(now)*lendAhead*acc.plenty(plentyShare)
+	ahead := acc.own.rate(now)*activeAhead*acc.plenty(activeShare) + acc.lend.rate(now)*lendActive*acc.plenty(plentyShare)
 	n := Units(min(ahead, mostActive*float64(acc.bound())))
 	return max(min(n, target), waiting)
 }
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -250,10 +251,7 @@
 // await waits for units: for a draw while the store answers, or for dormant
 // units that are released soon. Else the caller is told when to come back.
 func (q *request) await(ctx context.Context, wait *cicadabudget.Wait, short *cicadabudget.Shortage) *refusal {
-	unsure := &refusal{
-		kind: RefuseBudgetUnsure, after: later,
-		detail: "the organisation's units held here do not cover the request, and the store does not answer",
-	}
+	unsure := &refusal{kind: RefuseBudgetUnsure, after: later, detail: unsureDetail(short)}
 	patience := drawWait
 	if !q.rt.bank.reachable() && !q.rt.accounts.Lent(q.org.Name) {
 		patience = short.ReleaseIn
@@ -282,6 +280,12 @@
 	return nil
 }
 
+// unsureDetail tells what a request that got no units in time was decided on.
+func unsureDetail(short *cicadabudget.Shortage) string {
+	return fmt.Sprintf("of the organisation's units %d are free here, %d of them dormant for %d ms, %d were left undrawn %d ms ago, "+
+		"and no more came in time", short.Free, short.Dormant, short.ReleaseIn.Milliseconds(), short.Left, short.PoolAge.Milliseconds())
+}
+
 func dryRefusal(short *cicadabudget.Shortage) *refusal {
 	return &refusal{kind: RefuseBudget, detail: "the organisation's budget does not cover the request at its largest; read " +
 		short.PoolAge.Truncate(time.Millisecond).String() + " ago"}
