Borrowing in an outage changes no holding

Cause: a small fleet borrows only while the store is away, but its accounts then took the smaller target of a large one: they would give surpluses to routers that the cut may part them from, and claim less as dormant.

TestBorrowingInAnOutageChangesNoHolding fails before (13,827 units kept for a cut, 44,146 expected).

--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -55,6 +55,7 @@
 		own, lend    flow // of units to requests here and to other routers
 		waiters      []*Wait
 		lent         bool // units come from a lender, not from the pool
+		pooled       bool // they do so always, not for an outage only
 	}
 
 	// Wait is a reservation that waits for a draw.
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -141,7 +141,7 @@
 		return 0
 	}
 	ahead := holdAhead
-	if acc.lent {
+	if acc.pooled {
 		ahead = borrowAhead
 	}
 	own := max(Units(acc.likelyRate(usual, now)*ahead*acc.plenty(plentyShare)), floor)
--- a/internal/cicadabudget/lending.go
+++ b/internal/cicadabudget/lending.go
@@ -8,6 +8,10 @@
 // lender writes the row. Units that are lent leave the lender's account before
 // they are sent; those whose message is lost are lost for the day.
 
+// LendFrom is the number of routers from which on units always come from lenders.
+// Below it draws from the store seldom meet, and routers borrow in outages only.
+const LendFrom = 16
+
 // Need is what a router would like to have of a lender.
 type Need struct {
 	Organisation string `json:"organisation"`
@@ -29,6 +33,7 @@
 	defer a.mu.Unlock()
 	for org, acc := range a.byOrg {
 		acc.lent = lent(org)
+		acc.pooled = acc.lent && a.routers >= LendFrom
 	}
 }
 
@@ -66,7 +71,7 @@
 	defer a.mu.Unlock()
 	var out []Surplus
 	for org, acc := range a.byOrg {
-		if !acc.lent {
+		if !acc.pooled {
 			continue
 		}
 		if n := -acc.delta(a.floor(acc), a.usual, now); n > 0 {
--- a/internal/cicadabudget/lending_test.go
+++ b/internal/cicadabudget/lending_test.go
@@ -151,3 +151,20 @@
 		t.Errorf("after the lapse %d units, %.1f s of the lending", n, float64(n)/rate)
 	}
 }
+
+// TestBorrowingInAnOutageChangesNoHolding has a router of a small fleet borrow
+// while the store is away: it keeps all that it held.
+func TestBorrowingInAnOutageChangesNoHolding(t *testing.T) {
+	r := newRig(t, 1_000_000)
+	r.accs.SetRouters(8)
+	r.spendFor(10*time.Second, 400, r.balance)
+	r.now = r.now.Add(r.book.Refresh())
+	r.balance()
+	before := r.own.Dormant[org]
+	r.accs.SetLent(func(string) bool { return true })
+	r.now = r.now.Add(r.book.Refresh())
+	r.balance()
+	if after := r.own.Dormant[org]; after < before*8/10 {
+		t.Errorf("%d units are kept for a cut, %d before", after, before)
+	}
+}
--- a/internal/cicadaedge/lend.go
+++ b/internal/cicadaedge/lend.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// lendFrom is the number of routers from which on an organisation's units
-	// come from its lender. Below it draws from the store seldom meet.
-	lendFrom = 16
 	// lendTimeout bounds a question to a lender: a few round trips, and the
 	// lender's own draw.
 	lendTimeout = 100 * time.Millisecond
@@ -95,7 +92,7 @@
 // if this router draws them itself: the first in an order that all routers share
 // of those that answer and reach the store.
 func (b *borrower) lender(org string) string {
-	if b.rt.peers.count() < lendFrom && b.rt.bank.reachable() {
+	if b.rt.peers.count() < cicadabudget.LendFrom && b.rt.bank.reachable() {
 		return ""
 	}
 	for _, name := range b.rt.peers.ranked("budget/" + org) {
@@ -140,9 +137,12 @@
 		r := to(n.Organisation)
 		r.Needs = append(r.Needs, n)
 	}
-	for _, s := range b.rt.accounts.Surpluses(now) {
-		r := to(s.Organisation)
-		r.Surpluses = append(r.Surpluses, s)
+	// In an outage surpluses stay: a message that is lost loses them.
+	if b.rt.bank.reachable() {
+		for _, s := range b.rt.accounts.Surpluses(now) {
+			r := to(s.Organisation)
+			r.Surpluses = append(r.Surpluses, s)
+		}
 	}
 	var calls sync.WaitGroup
 	for name, req := range requests {
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -83,12 +83,12 @@
 
 // The results.
 const (
-	Answered   Result = iota // the runner did its part, whatever the status
-	Refused                  // the runner says that it did not run the request
-	Failed                   // no answer, a broken one or an error of the runner
-	Unreached                // no connection was made
-	CallerLeft               // says nothing of the runner
-	Misdirected              // another runner has the address, or this one is leaving
+	Answered    Result = iota // the runner did its part, whatever the status
+	Refused                   // the runner says that it did not run the request
+	Failed                    // no answer, a broken one or an error of the runner
+	Unreached                 // no connection was made
+	CallerLeft                // says nothing of the runner
+	Misdirected               // another runner has the address, or this one is leaving
 )
 
 // Choose returns a ticket for the runner with the shortest estimated time to a
