Pooled holdings shrink from six tenths of the budget on

Ruled out: dryness by use alone (73% used at the loss), restarts (routers were ready).

Change: with lenders, holdings shrink in proportion once less than six tenths of a budget are undrawn; a quarter before, as below 16 routers still.

TestPooledHoldingsShrinkInTime fails before.

--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -21,6 +21,10 @@
 	// how many of them it may lend at once: those of a few of its own draws.
 	lendAhead  = 8.0
 	lendActive = 1.5
+	// pooledPlenty is plentyShare where units come from lenders: many holdings are
+	// many to lose if all processes end while the store is away, and what is left
+	// then has to last.
+	pooledPlenty = 0.6
 	// plentyShare is the share of a budget left undrawn from which on routers
 	// hold for the whole of holdAhead; below it the time shrinks in proportion.
 	plentyShare = 0.25
@@ -140,12 +144,12 @@
 	if acc.dry(acc.left()) {
 		return 0
 	}
-	ahead := holdAhead
+	ahead, share := holdAhead, plentyShare
 	if acc.pooled {
-		ahead = borrowAhead
+		ahead, share = borrowAhead, pooledPlenty
 	}
-	own := max(Units(acc.likelyRate(usual, now)*ahead*acc.plenty(plentyShare)), floor)
-	return own + Units(acc.lend.rate(now)*lendAhead*acc.plenty(plentyShare))
+	own := max(Units(acc.likelyRate(usual, now)*ahead*acc.plenty(share)), floor)
+	return own + Units(acc.lend.rate(now)*lendAhead*acc.plenty(pooledPlenty))
 }
 
 // plenty is 1 while a share of the budget is left, and falls to 0 as it runs dry.
--- a/internal/cicadabudget/lending_test.go
+++ b/internal/cicadabudget/lending_test.go
@@ -168,3 +168,31 @@
 		t.Errorf("%d units are kept for a cut, %d before", after, before)
 	}
 }
+
+// TestPooledHoldingsShrinkInTime has a router use a budget at one rate, with much
+// and with a third of it left. In the second case it holds far less: if all
+// processes ended in an outage, the rest would have to last.
+func TestPooledHoldingsShrinkInTime(t *testing.T) {
+	const limit = 10_000_000
+	likes := func(left cicadabudget.Units) cicadabudget.Units {
+		a, now := lent(limit), epoch
+		for range 50 {
+			now = now.Add(200 * time.Millisecond)
+			a.Receive(org, 2000, now)
+			if verdict, _, _ := a.Reserve(org, 2000, now); verdict != cicadabudget.Granted {
+				t.Fatal("not granted")
+			}
+			a.Settle(org, 2000, 2000, now)
+		}
+		a.Learn(org, cicadabudget.Pool{Drawn: limit - left, Limit: limit, LimitVersion: 1}, 1, now)
+		needs := a.Needs(now)
+		if len(needs) != 1 {
+			t.Fatalf("with %d left it needs %+v", left, needs)
+		}
+		return needs[0].Want
+	}
+	much, third := likes(limit*9/10), likes(limit*3/10)
+	if third > much*6/10 {
+		t.Errorf("it holds %d with a third left, %d with nine tenths", third, much)
+	}
+}
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -69,7 +69,7 @@
 	}
 
 	fleet struct {
-		t       *testing.T
+		t       testing.TB
 		store   *memoryStore
 		doc     cicadadeploy.Document
 		runners []*runner
@@ -289,7 +289,7 @@
 }
 
 // newFleet has one service of each kind and one organisation.
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	prepaid := int64(fleetPrepaid)
 	f := &fleet{t: t, store: newMemoryStore()}
@@ -449,7 +449,7 @@
 	return n
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if ok() {
@@ -484,7 +484,7 @@
 	return req, nil
 }
 
-func call(t *testing.T, n *node, path string, header map[string]string, body string) reply {
+func call(t testing.TB, n *node, path string, header map[string]string, body string) reply {
 	t.Helper()
 	req, err := request(t.Context(), n, path, header, body)
 	if err != nil {
