--- a/internal/cicadasession/claim.go
+++ b/internal/cicadasession/claim.go
@@ -27,6 +27,11 @@
 func (m *Manager) Release(budget string, c cicadaledger.Claim) {
 	req := m.claimRequest(budget, c)
 	req.Release = true
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.abandoned {
+		return
+	}
 	m.wg.Add(1)
 	go func() {
 		defer m.wg.Done()
