A lender that does not know an organisation proves nothing of its budget

Cause, found by reading: a router that has just started answers loans before it has read a configuration. Its accounts know no organisation then, and it said 'dry', which the borrower told its caller as a final refusal. Change: it says that it is unable, and the next in order is asked. An answer of the wrong length is logged with its cause. TestLenderThatDoesNotKnowAnOrganisation fails before.

--- a/internal/cicadabudget/lending.go
+++ b/internal/cicadabudget/lending.go
@@ -96,13 +96,14 @@
 
 // Lend takes units out of an account for another router: what it wants, or at
 // least the least it needs. With Awaiting nothing was taken yet, and the account
-// lacks as much as the Wait needs; once it is granted, HandOver takes it.
+// lacks as much as the Wait needs; once it is granted, HandOver takes it. Without
+// a Wait this router does not know the organisation, which proves nothing.
 func (a *Accounts) Lend(n Need, now time.Time) (Verdict, Units, *Wait) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	acc := a.byOrg[n.Organisation]
 	if acc == nil || n.Want <= 0 {
-		return Dry, 0, nil
+		return Awaiting, 0, nil
 	}
 	need := min(n.Least, n.Want)
 	if need <= 0 {
--- a/internal/cicadabudget/lending_test.go
+++ b/internal/cicadabudget/lending_test.go
@@ -196,3 +196,12 @@
 		t.Errorf("it holds %d with a third left, %d with nine tenths", third, much)
 	}
 }
+
+// TestLenderThatDoesNotKnowAnOrganisation asks a lender that has no configuration
+// with the organisation yet, as after its start: that proves nothing of the budget.
+func TestLenderThatDoesNotKnowAnOrganisation(t *testing.T) {
+	verdict, units, w := cicadabudget.NewAccounts().Lend(cicadabudget.Need{Organisation: org, Least: 10, Want: 10}, epoch)
+	if verdict == cicadabudget.Dry || units != 0 || w != nil {
+		t.Errorf("verdict %d, %d units, wait %v", verdict, units, w)
+	}
+}
--- a/internal/cicadaedge/lend.go
+++ b/internal/cicadaedge/lend.go
@@ -52,7 +52,8 @@
 		// Most is what requests can still get if Dry is set.
 		Most cicadabudget.Units `json:"most,omitempty"`
 		Dry  bool               `json:"dry,omitempty"`
-		// Unable means that the lender does not reach the store.
+		// Unable means that the lender does not reach the store, or does not know
+		// the organisation.
 		Unable bool `json:"unable,omitempty"`
 	}
 )
@@ -163,7 +164,10 @@
 	if err == nil {
 		err = client.CallResult(ctx, methodLend, req, &reply)
 	}
-	if err != nil || len(reply.Loans) != len(req.Needs) {
+	if err == nil && len(reply.Loans) != len(req.Needs) {
+		err = errors.Errorf("%d answers to %d needs", len(reply.Loans), len(req.Needs))
+	}
+	if err != nil {
 		b.rt.cfg.Metrics.Errors.Add("lend", 1)
 		b.rt.links.drop(name, err)
 		b.rt.bank.wake()
@@ -212,7 +216,8 @@
 		case cicadabudget.Dry:
 			reply.Loans[i] = loan{Dry: true, Most: rt.accounts.Within(n.Organisation)}
 		case cicadabudget.Awaiting:
-			short = true
+			short = short || waits[i] != nil
+			reply.Loans[i].Unable = waits[i] == nil
 		}
 	}
 	if short {
