Dormant units are released evenly, and a router that stops holds nothing

A row's claim was all or nothing: after its lapse of 2.5 s nothing could be taken over. A router that stopped in an outage kept 5 in 100 of all budgets for its 7.5 s. In an outage routers of a small fleet borrowed whole holdings in circles, which no row claims.

Change: after its lapse a row's claim is released by a fixed share a second, so that a successor takes over what was not released yet; the lapse shrinks to 0.7 s after the next row. All that is free is claimed, and dormant units can be given back. The active part follows how long the budget lasts. Accounts.End at a stop. In an outage routers of a small fleet borrow what requests lack.

--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -32,15 +32,14 @@
 	//
 	// Safe for concurrent use.
 	//
-	// Part of what is free is claimed to be dormant in the router's own row: it
-	// is not spent before releaseAt, so that a later process on the same host can
-	// take it over. See Book.
+	// Part of what is free is claimed to be dormant in the router's own row, so
+	// that a later process on the same host can take it over. See Book.
 	Accounts struct {
-		mu        sync.Mutex // guards the fields below
-		releaseAt time.Time
-		byOrg     map[string]*account
-		routers   int     // that live, this one included
-		usual     float64 // size of a request here, an exponential average
+		mu      sync.Mutex // guards the fields below
+		byOrg   map[string]*account
+		routers int     // that live, this one included
+		usual   float64 // size of a request here, an exponential average
+		ending  bool
 	}
 
 	account struct {
@@ -50,12 +49,14 @@
 		poolVersion  uint64
 		poolAt       time.Time
 		free         Units
-		claimed      Units // part of free that any row which may be in force claims
+		claims       []claim // of all rows that may be in force
 		reserved     Units
 		own, lend    flow // of units to requests here and to other routers
+		drawn        flow // from the pool by all routers, as far as readings show it
 		waiters      []*Wait
 		lent         bool // units come from a lender, not from the pool
 		pooled       bool // they do so always, not for an outage only
+		ending       bool // the router is about to stop
 	}
 
 	// Wait is a reservation that waits for a draw.
@@ -97,7 +98,7 @@
 	defer a.mu.Unlock()
 	acc := a.byOrg[org]
 	if acc == nil {
-		acc = &account{}
+		acc = &account{ending: a.ending}
 		a.byOrg[org] = acc
 	}
 	if version >= acc.limitVersion {
@@ -112,6 +113,17 @@
 	a.routers = max(n, 1)
 }
 
+// End makes the accounts hold nothing from now on beyond what requests reserve:
+// the router is about to stop, and what it holds is of more use to others.
+func (a *Accounts) End() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ending = true
+	for _, acc := range a.byOrg {
+		acc.ending = true
+	}
+}
+
 // Reserve takes need units for one request. With Awaiting, the Wait is ready
 // when the units are reserved or the pool is found dry; Cancel ends it.
 func (a *Accounts) Reserve(org string, need Units, now time.Time) (Verdict, *Wait, Shortage) {
@@ -122,16 +134,16 @@
 		return Dry, nil, Shortage{}
 	}
 	a.usual += (float64(need) - a.usual) * usualWeight
-	if a.usable(acc, now) >= need && len(acc.waiters) == 0 {
+	if acc.usable(now) >= need && len(acc.waiters) == 0 {
 		acc.take(need, now)
 		return Granted, nil, Shortage{}
 	}
-	short := Shortage{Free: acc.free, Dormant: acc.free - a.usable(acc, now), Left: acc.left(), PoolAge: now.Sub(acc.poolAt)}
+	short := Shortage{Free: acc.free, Dormant: acc.free - acc.usable(now), Left: acc.left(), PoolAge: now.Sub(acc.poolAt)}
 	if acc.isDry(need, now) {
 		return Dry, nil, short
 	}
-	if acc.free >= need && now.Before(a.releaseAt) {
-		short.ReleaseIn = a.releaseAt.Sub(now)
+	if acc.free >= need {
+		short.ReleaseIn = acc.releaseIn(need, now)
 	}
 	w := &Wait{need: need, ready: make(chan struct{})}
 	acc.waiters = append(acc.waiters, w)
@@ -227,7 +239,7 @@
 	defer a.mu.Unlock()
 	var moves []Move
 	for org, acc := range a.byOrg {
-		delta := acc.delta(a.floor(acc), a.usual, now)
+		delta := acc.delta(a.floor(acc), a.usual, a.routers, now)
 		if delta == 0 || delta < 0 && drawOnly || acc.lent {
 			continue
 		}
@@ -318,7 +330,7 @@
 	for org, acc := range a.byOrg {
 		out = append(out, AccountState{
 			Organisation: org, Limit: acc.bound(), Drawn: acc.pool.Drawn,
-			Free: acc.free, Dormant: acc.claimed, Reserved: acc.reserved, Rate: int64(acc.own.rate(now)),
+			Free: acc.free, Dormant: acc.dormant(now), Reserved: acc.reserved, Rate: int64(acc.own.rate(now)),
 		})
 	}
 	return out
@@ -331,12 +343,7 @@
 }
 
 // usable is what may be reserved now.
-func (a *Accounts) usable(acc *account, now time.Time) Units {
-	if !now.Before(a.releaseAt) {
-		return acc.free
-	}
-	return acc.free - acc.claimed
-}
+func (acc *account) usable(now time.Time) Units { return acc.free - acc.dormant(now) }
 
 // serveWaiters serves the requests that wait in their order. One that the pool
 // cannot cover any more does not stand before smaller ones.
@@ -344,7 +351,7 @@
 	for len(acc.waiters) > 0 {
 		w := acc.waiters[0]
 		switch {
-		case a.usable(acc, now) >= w.need:
+		case acc.usable(now) >= w.need:
 			acc.grant(w, now)
 		case !acc.isDry(w.need, now):
 			return
@@ -390,6 +397,9 @@
 
 func (acc *account) learn(p Pool, version uint64, now time.Time) {
 	if version >= acc.poolVersion {
+		if acc.poolVersion > 0 {
+			acc.drawn.add(float64(max(p.Drawn-acc.pool.Drawn, 0)), now)
+		}
 		acc.pool, acc.poolVersion, acc.poolAt = p, version, now
 	}
 	acc.denyWaiters()
--- a/internal/cicadabudget/book.go
+++ b/internal/cicadabudget/book.go
@@ -12,9 +12,9 @@
 	// refreshesPerSecond bounds the rows of all routers together, below the 300
 	// transactions a second that one part of the store takes.
 	refreshesPerSecond = 150
-	// restartTime is how long a process on the same host takes to come back
-	// after most ends, with the time until it reaches the store.
-	restartTime = 2100 * time.Millisecond
+	// releaseAfter is how long after the next row is due units stay dormant: a
+	// few answer times of a slow store.
+	releaseAfter = 700 * time.Millisecond
 	// clockMargin covers the rounding of the store's clock.
 	clockMargin = 100 * time.Millisecond
 )
@@ -30,11 +30,12 @@
 	// row's number tells whether it was.
 	//
 	// The row also claims units as dormant: this process does not spend them
-	// before Lapse has passed since AsOf on the store's clock. A later process on
-	// the same host proves that this one has ended. If it began before that time
-	// was over, the units are untouched, and it takes them over in the
-	// transaction that replaces the row. The local clock may stand still while
-	// the host is suspended, which only makes this process spend them later.
+	// before LapseMillis have passed since AsOf on the store's clock, and then
+	// only as they are released, a fixed share of them a second. A later process
+	// on the same host proves that this one has ended. What had not been released
+	// when it began is untouched, and it takes that over in the transaction that
+	// replaces the row. The local clock may stand still while the host is
+	// suspended, which only makes this process spend units later.
 	//
 	// A Book is used by one goroutine.
 	Book struct {
@@ -88,7 +89,8 @@
 		Boot   string `json:"boot"`
 		Number uint64 `json:"number"`
 		// AsOf is a time of the store's clock, in milliseconds, and LapseMillis
-		// how long after it Dormant is not spent.
+		// how long after it nothing of Dormant is spent. See dormantAfter for what
+		// is still dormant later.
 		AsOf        int64            `json:"asOf,omitempty"`
 		LapseMillis int64            `json:"lapseMillis,omitempty"`
 		Dormant     map[string]Units `json:"dormant,omitempty"`
@@ -110,7 +112,7 @@
 }
 
 // lapse is how long after its row was sent dormant units are not spent.
-func (b *Book) lapse() time.Duration { return b.Refresh() + restartTime }
+func (b *Book) lapse() time.Duration { return b.Refresh() + releaseAfter }
 
 // Tick notes the store's clock from an answer that arrived at a time.
 func (b *Book) Tick(millis int64, arrived time.Time) {
@@ -159,21 +161,14 @@
 
 // claim makes the accounts keep to all rows that may be in force.
 func (b *Book) claim(sent *Txn, now time.Time) {
-	rows := []map[string]Units{b.claimed}
-	release := b.claimedAt.Add(b.claimedLapse)
-	later := func(t *Txn) {
-		rows = append(rows, t.withheld())
-		if at := t.sentAt.Add(t.lapse); at.After(release) {
-			release = at
-		}
-	}
+	rows := []rowClaims{{units: b.claimed, from: b.claimedAt.Add(b.claimedLapse)}}
 	for _, d := range b.doubts {
-		later(d)
+		rows = append(rows, rowClaims{units: d.withheld(), from: d.sentAt.Add(d.lapse)})
 	}
 	if sent != nil {
-		later(sent)
+		rows = append(rows, rowClaims{units: sent.withheld(), from: sent.sentAt.Add(sent.lapse)})
 	}
-	b.accs.setClaims(rows, release, now)
+	b.accs.setClaims(rows, now)
 }
 
 // withheld is what must not be spent of the units held before the moves, so that
@@ -250,12 +245,22 @@
 }
 
 // left returns what an earlier process on this host cannot have spent: it ended
-// before this one began, and that was before its claims lapsed.
+// before this one began.
 func (b *Book) left(own *OwnRow, asked time.Time) map[string]Units {
-	if own.AsOf == 0 || b.beganAt(asked)-own.AsOf+clockMargin.Milliseconds() >= own.LapseMillis {
+	if own.AsOf == 0 {
 		return nil
 	}
-	return own.Dormant
+	age := time.Duration(b.beganAt(asked)-own.AsOf)*time.Millisecond + clockMargin
+	var out map[string]Units
+	for org, n := range own.Dormant {
+		if n = dormantAfter(n, age-time.Duration(own.LapseMillis)*time.Millisecond); n > 0 {
+			if out == nil {
+				out = map[string]Units{}
+			}
+			out[org] = n
+		}
+	}
+	return out
 }
 
 // Refused notes that the store turned a transaction away unread.
--- /dev/null
+++ b/internal/cicadabudget/claim.go
@@ -0,0 +1,102 @@
+package cicadabudget
+
+import "time"
+
+const (
+	// releaseShare is the share of what a row declares dormant that is released in
+	// each second after its lapse: all of it in the length of most outages.
+	releaseShare = 0.3
+)
+
+// claim is what a row declares of one account: units that are not spent before
+// from, and that are released evenly after it, releaseShare of them a second. A
+// process that ends leaves what is still dormant to its successor, however long
+// the store was away before.
+type claim struct {
+	units Units
+	from  time.Time
+}
+
+// dormant is what may not be spent yet.
+func (c claim) dormant(now time.Time) Units { return dormantAfter(c.units, now.Sub(c.from)) }
+
+// dormantAfter is what of units is dormant some time after the lapse of the row
+// that declares them.
+func dormantAfter(units Units, since time.Duration) Units {
+	if since <= 0 {
+		return units
+	}
+	return max(units-Units(float64(units)*releaseShare*since.Seconds()), 0)
+}
+
+// dormant is what no row that may be in force lets be spent yet.
+func (acc *account) dormant(now time.Time) Units {
+	var most Units
+	for _, c := range acc.claims {
+		most = max(most, c.dormant(now))
+	}
+	return most
+}
+
+// releaseIn is how long it takes until what is released covers a request, if the
+// store cannot be asked; zero if it does now.
+func (acc *account) releaseIn(need Units, now time.Time) time.Duration {
+	var longest time.Duration
+	for _, c := range acc.claims {
+		if c.units <= acc.free-need {
+			continue
+		}
+		share := float64(c.units-(acc.free-need)) / float64(c.units)
+		at := c.from.Add(time.Duration(share / releaseShare * float64(time.Second)))
+		longest = max(longest, at.Sub(now))
+	}
+	return longest
+}
+
+// claims returns what of each account's free units to declare dormant until
+// releaseAt in a row that is about to be sent with some moves. From here on they
+// are not spent: a request that came between would make the row untrue.
+func (a *Accounts) claims(moves []Move, releaseAt, now time.Time) map[string]Units {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	drawn := map[string]Units{}
+	for _, m := range moves {
+		drawn[m.Organisation] = max(m.Delta, 0)
+	}
+	out := map[string]Units{}
+	for org, acc := range a.byOrg {
+		free := acc.free + drawn[org]
+		if free <= 0 {
+			continue
+		}
+		floor := a.floor(acc)
+		target := acc.target(floor, a.usual, now)
+		active := acc.active(target, a.routers, now)
+		if n := free - active; n > 0 {
+			out[org] = n
+			acc.claims = append(acc.claims, claim{units: max(n-drawn[org], 0), from: releaseAt})
+		}
+	}
+	return out
+}
+
+// setClaims sets the rows of which any may be in force.
+func (a *Accounts) setClaims(rows []rowClaims, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for org, acc := range a.byOrg {
+		acc.claims = acc.claims[:0]
+		for _, row := range rows {
+			if n := row.units[org]; n > 0 {
+				acc.claims = append(acc.claims, claim{units: n, from: row.from})
+			}
+		}
+		a.serveWaiters(acc, now)
+	}
+}
+
+// rowClaims are the claims of one row.
+type rowClaims struct {
+	units map[string]Units
+	from  time.Time
+}
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -14,6 +14,9 @@
 	// and is not lost if the process ends. It covers the time from the last row
 	// to the lapse of its claims.
 	activeAhead = 3.0
+	// strandShare bounds the active parts of all routers, which are lost if all
+	// processes end, to a share of what is left undrawn.
+	strandShare = 0.03
 	// borrowAhead is the same where a lender holds for most cuts, as routers that
 	// the store cannot be reached from mostly reach each other.
 	borrowAhead = 6.0
@@ -28,8 +31,6 @@
 	// plentyShare is the share of a budget left undrawn from which on routers
 	// hold for the whole of holdAhead; below it the time shrinks in proportion.
 	plentyShare = 0.25
-	// activeShare is the same for the active part, which is lost with a process.
-	activeShare = 0.95
 	// dryShare is the share left undrawn below which routers hold nothing beyond
 	// what requests reserve, and give back what they hold at once.
 	dryShare = 0.03
@@ -107,7 +108,7 @@
 }
 
 // delta is what to draw, or to give back if negative.
-func (acc *account) delta(floor Units, usual float64, now time.Time) Units {
+func (acc *account) delta(floor Units, usual float64, routers int, now time.Time) Units {
 	left := acc.left()
 	var missing Units
 	for _, w := range acc.waiters {
@@ -128,8 +129,8 @@
 	if want > 0 {
 		return min(want, left)
 	}
-	surplus := min(acc.free-target, acc.free-acc.claimed-acc.active(target, now))
-	if surplus > 0 && (acc.dry(left) || float64(surplus) > idleShare*float64(acc.bound()) && acc.free > 2*target) {
+	surplus := acc.free - target
+	if surplus > 0 && (acc.ending || acc.dry(left) || float64(surplus) > idleShare*float64(acc.bound()) && acc.free > 2*target) {
 		return -surplus
 	}
 	return 0
@@ -141,7 +142,7 @@
 
 // target is what this router would like to have free.
 func (acc *account) target(floor Units, usual float64, now time.Time) Units {
-	if acc.dry(acc.left()) {
+	if acc.ending || acc.dry(acc.left()) {
 		return 0
 	}
 	ahead, share := holdAhead, plentyShare
@@ -158,59 +159,28 @@
 }
 
 // active is the part of the target that may be spent at once.
-func (acc *account) active(target Units, now time.Time) Units {
+func (acc *account) active(target Units, routers int, now time.Time) Units {
 	var waiting Units
 	for _, w := range acc.waiters {
 		waiting += w.need
 	}
-	ahead := acc.own.rate(now)*activeAhead*acc.plenty(activeShare) + acc.lend.rate(now)*lendActive*acc.plenty(plentyShare)
-	n := Units(min(ahead, mostActive*float64(acc.bound())))
+	own := acc.own.rate(now) * min(activeAhead, strandShare*acc.lasts(routers, now))
+	lent := acc.lend.rate(now) * lendActive * acc.plenty(plentyShare)
+	n := Units(min(own+lent, mostActive*float64(acc.bound())))
 	return max(min(n, target), waiting)
 }
 
-// claims returns what of each account's free units to declare dormant until
-// releaseAt in a row that is about to be sent with some moves. From here on they
-// are not spent: a request that came between would make the row untrue.
-func (a *Accounts) claims(moves []Move, releaseAt, now time.Time) map[string]Units {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	drawn := map[string]Units{}
-	for _, m := range moves {
-		drawn[m.Organisation] = max(m.Delta, 0)
-	}
-	out := map[string]Units{}
-	for org, acc := range a.byOrg {
-		free := acc.free + drawn[org]
-		if free <= 0 {
-			continue
-		}
-		floor := a.floor(acc)
-		target := acc.target(floor, a.usual, now)
-		active := acc.active(target, now)
-		if n := min(free, target) - active; n > 0 {
-			out[org] = n
-			acc.claimed = max(acc.claimed, n-drawn[org])
-		}
-	}
-	if releaseAt.After(a.releaseAt) {
-		a.releaseAt = releaseAt
+// lasts is how many seconds what is left undrawn lasts if all routers go on to
+// draw as they do.
+func (acc *account) lasts(routers int, now time.Time) float64 {
+	rate := acc.drawn.rate(now)
+	if now.Sub(acc.drawn.since) < leastWindow || acc.drawn.since.IsZero() {
+		rate = max(rate, acc.own.rate(now)*float64(routers))
 	}
-	return out
-}
-
-// setClaims sets what is claimed, by the rows of which any may be in force, and
-// until when.
-func (a *Accounts) setClaims(rows []map[string]Units, releaseAt, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.releaseAt = releaseAt
-	for org, acc := range a.byOrg {
-		acc.claimed = 0
-		for _, claims := range rows {
-			acc.claimed = max(acc.claimed, claims[org])
-		}
-		a.serveWaiters(acc, now)
+	if rate <= 0 {
+		return math.Inf(1)
 	}
+	return float64(acc.left()) / rate
 }
 
 // inherit adds what an earlier process on this host left untouched.
--- a/internal/cicadabudget/lending.go
+++ b/internal/cicadabudget/lending.go
@@ -55,12 +55,13 @@
 			continue
 		}
 		// Units that are dormant here stay so: they are kept for a cut.
-		first, all := a.missing(acc, now)
-		want := acc.delta(a.floor(acc), a.usual, now)
-		if all <= 0 && want <= 0 {
-			continue
+		first, want := a.missing(acc, now)
+		if acc.pooled {
+			want = max(want, acc.delta(a.floor(acc), a.usual, a.routers, now))
+		}
+		if want > 0 {
+			out = append(out, Need{Organisation: org, Least: first, Want: want})
 		}
-		out = append(out, Need{Organisation: org, Least: first, Want: max(want, all)})
 	}
 	return out
 }
@@ -74,7 +75,8 @@
 		if !acc.pooled {
 			continue
 		}
-		if n := -acc.delta(a.floor(acc), a.usual, now); n > 0 {
+		// What a row claims stays here: a process that follows takes it over.
+		if n := min(-acc.delta(a.floor(acc), a.usual, a.routers, now), acc.usable(now)); n > 0 {
 			acc.free -= n
 			out = append(out, Surplus{Organisation: org, Units: n})
 		}
@@ -90,7 +92,7 @@
 	for _, w := range acc.waiters {
 		all += w.need
 	}
-	usable := max(a.usable(acc, now), 0)
+	usable := max(acc.usable(now), 0)
 	return max(acc.waiters[0].need-usable, 0), max(all-usable, 0)
 }
 
@@ -109,7 +111,7 @@
 	if need <= 0 {
 		need = n.Want
 	}
-	usable := a.usable(acc, now)
+	usable := acc.usable(now)
 	if usable >= need && len(acc.waiters) == 0 {
 		given := min(usable, n.Want)
 		acc.free -= given
--- a/internal/cicadabudget/lending_test.go
+++ b/internal/cicadabudget/lending_test.go
@@ -169,6 +169,27 @@
 	}
 }
 
+// TestBorrowingInAnOutageTakesWhatRequestsLack has a router of a small fleet run
+// out of units while the store is away. It asks others for what its requests need
+// and for no holding: what is lent is in no router's claims.
+func TestBorrowingInAnOutageTakesWhatRequestsLack(t *testing.T) {
+	r := newRig(t, 1_000_000)
+	r.accs.SetRouters(8)
+	r.spendFor(10*time.Second, 400, r.balance)
+	r.accs.SetLent(func(string) bool { return true })
+	r.now = r.now.Add(10 * time.Second)
+	for r.spend(400, func() {}) {
+	}
+	if diff := cmp.Diff([]cicadabudget.Need(nil), r.accs.Needs(r.now)); diff != "" {
+		t.Errorf("needs while no request waits (-want +got):\n%s", diff)
+	}
+	need := r.state().Free + 500
+	r.accs.Reserve(org, need, r.now)
+	if diff := cmp.Diff([]cicadabudget.Need{{Organisation: org, Least: 500, Want: 500}}, r.accs.Needs(r.now)); diff != "" {
+		t.Errorf("needs of a request that lacks 500 (-want +got):\n%s", diff)
+	}
+}
+
 // TestPooledHoldingsShrinkInTime has a router use a budget at one rate, with much
 // and with a third of it left. In the second case it holds far less: if all
 // processes ended in an outage, the rest would have to last.
--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -95,7 +95,8 @@
 func (b *bank) balance(ctx context.Context) {
 	b.book.SetRouters(int(b.routers.Load()))
 	for range 4 {
-		moves := b.rt.accounts.Plan(b.book.InDoubt(), time.Now())
+		// What is given back is out of use until the store answers.
+		moves := b.rt.accounts.Plan(b.book.InDoubt() || !b.up.Load(), time.Now())
 		for len(moves) > txnMoves {
 			b.rt.accounts.Drop(moves[txnMoves:])
 			moves = moves[:txnMoves]
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -217,6 +217,8 @@
 	end := began.Add(rt.cfg.StopTimeout - killMargin)
 	rt.stopping.Store(true)
 	rt.cfg.Log.WithField("inFlight", rt.cfg.Metrics.InFlight.String()).Info("stop")
+	rt.accounts.End()
+	rt.bank.wake()
 	time.Sleep(min(noticeTime, time.Until(end)))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
