--- a/internal/cicadaedge/follow.go
+++ b/internal/cicadaedge/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/pkg/errors"
 )
@@ -17,8 +18,11 @@
 	// heartbeat of a runner is a change, so without it every heartbeat would be a
 	// call; a leaving runner is to be seen within two seconds.
 	runnerPause = 450 * time.Millisecond
-	// poolPause lies between two readings of the pools.
-	poolPause = time.Second
+	// poolPause lies between two readings of the pools in a small fleet, where
+	// units that one router gives back are what a request at another one waits for.
+	// pooledPause is the same where units come from lenders.
+	poolPause   = 300 * time.Millisecond
+	pooledPause = time.Second
 	// routerPause lies between two readings of the routers' rows.
 	routerPause = 4 * time.Second
 	// youngTime is how long after its start a router expects others to start with
@@ -39,10 +43,9 @@
 	// followConfig describes a table to follow.
 	followConfig struct {
 		table string
-		pause time.Duration // between two readings
-		// youngPause replaces pause while the follower is young; zero for none.
-		youngPause time.Duration
-		wait       time.Duration // for a change, in one call
+		// pause lies between two readings, at an age of the follower.
+		pause func(age time.Duration) time.Duration
+		wait  time.Duration // for a change, in one call
 		// take is told of all rows (whole) or of changes.
 		take func(b cicadastore.Batch, whole bool, now time.Time)
 		// fresh is told of each answer, with the time at which it was asked for.
@@ -111,16 +114,29 @@
 		if f.cfg.fresh != nil {
 			f.cfg.fresh(asked)
 		}
-		pause(ctx, f.cfg.pauseAt(time.Since(began)))
+		pause(ctx, f.cfg.pause(time.Since(began)))
 	}
 }
 
-// pauseAt is the pause between two readings at a follower's age.
-func (cfg *followConfig) pauseAt(age time.Duration) time.Duration {
-	if age < youngTime && cfg.youngPause > 0 {
-		return cfg.youngPause
+// always is the same pause at any age.
+func always(d time.Duration) func(time.Duration) time.Duration {
+	return func(time.Duration) time.Duration { return d }
+}
+
+// routersPause is the pause between two readings of the routers' rows.
+func routersPause(age time.Duration) time.Duration {
+	if age < youngTime {
+		return youngPause
+	}
+	return routerPause
+}
+
+// poolsPause is the pause between two readings of the pools.
+func (rt *Router) poolsPause(time.Duration) time.Duration {
+	if rt.peers.count() < cicadabudget.LendFrom {
+		return poolPause
 	}
-	return cfg.pause
+	return pooledPause
 }
 
 // read reads the whole table first and after lost history, and changes then.
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -91,13 +91,13 @@
 	rt.cancel = cancel
 	rt.cfg.Log.WithField("host", rt.cfg.Name).WithField("place", rt.cfg.Place).WithField("boot", rt.cfg.Boot).Info("start")
 	rt.deployments = rt.follow(ctx, followConfig{
-		table: rt.cfg.Sources.DeploymentTable, wait: deploymentWait, take: rt.takeDeployment,
+		table: rt.cfg.Sources.DeploymentTable, wait: deploymentWait, pause: always(0), take: rt.takeDeployment,
 	})
 	rt.runners = rt.follow(ctx, followConfig{
-		table: rt.cfg.Sources.RunnerTable, wait: tableWait, pause: runnerPause, take: rt.takeRunners, back: rt.fleet.StoreBack,
+		table: rt.cfg.Sources.RunnerTable, wait: tableWait, pause: always(runnerPause), take: rt.takeRunners, back: rt.fleet.StoreBack,
 	})
-	rt.follow(ctx, followConfig{table: tablePools, wait: tableWait, pause: poolPause, take: rt.takePools})
-	rt.follow(ctx, followConfig{table: tableRouters, wait: tableWait, pause: routerPause, youngPause: youngPause, take: rt.takeRouters})
+	rt.follow(ctx, followConfig{table: tablePools, wait: tableWait, pause: rt.poolsPause, take: rt.takePools})
+	rt.follow(ctx, followConfig{table: tableRouters, wait: tableWait, pause: routersPause, take: rt.takeRouters})
 	rt.goPart(func() { rt.bank.run(ctx) })
 	rt.goPart(func() { rt.announce(ctx) })
 	if rt.cfg.Relay != nil {
