Requests wait for units that are about to be released; a slow store counts as away sooner

Cause: the first seconds of a cut.

Change: a transaction that is not answered in 120 ms makes the router ask others for units; a router that cannot draw answers at once that it has none. A request waits up to a second if dormant units are released for it and those before it, and is told that time otherwise. Units stay dormant 0.3 s after the next row is due, a quarter of them is released each second, the active parts of all routers are at most 6 in 100 of what is left.

--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -142,9 +142,7 @@
 	if acc.isDry(need, now) {
 		return Dry, nil, short
 	}
-	if acc.free >= need {
-		short.ReleaseIn = acc.releaseIn(need, now)
-	}
+	short.ReleaseIn = acc.releaseIn(need, now)
 	w := &Wait{need: need, ready: make(chan struct{})}
 	acc.waiters = append(acc.waiters, w)
 	return Awaiting, w, short
@@ -156,6 +154,34 @@
 // Granted tells whether the units are reserved. Call it after Ready is closed.
 func (w *Wait) Granted() bool { return w.granted }
 
+// Serve grants what waits and is covered by units that are no longer dormant.
+func (a *Accounts) Serve(org string, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if acc := a.byOrg[org]; acc != nil {
+		a.serveWaiters(acc, now)
+	}
+}
+
+// ReleaseIn is how long it takes until released units cover a wait and those
+// before it, if the store cannot be asked; zero if they do now or never will.
+func (a *Accounts) ReleaseIn(org string, w *Wait, now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.byOrg[org]
+	if acc == nil {
+		return 0
+	}
+	var need Units
+	for _, other := range acc.waiters {
+		need += other.need
+		if other == w {
+			return acc.releaseIn(need, now)
+		}
+	}
+	return 0
+}
+
 // Release ends a wait unless units that are no longer dormant cover it now. It
 // returns false if the wait has ended with an answer.
 func (a *Accounts) Release(org string, w *Wait, now time.Time) bool {
--- a/internal/cicadabudget/book.go
+++ b/internal/cicadabudget/book.go
@@ -14,7 +14,7 @@
 	refreshesPerSecond = 150
 	// releaseAfter is how long after the next row is due units stay dormant: a
 	// few answer times of a slow store.
-	releaseAfter = 700 * time.Millisecond
+	releaseAfter = 300 * time.Millisecond
 	// clockMargin covers the rounding of the store's clock.
 	clockMargin = 100 * time.Millisecond
 )
--- a/internal/cicadabudget/claim.go
+++ b/internal/cicadabudget/claim.go
@@ -5,7 +5,7 @@
 const (
 	// releaseShare is the share of what a row declares dormant that is released in
 	// each second after its lapse: all of it in the length of most outages.
-	releaseShare = 0.3
+	releaseShare = 0.25
 )
 
 // claim is what a row declares of one account: units that are not spent before
@@ -38,9 +38,12 @@
 	return most
 }
 
-// releaseIn is how long it takes until what is released covers a request, if the
-// store cannot be asked; zero if it does now.
+// releaseIn is how long it takes until what is released covers need, if the store
+// cannot be asked; zero if it does now or never will.
 func (acc *account) releaseIn(need Units, now time.Time) time.Duration {
+	if acc.free < need {
+		return 0
+	}
 	var longest time.Duration
 	for _, c := range acc.claims {
 		if c.units <= acc.free-need {
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -16,7 +16,7 @@
 	activeAhead = 3.0
 	// strandShare bounds the active parts of all routers, which are lost if all
 	// processes end, to a share of what is left undrawn.
-	strandShare = 0.03
+	strandShare = 0.06
 	// borrowAhead is the same where a lender holds for most cuts, as routers that
 	// the store cannot be reached from mostly reach each other.
 	borrowAhead = 6.0
--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -22,6 +22,9 @@
 	// probeTimeout bounds a transaction while the store does not answer: more
 	// than it takes when it is slow.
 	probeTimeout = 500 * time.Millisecond
+	// slowAnswer is how long an answer may take until other routers are asked for
+	// units: many times its usual time.
+	slowAnswer = 120 * time.Millisecond
 	// txnMoves bounds the organisations in one transaction, below the store's
 	// hundred entries.
 	txnMoves = 40
@@ -39,6 +42,8 @@
 	done    chan struct{}
 }
 
+var errSlow = errors.New("the store has not answered a transaction in time")
+
 func newBank(rt *Router) *bank {
 	b := &bank{rt: rt, book: cicadabudget.NewBook(rt.cfg.Boot, rt.cfg.Began, rt.accounts), wakeCh: make(chan struct{}, 1), done: make(chan struct{})}
 	b.up.Store(true)
@@ -127,7 +132,12 @@
 		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 	}
+	slow := time.AfterFunc(slowAnswer, func() {
+		b.setUp(false, errSlow)
+		b.rt.borrower.wake()
+	})
 	done, err := b.rt.cfg.Store.Commit(ctx, sent)
+	slow.Stop()
 	now := time.Now()
 	var conflict *cicadastore.ConflictError
 	switch {
--- a/internal/cicadaedge/lend.go
+++ b/internal/cicadaedge/lend.go
@@ -216,6 +216,10 @@
 		case cicadabudget.Dry:
 			reply.Loans[i] = loan{Dry: true, Most: rt.accounts.Within(n.Organisation)}
 		case cicadabudget.Awaiting:
+			if waits[i] != nil && !rt.bank.reachable() && rt.accounts.Cancel(n.Organisation, waits[i]) {
+				// Nothing can be drawn: another router may have what this one lacks.
+				waits[i] = nil
+			}
 			short = short || waits[i] != nil
 			reply.Loans[i].Unable = waits[i] == nil
 		}
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -18,9 +18,9 @@
 	// drawWait bounds the wait for units from the store: several of its usual
 	// answer times, and well below the objectives of today's routes.
 	drawWait = 350 * time.Millisecond
-	// releaseWait is how long a request waits for dormant units: what leaves the
-	// objectives of today's routes time for the answer.
-	releaseWait = 450 * time.Millisecond
+	// releaseWait is how long a request waits for dormant units: less than it
+	// would take to come back.
+	releaseWait = time.Second
 	// filesPerRequest is the descriptors that a request may need: its caller's
 	// connection, its runner's, and as much again for idle ones.
 	filesPerRequest = 4
@@ -248,28 +248,23 @@
 	return nil
 }
 
-// await waits for units: for a draw while the store answers, or for dormant
+// await waits for units: for a draw while the store answers, and for dormant
 // units that are released soon. Else the caller is told when to come back.
 func (q *request) await(ctx context.Context, wait *cicadabudget.Wait, short *cicadabudget.Shortage) *refusal {
-	unsure := &refusal{kind: RefuseBudgetUnsure, after: later, detail: unsureDetail(short)}
-	patience := drawWait
-	if !q.rt.bank.reachable() && !q.rt.accounts.Lent(q.org.Name) {
-		patience = short.ReleaseIn
-		if patience > 0 {
-			unsure.after = patience
-		}
-		if (patience == 0 || patience > releaseWait) && q.rt.accounts.Cancel(q.org.Name, wait) {
-			return unsure
-		}
-	}
 	q.rt.bank.wake()
 	q.rt.borrower.wake()
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case <-wait.Ready():
-	case <-timer.C:
-	case <-ctx.Done():
+	if q.rt.bank.reachable() || q.rt.accounts.Lent(q.org.Name) {
+		q.waitFor(ctx, wait, drawWait)
+	}
+	for {
+		release := q.rt.accounts.ReleaseIn(q.org.Name, wait, time.Now())
+		if release <= 0 || release > releaseWait || !q.waitFor(ctx, wait, release) {
+			break
+		}
+	}
+	unsure := &refusal{kind: RefuseBudgetUnsure, after: later, detail: unsureDetail(short)}
+	if release := q.rt.accounts.ReleaseIn(q.org.Name, wait, time.Now()); release > 0 {
+		unsure.after = release
 	}
 	if q.rt.accounts.Release(q.org.Name, wait, time.Now()) {
 		return unsure
@@ -280,6 +275,21 @@
 	return nil
 }
 
+// waitFor waits for units for some time. It tells whether it waited in vain.
+func (q *request) waitFor(ctx context.Context, wait *cicadabudget.Wait, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-wait.Ready():
+		return false
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		q.rt.accounts.Serve(q.org.Name, time.Now())
+		return true
+	}
+}
+
 // unsureDetail tells what a request that got no units in time was decided on.
 func unsureDetail(short *cicadabudget.Shortage) string {
 	return fmt.Sprintf("of the organisation's units %d are free here, %d of them dormant for %d ms, %d were left undrawn %d ms ago, "+
