A store that comes back from an older copy begins an era

Change: every answer's era is followed. Keys of pools and own rows carry it, so that no transaction of an earlier era touches a row of a later one; an answer of another era than its transaction is of no use. In a new era nothing is drawn until the routers have reported their newest reading of each pool and one settlement of them is in the store. For routers that do not report, what they may have drawn unseen is withheld; draws for holdings are bounded for that. A router that knows more than the settlement drops what it has free. Versions are never compared over eras, routers write their rows again, entries of runners that were written before one that is known are ignored where the runner's start is told.

--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -23,6 +23,7 @@
 		// From is the pool that the move was planned on, at Version of its row.
 		From    Pool
 		Version uint64
+		era     uint64
 	}
 
 	// Accounts are this router's parts of all budgets. What a router may spend
@@ -40,6 +41,11 @@
 		routers int     // that live, this one included
 		usual   float64 // size of a request here, an exponential average
 		ending  bool
+
+		era      uint64 // of the store
+		settling bool
+		bases    map[string]Base // of the pools, once the era is settled
+		copied   map[string]View // rows of earlier eras that the store still has
 	}
 
 	account struct {
@@ -57,6 +63,9 @@
 		lent         bool // units come from a lender, not from the pool
 		pooled       bool // they do so always, not for an outage only
 		ending       bool // the router is about to stop
+		view         View // newest reading of an earlier era
+		gapAt        time.Time
+		gapDrawn     Units // since gapAt
 	}
 
 	// Wait is a reservation that waits for a draw.
@@ -98,7 +107,8 @@
 	defer a.mu.Unlock()
 	acc := a.byOrg[org]
 	if acc == nil {
-		acc = &account{ending: a.ending}
+		b := a.bases[org]
+		acc = &account{ending: a.ending, pool: b.pool()}
 		a.byOrg[org] = acc
 	}
 	if version >= acc.limitVersion {
@@ -216,11 +226,11 @@
 	a.serveWaiters(acc, now)
 }
 
-// Learn takes a reading of a pool at a version of its row.
-func (a *Accounts) Learn(org string, p Pool, version uint64, now time.Time) {
+// Learn takes a reading of a pool at a version of its row in an era.
+func (a *Accounts) Learn(org string, era uint64, p Pool, version uint64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if acc := a.byOrg[org]; acc != nil {
+	if acc := a.byOrg[org]; acc != nil && era == a.era {
 		acc.learn(p, version, now)
 		a.serveWaiters(acc, now)
 	}
@@ -229,10 +239,10 @@
 // Correct takes a pool as the store had it when it turned a move down. It goes
 // before any reading, so that a router never insists on a version that the row
 // does not have.
-func (a *Accounts) Correct(org string, p Pool, version uint64, now time.Time) {
+func (a *Accounts) Correct(org string, era uint64, p Pool, version uint64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if acc := a.byOrg[org]; acc != nil {
+	if acc := a.byOrg[org]; acc != nil && era == a.era {
 		acc.poolVersion = 0
 		acc.learn(p, version, now)
 		a.serveWaiters(acc, now)
@@ -247,9 +257,12 @@
 }
 
 // Confirm notes that no pool has changed since the last reading.
-func (a *Accounts) Confirm(now time.Time) {
+func (a *Accounts) Confirm(era uint64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if era != a.era || a.settling {
+		return
+	}
 	for _, acc := range a.byOrg {
 		acc.poolAt = now
 		acc.denyWaiters()
@@ -264,6 +277,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var moves []Move
+	if a.settling {
+		return nil
+	}
 	for org, acc := range a.byOrg {
 		delta := acc.delta(a.floor(acc), a.usual, a.routers, now)
 		if delta == 0 || delta < 0 && drawOnly || acc.lent {
@@ -272,7 +288,7 @@
 		if delta < 0 {
 			acc.free += delta
 		}
-		moves = append(moves, Move{Organisation: org, Delta: delta, From: acc.pool, Version: acc.poolVersion})
+		moves = append(moves, Move{Organisation: org, Delta: delta, From: acc.pool, Version: acc.poolVersion, era: a.era})
 	}
 	return moves
 }
@@ -282,9 +298,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var moves []Move
+	if a.settling {
+		return nil
+	}
 	for org, acc := range a.byOrg {
 		if acc.free > 0 {
-			moves = append(moves, Move{Organisation: org, Delta: -acc.free, From: acc.pool, Version: acc.poolVersion})
+			moves = append(moves, Move{Organisation: org, Delta: -acc.free, From: acc.pool, Version: acc.poolVersion, era: a.era})
 			acc.free = 0
 		}
 	}
@@ -308,9 +327,14 @@
 func (a *Accounts) Done(m Move, after Pool, version uint64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if m.era != a.era {
+		// The row is gone with its era: what was drawn is not used.
+		return
+	}
 	acc := a.byOrg[m.Organisation]
 	if m.Delta > 0 {
 		acc.free += m.Delta
+		acc.countDrawn(m.Delta, now)
 	}
 	acc.learn(after, version, now)
 }
@@ -319,7 +343,7 @@
 func (a *Accounts) Undo(m Move) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if m.Delta < 0 {
+	if m.Delta < 0 && m.era == a.era {
 		a.byOrg[m.Organisation].free -= m.Delta
 	}
 }
@@ -400,7 +424,7 @@
 
 // isDry tells whether the pool is known not to cover a request.
 func (acc *account) isDry(need Units, now time.Time) bool {
-	return !acc.lent && acc.left()+acc.free < need && now.Sub(acc.poolAt) < poolTrust
+	return !acc.lent && acc.poolVersion > 0 && acc.left()+acc.free < need && now.Sub(acc.poolAt) < poolTrust
 }
 
 // denyWaiters ends the waits that a fresh reading of the pool cannot serve.
--- a/internal/cicadabudget/account_test.go
+++ b/internal/cicadabudget/account_test.go
@@ -51,7 +51,7 @@
 		r.book.Tick(r.clock(), r.now)
 		if txn.OwnVersion != r.ownAt || len(txn.Moves) > 0 && txn.Moves[0].Version != r.poolAt {
 			if r.poolAt > 0 {
-				r.accs.Correct(org, r.pool, r.poolAt, r.now)
+				r.accs.Correct(org, 0, r.pool, r.poolAt, r.now)
 			}
 			r.book.Rejected(txn, r.own, r.ownAt, r.now, r.now)
 			continue
@@ -202,7 +202,7 @@
 // out does not wait, and that one that the pool covers does.
 func TestDryBudgetIsRefusedAtOnce(t *testing.T) {
 	r := newRig(t, 10_000)
-	r.accs.Learn(org, cicadabudget.Pool{Drawn: 9_900, Limit: 10_000, LimitVersion: 1}, r.poolAt+1, r.now)
+	r.accs.Learn(org, 0, cicadabudget.Pool{Drawn: 9_900, Limit: 10_000, LimitVersion: 1}, r.poolAt+1, r.now)
 	verdict, _, short := r.accs.Reserve(org, 9_000, r.now)
 	if verdict != cicadabudget.Dry {
 		t.Errorf("verdict %v of a request over what is left: %+v", verdict, short)
@@ -219,7 +219,7 @@
 	r := newRig(t, 10_000)
 	r.now = r.now.Add(5 * time.Second)
 	_, w, _ := r.accs.Reserve(org, 9_500, r.now)
-	r.accs.Learn(org, cicadabudget.Pool{Drawn: 9_900, Limit: 10_000, LimitVersion: 1}, r.poolAt+1, r.now)
+	r.accs.Learn(org, 0, cicadabudget.Pool{Drawn: 9_900, Limit: 10_000, LimitVersion: 1}, r.poolAt+1, r.now)
 	select {
 	case <-w.Ready():
 	default:
@@ -239,7 +239,7 @@
 	r.poolAt++
 	r.store++
 	r.pool = others
-	r.accs.Learn(org, others, r.poolAt, r.now)
+	r.accs.Learn(org, 0, others, r.poolAt, r.now)
 	for range 3 {
 		r.now = r.now.Add(time.Second)
 		r.balance()
@@ -271,7 +271,7 @@
 // TestTopUpKnownToAnotherRouter checks that the newest bound goes with the pool.
 func TestTopUpKnownToAnotherRouter(t *testing.T) {
 	r := newRig(t, 1_000)
-	r.accs.Learn(org, cicadabudget.Pool{Drawn: 1_000, Limit: 5_000, LimitVersion: 2}, r.poolAt+1, r.now)
+	r.accs.Learn(org, 0, cicadabudget.Pool{Drawn: 1_000, Limit: 5_000, LimitVersion: 2}, r.poolAt+1, r.now)
 	if got := r.state().Limit; got != 5_000 {
 		t.Errorf("limit %d, want that of the newer configuration", got)
 	}
--- a/internal/cicadabudget/book.go
+++ b/internal/cicadabudget/book.go
@@ -40,6 +40,7 @@
 	// A Book is used by one goroutine.
 	Book struct {
 		boot    string // of this process; an earlier one's numbers mean nothing
+		era     uint64 // of the store, for all below
 		began   time.Time
 		accs    *Accounts
 		number  uint64 // of the last transaction sent
@@ -74,6 +75,8 @@
 	// Txn is a set of moves that the store takes together or not at all.
 	Txn struct {
 		Number uint64
+		// Era is part of the keys of all its rows.
+		Era uint64
 		// OwnVersion is the version that the router's own row must have.
 		OwnVersion uint64
 		Moves      []Move
@@ -124,7 +127,11 @@
 // Begin makes a transaction of the moves that the pools cover, or returns nil if
 // there is nothing to do. A transaction in doubt is settled by the next one.
 func (b *Book) Begin(moves []Move, now time.Time) *Txn {
-	txn := &Txn{OwnVersion: b.version, heritage: b.heritage, sentAt: now, lapse: b.lapse()}
+	b.enterEra()
+	if b.accs.Settling() {
+		return nil
+	}
+	txn := &Txn{Era: b.era, OwnVersion: b.version, heritage: b.heritage, sentAt: now, lapse: b.lapse()}
 	for _, m := range moves {
 		after, ok := b.accs.Next(m)
 		if !ok {
@@ -150,6 +157,24 @@
 	return txn
 }
 
+// enterEra forgets all that concerns rows of an earlier era. Of transactions in
+// doubt draws are not used, and what was to be given back is gone: it counts as
+// drawn.
+func (b *Book) enterEra() {
+	era := b.accs.Era()
+	if era == b.era {
+		return
+	}
+	b.era, b.version, b.doubts, b.claimed, b.heritage = era, 0, nil, nil, nil
+	b.claimedAt, b.claimedLapse = time.Time{}, 0
+}
+
+// current tells whether a transaction is of the present era.
+func (b *Book) current(txn *Txn) bool {
+	b.enterEra()
+	return txn.Era == b.era
+}
+
 // rowDue tells whether the row has to be written for its claims alone: because
 // they grow old, or because requests wait for units that are dormant.
 func (b *Book) rowDue(claims map[string]Units, now time.Time) bool {
@@ -168,7 +193,7 @@
 	if sent != nil {
 		rows = append(rows, rowClaims{units: sent.withheld(), from: sent.sentAt.Add(sent.lapse)})
 	}
-	b.accs.setClaims(rows, now)
+	b.accs.setClaims(b.era, rows, now)
 }
 
 // withheld is what must not be spent of the units held before the moves, so that
@@ -195,6 +220,9 @@
 
 // Committed notes that the store took a transaction at a version.
 func (b *Book) Committed(txn *Txn, version uint64, now time.Time) {
+	if !b.current(txn) {
+		return
+	}
 	// The row was still at the version that those in doubt need, and no longer is.
 	for _, d := range b.doubts {
 		b.undo(d)
@@ -210,6 +238,9 @@
 // there is none. Asked is when the transaction was sent. Pools are learnt by the
 // caller.
 func (b *Book) Rejected(txn *Txn, own OwnRow, version uint64, asked, now time.Time) {
+	if !b.current(txn) {
+		return
+	}
 	b.undo(txn)
 	if version != b.version {
 		b.version = version
@@ -265,6 +296,9 @@
 
 // Refused notes that the store turned a transaction away unread.
 func (b *Book) Refused(txn *Txn, now time.Time) {
+	if !b.current(txn) {
+		return
+	}
 	b.undo(txn)
 	b.claim(nil, now)
 }
@@ -272,7 +306,11 @@
 // Lost notes that no answer came: the transaction may have been performed, or
 // may be performed later while its conditions hold. Its draws are not used, and
 // what it gives back is not used either, until the next one settles it.
-func (b *Book) Lost(txn *Txn) { b.doubts = append(b.doubts, txn) }
+func (b *Book) Lost(txn *Txn) {
+	if b.current(txn) {
+		b.doubts = append(b.doubts, txn)
+	}
+}
 
 // InDoubt tells whether the outcome of a transaction is unknown.
 func (b *Book) InDoubt() bool { return len(b.doubts) > 0 }
@@ -288,7 +326,7 @@
 		b.accs.Done(m, txn.After[i], version, now)
 	}
 	if len(txn.heritage) > 0 {
-		b.accs.inherit(txn.heritage, now)
+		b.accs.inherit(txn.Era, txn.heritage, now)
 	}
 	b.heritage = nil
 }
--- a/internal/cicadabudget/book_test.go
+++ b/internal/cicadabudget/book_test.go
@@ -149,7 +149,7 @@
 			return
 		}
 		if w.pool.version > 0 {
-			p.accs.Correct(org, w.pool.pool, w.pool.version, w.now(p))
+			p.accs.Correct(org, 0, w.pool.pool, w.pool.version, w.now(p))
 		}
 		p.book.Rejected(txn, w.own[host].row, w.own[host].version, asked, w.now(p))
 	}
@@ -351,7 +351,7 @@
 			rows := append(append([]poolRow(nil), w.old...), w.pool)
 			r := rows[rapid.IntRange(max(0, len(rows)-3), len(rows)-1).Draw(t, "reading")]
 			if r.version > 0 {
-				p.accs.Learn(org, r.pool, r.version, w.now(p))
+				p.accs.Learn(org, 0, r.pool, r.version, w.now(p))
 			}
 		}),
 		"kill": func(t *rapid.T) {
--- a/internal/cicadabudget/claim.go
+++ b/internal/cicadabudget/claim.go
@@ -84,9 +84,12 @@
 }
 
 // setClaims sets the rows of which any may be in force.
-func (a *Accounts) setClaims(rows []rowClaims, now time.Time) {
+func (a *Accounts) setClaims(era uint64, rows []rowClaims, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if era != a.era {
+		return
+	}
 	for org, acc := range a.byOrg {
 		acc.claims = acc.claims[:0]
 		for _, row := range rows {
--- /dev/null
+++ b/internal/cicadabudget/era.go
@@ -0,0 +1,236 @@
+package cicadabudget
+
+import (
+	"maps"
+	"time"
+)
+
+// The store may come back from a copy that is some seconds old. What was drawn
+// since is then gone from its rows, but not from the routers that drew it. Each
+// such return begins a new era. In a new era rows have new keys, so that no
+// transaction of an earlier one can change them, and nothing is drawn until the
+// routers have settled what each pool has given out: every router reports the
+// newest reading that it has, and the newest of all is the pool's base. It counts
+// each draw of a router that reports, since a router that draws reads the row it
+// wrote.
+//
+// A router that does not report may have drawn more after that reading. So much is
+// withheld for it; see unseenShare.
+
+const (
+	// witnessGap is how long a draw may be unknown to all other routers: the time
+	// between two of their readings of the pools.
+	witnessGap = 1500 * time.Millisecond
+	// unseenShare is the most that a router draws in a witnessGap for its holding,
+	// and unseenPooled the most that a lender does, as shares of the budget.
+	unseenShare  = 0.025
+	unseenPooled = 0.05
+	// unseenGaps is how many such gaps are withheld: a gap may overlap two windows
+	// in which draws are counted.
+	unseenGaps = 2
+)
+
+type (
+	// View is a reading of a pool. A version means nothing without its era.
+	View struct {
+		Era     uint64 `json:"era"`
+		Version uint64 `json:"version"`
+		Pool    Pool   `json:"pool"`
+	}
+
+	// Report is what one router knows of the pools as an era begins.
+	Report struct {
+		Boot string `json:"boot"`
+		// Witness tells that the router followed the pools before the era began.
+		Witness bool            `json:"witness"`
+		Views   map[string]View `json:"views,omitempty"`
+	}
+
+	// Base is what a pool starts from in an era: a reading, and units that are
+	// withheld for routers that did not report.
+	Base struct {
+		View     View  `json:"view"`
+		Withheld Units `json:"withheld,omitempty"`
+	}
+
+	// Settlement is the routers' agreement on the bases of all pools in an era.
+	// Pools that it does not name start empty.
+	Settlement struct {
+		By      string          `json:"by"` // boot of the router that wrote it
+		Missing int             `json:"missing"`
+		Bases   map[string]Base `json:"bases"`
+	}
+)
+
+// newerThan compares two readings.
+func (v *View) newerThan(o *View) bool {
+	return v.Era > o.Era || v.Era == o.Era && v.Version > o.Version
+}
+
+// Settle makes the settlement of an era from the reports, with a number of routers
+// of which each may have drawn. Limits are the bounds that the caller knows.
+func Settle(by string, reports []Report, routers int) Settlement {
+	s := Settlement{By: by, Bases: map[string]Base{}}
+	witnesses := 0
+	for _, r := range reports {
+		if r.Witness {
+			witnesses++
+		}
+		for org, v := range r.Views {
+			if b, ok := s.Bases[org]; !ok || v.newerThan(&b.View) {
+				s.Bases[org] = Base{View: v}
+			}
+		}
+	}
+	s.Missing = max(routers, len(reports)) - witnesses
+	for org, b := range s.Bases {
+		b.Withheld = withheldFor(&b.View.Pool, s.Missing, routers)
+		s.Bases[org] = b
+	}
+	return s
+}
+
+// withheldFor is what routers that did not report may have drawn unseen, as far as
+// the pool had it.
+func withheldFor(p *Pool, missing, routers int) Units {
+	share := unseenGaps * unseenShare * float64(missing)
+	if routers >= LendFrom {
+		// Of each organisation only the lender draws.
+		share = unseenGaps * unseenPooled * float64(min(missing, 1))
+	}
+	return min(Units(share*float64(p.Limit)), max(p.Limit-p.Drawn, 0))
+}
+
+// pool is what the pool's row holds before its first draw in the era.
+func (b *Base) pool() Pool {
+	p := b.View.Pool
+	p.Drawn += b.Withheld
+	return p
+}
+
+// Era is the era of the store that the accounts are in.
+func (a *Accounts) Era() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.era
+}
+
+// Settling tells whether the pools of the era are not settled yet: nothing is
+// drawn or given back.
+func (a *Accounts) Settling() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.settling
+}
+
+// EnterEra begins an era, unless it has begun. What the accounts hold stays; all
+// readings and claims are those of an earlier era. First is the era in which the
+// process began: it has seen none before, and settles only if asked to.
+func (a *Accounts) EnterEra(era uint64, first bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if era == a.era {
+		return
+	}
+	for _, acc := range a.byOrg {
+		if acc.poolVersion > 0 {
+			acc.view = View{Era: a.era, Version: acc.poolVersion, Pool: acc.pool}
+		}
+		acc.pool, acc.poolVersion, acc.poolAt = Pool{}, 0, time.Time{}
+		acc.claims = nil
+	}
+	a.era, a.bases, a.settling = era, nil, !first
+}
+
+// AwaitSettlement makes a process settle the era that it began in.
+func (a *Accounts) AwaitSettlement() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settling = true
+}
+
+// Remember takes a pool's row of an earlier era, as an older copy may hold it.
+func (a *Accounts) Remember(org string, v View) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.copied == nil {
+		a.copied = map[string]View{}
+	}
+	if old, ok := a.copied[org]; v.Era < a.era && (!ok || v.newerThan(&old)) {
+		a.copied[org] = v
+	}
+}
+
+// Report returns what to report of the pools: what this process has read itself,
+// or what the store still has.
+func (a *Accounts) Report(boot string, witness bool) Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := Report{Boot: boot, Witness: witness, Views: maps.Clone(a.copied)}
+	if r.Views == nil {
+		r.Views = map[string]View{}
+	}
+	for org, acc := range a.byOrg {
+		if old, ok := r.Views[org]; acc.view.Version > 0 && (!ok || acc.view.newerThan(&old)) {
+			r.Views[org] = acc.view
+		}
+	}
+	return r
+}
+
+// View returns the newest reading of a pool in the present era, or nil.
+func (a *Accounts) View(org string) *View {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.byOrg[org]
+	if acc == nil || acc.poolVersion == 0 {
+		return nil
+	}
+	return &View{Era: a.era, Version: acc.poolVersion, Pool: acc.pool}
+}
+
+// Adopt ends the settling of an era. Where this router has a newer reading than
+// the settlement knew, its draws may not be counted: what is free of them is
+// dropped, and what runs is covered by what was withheld. It returns the units
+// dropped.
+func (a *Accounts) Adopt(era uint64, s *Settlement) map[string]Units {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if era != a.era || !a.settling {
+		return nil
+	}
+	a.settling, a.bases = false, s.Bases
+	dropped := map[string]Units{}
+	for org, acc := range a.byOrg {
+		b := s.Bases[org]
+		if acc.view.newerThan(&b.View) && acc.free > 0 {
+			dropped[org] = acc.free
+			acc.free = 0
+		}
+		if acc.poolVersion == 0 {
+			acc.pool = b.pool()
+		}
+	}
+	return dropped
+}
+
+// unseen is what may still be drawn for a holding in this witnessGap.
+func (acc *account) unseen(now time.Time) Units {
+	share := unseenShare
+	if acc.pooled || acc.lend.units > 0 {
+		share = unseenPooled
+	}
+	most := Units(share * float64(acc.bound()))
+	if now.Sub(acc.gapAt) < witnessGap {
+		most -= acc.gapDrawn
+	}
+	return max(most, 0)
+}
+
+// countDrawn notes a draw for unseen.
+func (acc *account) countDrawn(n Units, now time.Time) {
+	if now.Sub(acc.gapAt) >= witnessGap {
+		acc.gapAt, acc.gapDrawn = now, 0
+	}
+	acc.gapDrawn += n
+}
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -124,7 +124,7 @@
 	// What is left goes to those that it covers.
 	want = min(want, left)
 	if float64(acc.free) < refillShare*float64(target) {
-		want = max(want, min(target-acc.free, Units(maxDrawShare*float64(left))))
+		want = max(want, min(target-acc.free, Units(maxDrawShare*float64(left)), acc.unseen(now)))
 	}
 	if want > 0 {
 		return min(want, left)
@@ -184,13 +184,17 @@
 }
 
 // inherit adds what an earlier process on this host left untouched.
-func (a *Accounts) inherit(claims map[string]Units, now time.Time) {
+func (a *Accounts) inherit(era uint64, claims map[string]Units, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if era != a.era {
+		return
+	}
 	for org, n := range claims {
 		acc := a.byOrg[org]
 		if acc == nil {
-			acc = &account{}
+			b := a.bases[org]
+			acc = &account{pool: b.pool()}
 			a.byOrg[org] = acc
 		}
 		acc.free += n
--- a/internal/cicadabudget/lending_test.go
+++ b/internal/cicadabudget/lending_test.go
@@ -205,7 +205,7 @@
 			}
 			a.Settle(org, 2000, 2000, now)
 		}
-		a.Learn(org, cicadabudget.Pool{Drawn: limit - left, Limit: limit, LimitVersion: 1}, 1, now)
+		a.Learn(org, 0, cicadabudget.Pool{Drawn: limit - left, Limit: limit, LimitVersion: 1}, 1, now)
 		needs := a.Needs(now)
 		if len(needs) != 1 {
 			t.Fatalf("with %d left it needs %+v", left, needs)
--- a/internal/cicadacmd/node.go
+++ b/internal/cicadacmd/node.go
@@ -91,7 +91,7 @@
 	metrics := cicadaedge.NewMetrics()
 	cfg := cicadaedge.Config{
 		Name: s.Name(), Place: s.Place(), Host: s.Name() + "@" + s.Host(), Boot: strconv.FormatInt(time.Now().UnixNano(), 36), Began: time.Now(),
-		ReadyPath: cicadaplatform.ReadyPath, Bounds: boundsOf(s),
+		FirstStart: s.FirstStart(), ReadyPath: cicadaplatform.ReadyPath, Bounds: boundsOf(s),
 		Store: cicadaplatform.NewStore(cicadaplatform.StoreConfig{
 			Addr: s.StoreAddr(), Timeout: storeTimeout, OnCall: metrics.StoreCalled,
 		}),
--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -39,7 +39,9 @@
 	// up tells whether the last transaction was answered.
 	up      atomic.Bool
 	routers atomic.Int64
-	done    chan struct{}
+	// settling is the era in which this router has reported.
+	settling uint64
+	done     chan struct{}
 }
 
 var errSlow = errors.New("the store has not answered a transaction in time")
@@ -72,7 +74,11 @@
 		case <-tick.C:
 		}
 		began := time.Now()
-		b.balance(ctx)
+		if b.rt.accounts.Settling() {
+			b.settle(ctx)
+		} else {
+			b.balance(ctx)
+		}
 		// A slow store is not asked more than half of the time, and many routers
 		// together not more often than their claims need.
 		least := max(bankPause, time.Since(began), b.book.Refresh()/2)
@@ -118,7 +124,7 @@
 	if txn == nil {
 		return false
 	}
-	own := cicadastore.Ref{Table: tableDraws, Key: b.rt.cfg.Host}
+	own := cicadastore.Ref{Table: tableDraws, Key: eraKey(txn.Era, b.rt.cfg.Host)}
 	sent, err := b.encode(txn, own)
 	if err != nil {
 		b.rt.cfg.Log.WithError(err).Error("transaction not encoded")
@@ -140,6 +146,13 @@
 	slow.Stop()
 	now := time.Now()
 	var conflict *cicadastore.ConflictError
+	if seen, answered := eraOf(done, err); answered {
+		if other := b.rt.eras.see(seen); other != nil || seen != txn.Era {
+			// Whatever was done is of no use: its rows are those of another era.
+			b.book.Lost(txn)
+			return false
+		}
+	}
 	switch {
 	case err == nil:
 		b.setUp(true, nil)
@@ -162,6 +175,15 @@
 	return false
 }
 
+// eraOf returns the era of an answer, if there was one that tells it.
+func eraOf(done cicadastore.Committed, err error) (uint64, bool) {
+	var conflict *cicadastore.ConflictError
+	if errors.As(err, &conflict) {
+		return conflict.Era, true
+	}
+	return done.Era, err == nil
+}
+
 func (b *bank) setUp(up bool, err error) {
 	if b.up.Swap(up) == up {
 		return
@@ -183,7 +205,7 @@
 		Writes:     []cicadastore.Write{{Ref: own, Value: value}},
 	}
 	for i, m := range txn.Moves {
-		ref := cicadastore.Ref{Table: tablePools, Key: m.Organisation}
+		ref := cicadastore.Ref{Table: tablePools, Key: eraKey(txn.Era, m.Organisation)}
 		value, err := json.Marshal(txn.After[i])
 		if err != nil {
 			return cicadastore.Txn{}, errors.Wrap(err, "pool")
@@ -214,7 +236,8 @@
 			b.rt.cfg.Log.WithField("organisation", r.Key).WithError(err).Error("pool cannot be read")
 			continue
 		}
-		b.rt.accounts.Correct(r.Key, p, r.Version, now)
+		_, org := splitEraKey(r.Key)
+		b.rt.accounts.Correct(org, txn.Era, p, r.Version, now)
 	}
 	b.book.Rejected(txn, row, version, asked, now)
 	if found := b.book.Found(); found != nil {
--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -97,11 +97,14 @@
 		Host string
 		// Boot tells this process from earlier ones on the same host, Began is
 		// when it started.
-		Boot      string
-		Began     time.Time
-		Callers   net.Listener
-		Health    net.Listener // readiness, metrics, state
-		ReadyPath string
+		Boot  string
+		Began time.Time
+		// FirstStart tells that the whole system starts for the first time: there
+		// is nothing in the store that another router could know better.
+		FirstStart bool
+		Callers    net.Listener
+		Health     net.Listener // readiness, metrics, state
+		ReadyPath  string
 		// Relay is where other routers ask; nil for no relay.
 		Relay   net.Listener
 		Store   Store
--- /dev/null
+++ b/internal/cicadaedge/era_test.go
@@ -0,0 +1,120 @@
+package cicadaedge_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+const (
+	// eraNeed is the most that a request of spendAt takes, eraUse what it uses: its
+	// runner sends no events.
+	eraNeed = 750
+	eraUse  = 701
+)
+
+// spendAt sends requests to one router and returns how many were served.
+func spendAt(t *testing.T, n *node, times int) (served int) {
+	t.Helper()
+	for range times {
+		if call(t, n, "/once/", map[string]string{"X-Tokens": "700,50"}, "").status == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
+// useUpAt sends requests to all routers until none is served for a while, and
+// returns how many were.
+func useUpAt(t *testing.T, nodes []*node, idle time.Duration) (served int) {
+	t.Helper()
+	for last := time.Now(); time.Since(last) < idle; {
+		for _, n := range nodes {
+			if got := spendAt(t, n, 1); got > 0 {
+				served += got
+				last = time.Now()
+			}
+		}
+	}
+	return served
+}
+
+func eraFleet(t *testing.T) (*fleet, []*node) {
+	t.Helper()
+	f := newFleet(t)
+	f.store.era = 1
+	r := f.addRunner(nil)
+	r.does(r.answer("ok"))
+	return f, []*node{f.ready(f.node("n1")), f.ready(f.node("n2")), f.ready(f.node("n3"))}
+}
+
+// TestBudgetHoldsOverARestoredStore has the store forget what routers drew and
+// used. All of them live: they use the budget up, and no more.
+func TestBudgetHoldsOverARestoredStore(t *testing.T) {
+	t.Parallel()
+	f, nodes := eraFleet(t)
+	served := spendAt(t, nodes[0], 5) + spendAt(t, nodes[1], 5) + spendAt(t, nodes[2], 5)
+	f.store.takeCopy()
+	for range 12 {
+		for _, n := range nodes {
+			served += spendAt(t, n, 2)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second) // more than the time between two readings of the pools
+	f.store.restore()
+	served += useUpAt(t, nodes, 5*time.Second)
+	if used := served * eraUse; used > fleetPrepaid {
+		t.Errorf("%d units were used of %d", used, fleetPrepaid)
+	}
+	if least := fleetPrepaid * 97 / 100 / eraNeed; served < least {
+		t.Errorf("%d requests were served, the budget covers %d", served, least)
+	}
+}
+
+// TestRestoreWhileARouterIsAway has a router draw, use and end between the copy and
+// the restore, and another one that is cut off from the store until later. What
+// they may have drawn unseen is withheld.
+func TestRestoreWhileARouterIsAway(t *testing.T) {
+	t.Parallel()
+	f, nodes := eraFleet(t)
+	served := spendAt(t, nodes[0], 5) + spendAt(t, nodes[1], 5) + spendAt(t, nodes[2], 5)
+	f.store.takeCopy()
+	for range 10 {
+		for _, n := range nodes {
+			served += spendAt(t, n, 2)
+		}
+	}
+	nodes[1].stop()
+	nodes[2].view.down.Store(true)
+	f.store.restore()
+	served += useUpAt(t, nodes[:1], 5*time.Second)
+	served += spendAt(t, nodes[2], 20)
+	nodes[2].view.down.Store(false)
+	nodes[1] = f.ready(f.node("n2"))
+	served += useUpAt(t, nodes, 5*time.Second)
+	if used := served * eraUse; used > fleetPrepaid {
+		t.Errorf("%d units were used of %d", used, fleetPrepaid)
+	}
+	if least := fleetPrepaid * 6 / 10 / eraNeed; served < least {
+		t.Errorf("%d requests were served, of which %d were to be", served, least)
+	}
+}
+
+// TestAnswersOfAnotherEraAreNotUsed has the store forget its era: nothing is drawn
+// on such answers.
+func TestAnswersOfAnotherEraAreNotUsed(t *testing.T) {
+	t.Parallel()
+	f, nodes := eraFleet(t)
+	n := nodes[0]
+	if got := spendAt(t, n, 3); got != 3 {
+		t.Fatalf("%d of 3 requests were served", got)
+	}
+	held := n.Accounts()[0].Free
+	f.store.mu.Lock()
+	f.store.era = 0
+	f.store.mu.Unlock()
+	if got := useUpAt(t, nodes[:1], 2*time.Second); int64(got)*eraUse > int64(held)+fleetPrepaid/10 {
+		t.Errorf("%d units were used, %d were held", got*eraUse, held)
+	}
+}
--- a/internal/cicadaedge/follow.go
+++ b/internal/cicadaedge/follow.go
@@ -79,7 +79,7 @@
 
 func (f *follower) run(ctx context.Context) {
 	defer close(f.done)
-	var since uint64
+	var since, era uint64
 	began := time.Now()
 	retry := firstRetry
 	failing := false
@@ -100,6 +100,13 @@
 			retry = min(2*retry, mostRetry)
 			continue
 		}
+		if f.rt.eras.see(batch.Era) != nil || !whole && batch.Era != era {
+			// Versions of another era say nothing here.
+			since = 0
+			pause(ctx, firstRetry)
+			continue
+		}
+		era = batch.Era
 		now := time.Now()
 		if failing {
 			f.rt.cfg.Log.WithField("table", f.cfg.table).WithField("ageMillis", f.age(now).Milliseconds()).Info("store regained")
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,6 +47,16 @@
 		lostAll bool // history is gone
 		// conflicts counts the transactions that met changed rows.
 		conflicts int
+		// era rises when the store comes back from a copy.
+		era  uint64
+		copy *storeCopy
+	}
+
+	// storeCopy is what a store held at one time.
+	storeCopy struct {
+		rows    map[cicadastore.Ref]cicadastore.Row
+		history []cicadastore.Change
+		version uint64
 	}
 
 	// storeView is one router's way to the store.
@@ -123,6 +135,30 @@
 	s.history = append(s.history, cicadastore.Change{Row: row, Deleted: w.Delete})
 }
 
+// takeCopy notes what the store holds, for restore.
+func (s *memoryStore) takeCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copy = &storeCopy{rows: maps.Clone(s.rows), history: slices.Clone(s.history), version: s.version}
+}
+
+// restore makes the store come back from its copy, in a new era. What others than
+// the routers wrote since is written again.
+func (s *memoryStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := s.rows
+	s.rows, s.history, s.version = s.copy.rows, s.copy.history, s.copy.version
+	s.era++
+	for ref, row := range rows {
+		if ref.Table == tableDeploy || ref.Table == tableRunners {
+			s.version++
+			s.write(cicadastore.Write{Ref: ref, Value: row.Value})
+		}
+	}
+	s.wake()
+}
+
 func (s *memoryStore) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -171,7 +207,7 @@
 	}
 	if broken {
 		v.conflicts++
-		conflict.NowMillis = time.Now().UnixMilli()
+		conflict.NowMillis, conflict.Era = time.Now().UnixMilli(), v.era
 		return cicadastore.Committed{}, &conflict
 	}
 	v.version++
@@ -179,7 +215,7 @@
 		v.write(w)
 	}
 	v.wake()
-	return cicadastore.Committed{Version: v.version, NowMillis: time.Now().UnixMilli()}, nil
+	return cicadastore.Committed{Version: v.version, NowMillis: time.Now().UnixMilli(), Era: v.era}, nil
 }
 
 func (v *storeView) Snapshot(_ context.Context, table string) (cicadastore.Batch, error) {
@@ -188,7 +224,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	b := cicadastore.Batch{Version: max(v.version, 1)}
+	b := cicadastore.Batch{Version: max(v.version, 1), Era: v.era}
 	for ref, row := range v.rows {
 		if ref.Table == table {
 			b.Changes = append(b.Changes, cicadastore.Change{Row: row})
@@ -205,12 +241,12 @@
 			return cicadastore.Batch{}, err
 		}
 		v.mu.Lock()
-		if v.lostAll {
+		if v.lostAll || req.Since > v.version {
 			v.lostAll = false
 			v.mu.Unlock()
 			return cicadastore.Batch{}, cicadastore.ErrHistoryLost
 		}
-		b := cicadastore.Batch{Version: v.version}
+		b := cicadastore.Batch{Version: v.version, Era: v.era}
 		for _, c := range v.history {
 			if c.Table == req.Table && c.Version > req.Since {
 				b.Changes = append(b.Changes, c)
--- a/internal/cicadaedge/lend.go
+++ b/internal/cicadaedge/lend.go
@@ -55,6 +55,9 @@
 		// Unable means that the lender does not reach the store, or does not know
 		// the organisation.
 		Unable bool `json:"unable,omitempty"`
+		// View is the lender's reading of the pool, so that its draws are known to
+		// those that hold the units.
+		View *cicadabudget.View `json:"view,omitempty"`
 	}
 )
 
@@ -182,6 +185,9 @@
 func (b *borrower) take(name string, n *cicadabudget.Need, l *loan) {
 	switch {
 	case l.Units > 0:
+		if v := l.View; v != nil {
+			b.rt.accounts.Learn(n.Organisation, v.Era, v.Pool, v.Version, time.Now())
+		}
 		b.rt.accounts.Receive(n.Organisation, l.Units, time.Now())
 		b.rt.cfg.Log.WithField("organisation", n.Organisation).WithField("units", int64(l.Units)).
 			WithField("wanted", int64(n.Want)).WithField("lender", name).Info("units borrowed")
@@ -232,6 +238,7 @@
 			reply.Loans[i] = rt.awaitLoan(ctx, n.Organisation, waits[i])
 		}
 		if u := reply.Loans[i].Units; u > 0 {
+			reply.Loans[i].View = rt.accounts.View(n.Organisation)
 			rt.cfg.Log.WithField("organisation", n.Organisation).WithField("units", int64(u)).
 				WithField("borrower", req.From).Info("units lent")
 		}
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -71,13 +71,11 @@
 }
 
 // take learns the routers' rows. It returns the rows that cannot be read, which
-// name no router.
-func (p *peers) take(b cicadastore.Batch, whole bool) (unreadable []string) {
+// name no router. Rows that a reading of the whole table lacks are those of routers
+// that have yet to write them again.
+func (p *peers) take(b cicadastore.Batch) (unreadable []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if whole {
-		p.byName = map[string]string{}
-	}
 	if len(b.Changes) > 0 {
 		p.ranks = nil
 	}
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -40,6 +40,7 @@
 	retries   *cicadaretry.Budget
 	upstreams *upstreams
 	bank      *bank
+	eras      *eras
 	peers     *peers
 	desk      *desk
 	desks     *desks
@@ -55,6 +56,9 @@
 	// were.
 	peerViewAt, peerRunnersAt instant
 
+	// announceCh asks for this router's row to be written again.
+	announceCh chan struct{}
+
 	stopping atomic.Bool
 	callers  *http.Server
 	health   *http.Server
@@ -70,6 +74,8 @@
 		accounts:  cicadabudget.NewAccounts(),
 		retries:   cicadaretry.NewBudget(cfg.Bounds.Retries),
 		upstreams: newUpstreams(cfg.Metrics),
+
+		announceCh: make(chan struct{}, 1),
 	}
 	relay := ""
 	if cfg.Relay != nil {
@@ -77,6 +83,7 @@
 	}
 	rt.bounds.Store(&cfg.Bounds)
 	rt.peers = newPeers(cfg.Name, relay, cfg.Bounds.Seeds)
+	rt.eras = &eras{rt: rt}
 	rt.bank = newBank(rt)
 	rt.desk = newDesk(rt.fleet)
 	rt.links = newLinks(rt)
@@ -160,7 +167,8 @@
 	return !rt.stopping.Load() && rt.deploy.Load() != nil && rt.fleet.Len() > 0
 }
 
-// announce writes the router's own row until the store has taken it.
+// announce writes the router's own row until the store has taken it, and again
+// when the store has come back from an older copy.
 func (rt *Router) announce(ctx context.Context) {
 	value, err := json.Marshal(routerRow{Boot: rt.cfg.Boot, Relay: rt.peers.selfAddr})
 	if err != nil {
@@ -168,12 +176,24 @@
 		return
 	}
 	ref := cicadastore.Ref{Table: tableRouters, Key: rt.cfg.Name}
-	for ctx.Err() == nil {
-		_, err := rt.cfg.Store.Commit(ctx, cicadastore.Txn{Writes: []cicadastore.Write{{Ref: ref, Value: value}}})
-		if err == nil {
+	rt.announceAgain()
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-rt.announceCh:
+		}
+		if _, err := rt.cfg.Store.Commit(ctx, cicadastore.Txn{Writes: []cicadastore.Write{{Ref: ref, Value: value}}}); err != nil {
+			pause(ctx, announceRetry)
+			rt.announceAgain()
 		}
-		pause(ctx, announceRetry)
+	}
+}
+
+func (rt *Router) announceAgain() {
+	select {
+	case rt.announceCh <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/cicadaedge/views.go
+++ b/internal/cicadaedge/views.go
@@ -14,6 +14,7 @@
 	tablePools   = "pools"   // one row an organisation: a cicadabudget.Pool
 	tableDraws   = "draws"   // one row a router: a cicadabudget.OwnRow
 	tableRouters = "routers" // one row a router: a routerRow
+	tableEras    = "eras"    // reports and settlement of each era
 )
 
 // routerRow tells other routers where to ask this one.
@@ -119,7 +120,8 @@
 }
 
 // takePools learns what all routers have drawn.
-func (rt *Router) takePools(b cicadastore.Batch, _ bool, now time.Time) {
+func (rt *Router) takePools(b cicadastore.Batch, whole bool, now time.Time) {
+	present, earlier := false, false
 	for i := range b.Changes {
 		c := &b.Changes[i]
 		if c.Deleted {
@@ -130,15 +132,25 @@
 			rt.cfg.Log.WithField("organisation", c.Key).WithError(err).Error("pool cannot be read")
 			continue
 		}
-		rt.accounts.Learn(c.Key, p, c.Version, now)
+		era, org := splitEraKey(c.Key)
+		if era != b.Era {
+			earlier = true
+			rt.accounts.Remember(org, cicadabudget.View{Era: era, Version: c.Version, Pool: p})
+			continue
+		}
+		present = true
+		rt.accounts.Learn(org, era, p, c.Version, now)
+	}
+	if whole {
+		rt.eras.read(b.Era, present, earlier)
 	}
-	rt.accounts.Confirm(now)
+	rt.accounts.Confirm(b.Era, now)
 	rt.bank.wake()
 }
 
 // takeRouters counts the routers and learns where they relay.
-func (rt *Router) takeRouters(b cicadastore.Batch, whole bool, _ time.Time) {
-	for _, key := range rt.peers.take(b, whole) {
+func (rt *Router) takeRouters(b cicadastore.Batch, _ bool, _ time.Time) {
+	for _, key := range rt.peers.take(b) {
 		rt.cfg.Log.WithField("router", key).Error("row of a router cannot be read")
 	}
 	n := rt.peers.count()
--- a/internal/cicadaplace/fleet.go
+++ b/internal/cicadaplace/fleet.go
@@ -17,6 +17,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// droppedTime is how long the entry of a runner that left is remembered: far more
+// than the age of a copy from which the store may come back.
+const droppedTime = 2 * time.Minute
+
 type (
 	// Entry is what a runner says of itself.
 	Entry struct {
@@ -24,7 +28,9 @@
 		Slots                    int
 		// Born is the Unix millisecond of the runner's start. The same ID with
 		// another Born is a new runner.
-		Born    int64
+		Born int64
+		// Seq rises with each writing of the entry.
+		Seq     int64
 		Leaving bool
 		// WarmIn is how much longer the runner stays slow after its start.
 		WarmIn time.Duration
@@ -53,6 +59,15 @@
 		services map[string][]*Runner // in no order
 		// storeBack is when the store answered again after an outage.
 		storeBack time.Time
+		// dropped are the last entries of runners that left, by id.
+		dropped map[string]droppedEntry
+	}
+
+	// droppedEntry is kept as long as the store may still come back from a copy
+	// that has it.
+	droppedEntry struct {
+		entry Entry
+		at    time.Time
 	}
 
 	// Runner is one runner with what this router has seen of it.
@@ -84,7 +99,7 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet(cfg Config) *Fleet {
-	return &Fleet{cfg: cfg, byID: map[string]*Runner{}, services: map[string][]*Runner{}}
+	return &Fleet{cfg: cfg, byID: map[string]*Runner{}, services: map[string][]*Runner{}, dropped: map[string]droppedEntry{}}
 }
 
 // ID returns the runner's id.
@@ -102,15 +117,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.byID[e.ID]
+	if f.isOld(&e) {
+		return nil, false
+	}
 	if old != nil && old.entry.sameRunner(&e) {
 		changed = old.entry.Leaving != e.Leaving || !old.removedAt.IsZero()
 		old.removedAt = time.Time{}
 		// The other fields stay as they are, and are read without the lock.
-		old.entry.Leaving, old.entry.Slots, old.entry.WarmIn = e.Leaving, e.Slots, e.WarmIn
+		old.entry.Leaving, old.entry.Slots, old.entry.WarmIn, old.entry.Seq = e.Leaving, e.Slots, e.WarmIn, e.Seq
 		return nil, changed
 	}
 	if old != nil {
-		f.drop(old)
+		f.drop(old, now)
 	}
 	r := &Runner{entry: e, hash: xxhash.Sum64String(e.ID), firstSeen: now}
 	f.byID[e.ID] = r
@@ -118,6 +136,20 @@
 	return old, true
 }
 
+// isOld tells whether an entry was written before one that is known: the store may
+// have come back from an older copy. Where a runner's start is not told, a smaller
+// Seq may also be that of its next start.
+func (f *Fleet) isOld(e *Entry) bool {
+	if e.Born == 0 {
+		return false
+	}
+	if r := f.byID[e.ID]; r != nil {
+		return r.entry.sameRunner(e) && e.Seq < r.entry.Seq
+	}
+	d, ok := f.dropped[e.ID]
+	return ok && d.entry.sameRunner(e) && e.Seq <= d.entry.Seq
+}
+
 func (e *Entry) sameRunner(o *Entry) bool {
 	return e.Born == o.Born && e.Addr == o.Addr && e.Service == o.Service && e.Place == o.Place
 }
@@ -135,7 +167,7 @@
 		r.removedAt = now
 		return nil
 	}
-	f.drop(r)
+	f.drop(r, now)
 	return r
 }
 
@@ -165,9 +197,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []*Runner
+	for id, d := range f.dropped {
+		if now.Sub(d.at) >= droppedTime {
+			delete(f.dropped, id)
+		}
+	}
 	for _, r := range f.byID {
 		if !r.removedAt.IsZero() && now.Sub(f.storeBack) >= f.cfg.HoldRemoved {
-			f.drop(r)
+			f.drop(r, now)
 			out = append(out, r)
 		}
 	}
@@ -222,8 +259,9 @@
 	return out
 }
 
-func (f *Fleet) drop(r *Runner) {
+func (f *Fleet) drop(r *Runner, now time.Time) {
 	r.gone = true
+	f.dropped[r.entry.ID] = droppedEntry{entry: r.entry, at: now}
 	if f.byID[r.entry.ID] == r {
 		delete(f.byID, r.entry.ID)
 	}
--- a/internal/cicadastore/follow.go
+++ b/internal/cicadastore/follow.go
@@ -7,6 +7,10 @@
 	"github.com/pkg/errors"
 )
 
+// The store may come back from an older copy of itself. It then gives versions out
+// again, and says so by an era one higher in all its answers. An era of zero is that
+// of a store that does not tell.
+
 // ErrHistoryLost means that the changes since a version are no longer kept: the
 // follower has to read the table again.
 var ErrHistoryLost = errors.New("platform no longer keeps the changes asked for")
@@ -21,8 +25,9 @@
 	// Batch is a list of changes up to a version of the store.
 	Batch struct {
 		Changes []Change
-		// Version is where to go on.
+		// Version is where to go on, in the same era.
 		Version uint64
+		Era     uint64
 	}
 
 	// ChangesRequest asks for the changes of a table after a version. The call
--- a/internal/cicadastore/store.go
+++ b/internal/cicadastore/store.go
@@ -58,7 +58,8 @@
 	Committed struct {
 		Version uint64 `json:"version"`
 		// NowMillis is the platform's steady clock; zero if it tells none.
-		NowMillis int64 `json:"nowMillis,omitempty"`
+		NowMillis int64  `json:"nowMillis,omitempty"`
+		Era       uint64 `json:"era,omitempty"`
 	}
 
 	// ConflictError lists the conditions of a transaction that did not hold.
@@ -67,6 +68,7 @@
 		Failed []Row
 		// NowMillis is the platform's steady clock; zero if it tells none.
 		NowMillis int64
+		Era       uint64
 	}
 
 	// ScanRequest asks for rows of a table with a key prefix, in key order.
