--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -60,13 +60,13 @@
 		own, lend    flow // of units to requests here and to other routers
 		drawn        flow // from the pool by all routers, as far as readings show it
 		waiters      []*Wait
-		lent         bool // units come from a lender, not from the pool
-		pooled       bool // they do so always, not for an outage only
-		ending       bool // the router is about to stop
-		seen         View // newest reading of the present era
-		view         View // newest reading of an earlier era
-		gapAt        time.Time
-		gapDrawn     Units // since gapAt
+		lent         bool      // units come from a lender, not from the pool
+		pooled       bool      // they do so always, not for an outage only
+		ending       bool      // the router is about to stop
+		seen         View      // newest reading of the present era
+		view         View      // newest reading of an earlier era
+		dryFrom      time.Time // since when the pool is dry; zero if it is not
+		draws        []draw    // of the last witnessGap
 	}
 
 	// Wait is a reservation that waits for a draw.
@@ -85,6 +85,9 @@
 		Free, Left Units
 		Dormant    Units // part of Free
 		PoolAge    time.Duration
+		// Passing tells that the pool ran dry so recently that other routers may still
+		// give back what they hold.
+		Passing bool
 		// ReleaseIn is when dormant units that cover the request may be spent
 		// without asking the store; zero if there are none.
 		ReleaseIn time.Duration
@@ -148,7 +151,7 @@
 		acc.take(need, now)
 		return Granted, nil, Shortage{}
 	}
-	short := Shortage{Free: acc.free, Dormant: acc.free - acc.usable(now), Left: acc.left(), PoolAge: now.Sub(acc.poolAt)}
+	short := Shortage{Passing: acc.isPassing(now), Free: acc.free, Dormant: acc.free - acc.usable(now), Left: acc.left(), PoolAge: now.Sub(acc.poolAt)}
 	if acc.isDry(need, now) {
 		return Dry, nil, short
 	}
@@ -430,6 +433,18 @@
 	return !acc.lent && acc.poolVersion > 0 && acc.left()+acc.free < need && now.Sub(acc.poolAt) < poolTrust
 }
 
+// isPassing tells whether the pool ran dry less than giveBackTime ago.
+func (acc *account) isPassing(now time.Time) bool { return now.Sub(acc.dryFrom) < giveBackTime }
+
+// Passing tells whether an organisation's budget ran dry so recently that other
+// routers may still give back what they hold.
+func (a *Accounts) Passing(org string, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.byOrg[org]
+	return acc == nil || acc.isPassing(now)
+}
+
 // denyWaiters ends the waits that a fresh reading of the pool cannot serve.
 func (acc *account) denyWaiters() {
 	if !acc.lent {
@@ -454,6 +469,12 @@
 			acc.drawn.add(float64(max(p.Drawn-acc.pool.Drawn, 0)), now)
 		}
 		acc.pool, acc.poolVersion, acc.poolAt = p, version, now
+		switch {
+		case !acc.dry(acc.left()):
+			acc.dryFrom = time.Time{}
+		case acc.dryFrom.IsZero():
+			acc.dryFrom = now
+		}
 	}
 	acc.denyWaiters()
 }
--- a/internal/cicadabudget/claim.go
+++ b/internal/cicadabudget/claim.go
@@ -75,6 +75,10 @@
 		floor := a.floor(acc)
 		target := acc.target(floor, a.usual, now)
 		active := acc.active(target, a.routers, now)
+		if acc.pooled {
+			// The rest is given back to a lender, which a row cannot say.
+			free = min(free, target)
+		}
 		if n := free - active; n > 0 {
 			out[org] = n
 			acc.claims = append(acc.claims, claim{units: max(n-drawn[org], 0), from: releaseAt})
--- a/internal/cicadabudget/era.go
+++ b/internal/cicadabudget/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -23,11 +24,8 @@
 	witnessGap = 1500 * time.Millisecond
 	// unseenShare is the most that a router draws in a witnessGap for its holding,
 	// and unseenPooled the most that a lender does, as shares of the budget.
-	unseenShare  = 0.025
-	unseenPooled = 0.05
-	// unseenGaps is how many such gaps are withheld: a gap may overlap two windows
-	// in which draws are counted.
-	unseenGaps = 2
+	unseenShare  = 0.1
+	unseenPooled = 0.2
 )
 
 type (
@@ -38,6 +36,12 @@
 		Pool    Pool   `json:"pool"`
 	}
 
+	// draw is one of this router.
+	draw struct {
+		units Units
+		at    time.Time
+	}
+
 	// Report is what one router knows of the pools as an era begins.
 	Report struct {
 		Boot string `json:"boot"`
@@ -101,10 +105,10 @@
 // withheld is what routers that did not report may have drawn unseen, as far as
 // the pool had it.
 func (s *Settlement) withheld(p *Pool) Units {
-	share := unseenGaps * unseenShare * float64(s.Missing)
+	share := unseenShare * float64(s.Missing)
 	if s.Routers >= LendFrom {
 		// Of each organisation only the lender draws.
-		share = unseenGaps * unseenPooled * float64(min(s.Missing, 1))
+		share = unseenPooled * float64(min(s.Missing, 1))
 	}
 	return min(Units(share*float64(p.Limit)), max(p.Limit-p.Drawn, 0))
 }
@@ -237,16 +241,16 @@
 		share = unseenPooled
 	}
 	most := Units(share * float64(acc.bound()))
-	if now.Sub(acc.gapAt) < witnessGap {
-		most -= acc.gapDrawn
+	for _, d := range acc.draws {
+		if now.Sub(d.at) < witnessGap {
+			most -= d.units
+		}
 	}
 	return max(most, 0)
 }
 
 // countDrawn notes a draw for unseen.
 func (acc *account) countDrawn(n Units, now time.Time) {
-	if now.Sub(acc.gapAt) >= witnessGap {
-		acc.gapAt, acc.gapDrawn = now, 0
-	}
-	acc.gapDrawn += n
+	acc.draws = slices.DeleteFunc(acc.draws, func(d draw) bool { return now.Sub(d.at) >= witnessGap })
+	acc.draws = append(acc.draws, draw{units: n, at: now})
 }
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -36,6 +36,9 @@
 	// dryShare is the share left undrawn below which routers hold nothing beyond
 	// what requests reserve, and give back what they hold at once.
 	dryShare = 0.03
+	// giveBackTime is how long routers take to see that a budget is dry and to give
+	// back what they hold of it: a reading of the pools and a transaction.
+	giveBackTime = 2 * time.Second
 	// maxDrawShare bounds one draw to a share of what is left undrawn.
 	maxDrawShare = 0.25
 	// floorShare is the share of what is left that the routers together hold
--- a/internal/cicadabudget/lending_test.go
+++ b/internal/cicadabudget/lending_test.go
@@ -226,3 +226,23 @@
 		t.Errorf("verdict %d, %d units, wait %v", verdict, units, w)
 	}
 }
+
+// TestBorrowersGiveSurplusesBack has a router of a large fleet hold more than it
+// wants, with a row in the store that claims what it has: the surplus goes back to
+// the lender all the same.
+func TestBorrowersGiveSurplusesBack(t *testing.T) {
+	r := newRig(t, 10_000_000)
+	r.accs.SetRouters(80)
+	r.accs.SetLent(func(string) bool { return true })
+	r.spendFor(5*time.Second, 100, r.balance)
+	r.accs.Receive(org, 1_000_000, r.now)
+	r.now = r.now.Add(r.book.Refresh())
+	r.balance()
+	var back cicadabudget.Units
+	for _, s := range r.accs.Surpluses(r.now) {
+		back += s.Units
+	}
+	if back < 900_000 {
+		t.Errorf("%d units were given back of a surplus of 1000000: %+v", back, r.state())
+	}
+}
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -27,8 +27,10 @@
 	// soon, later are when a refused caller is told to come back: soon if the
 	// cause passes within a draw or a runner's answer, later if an outage has to
 	// end first: outages last seconds, and callers come back within a third of their time.
-	soon  = 200 * time.Millisecond
-	later = 2 * time.Second
+	// giveBack is the same where other routers are about to give units back.
+	soon     = 200 * time.Millisecond
+	giveBack = time.Second
+	later    = 2 * time.Second
 )
 
 type (
@@ -270,6 +272,10 @@
 		return unsure
 	}
 	if !wait.Granted() {
+		if q.rt.accounts.Passing(q.org.Name, time.Now()) {
+			unsure.after = giveBack
+			return unsure
+		}
 		return &refusal{kind: RefuseBudget, detail: "the organisation's budget does not cover the request at its largest"}
 	}
 	return nil
@@ -297,6 +303,9 @@
 }
 
 func dryRefusal(short *cicadabudget.Shortage) *refusal {
+	if short.Passing {
+		return &refusal{kind: RefuseBudgetUnsure, after: giveBack, detail: unsureDetail(short)}
+	}
 	return &refusal{kind: RefuseBudget, detail: "the organisation's budget does not cover the request at its largest; read " +
 		short.PoolAge.Truncate(time.Millisecond).String() + " ago"}
 }
