Rows say over which time their claims are released: 12 s at many routers

Change: the row carries the time; 4 s in small fleets as before, 12 s where units come from lenders and a router that lacks some asks others.

--- a/internal/cicadabudget/account_test.go
+++ b/internal/cicadabudget/account_test.go
@@ -442,3 +442,62 @@
 		})
 	}
 }
+
+// TestWaitsAreToldWhenUnitsAreReleased plays a cut: requests that arrive together are
+// told a time each, the later ones a later time, and are served by then in their order.
+func TestWaitsAreToldWhenUnitsAreReleased(t *testing.T) {
+	r := newRig(t, 10_000_000)
+	r.spendFor(10*time.Second, 1000, r.balance)
+	for r.spend(1000, func() {}) {
+	}
+	const need = 20_000
+	var waits []*cicadabudget.Wait
+	var last time.Duration
+	for range 4 {
+		_, w, _ := r.accs.Reserve(org, need, r.now)
+		in := r.accs.ReleaseIn(org, w, r.now)
+		if in <= last {
+			t.Errorf("released in %v, the one before in %v", in, last)
+		}
+		waits, last = append(waits, w), in
+	}
+	for _, w := range waits {
+		in := r.accs.ReleaseIn(org, w, r.now)
+		r.now = r.now.Add(in - 50*time.Millisecond)
+		r.accs.Serve(org, r.now)
+		select {
+		case <-w.Ready():
+			t.Error("served 50 ms before the time that was told")
+		default:
+		}
+		r.now = r.now.Add(60 * time.Millisecond)
+		r.accs.Serve(org, r.now)
+		select {
+		case <-w.Ready():
+		default:
+			t.Error("not served at the time that was told")
+		}
+	}
+}
+
+// TestBudgetThatJustRanDryIsNotRefusedForGood has others draw what is left: for the
+// time in which they may give some back a refusal is not final, then it is.
+func TestBudgetThatJustRanDryIsNotRefusedForGood(t *testing.T) {
+	a := cicadabudget.NewAccounts()
+	a.Configure(org, 10_000, 1)
+	dry := cicadabudget.Pool{Drawn: 9_900, Limit: 10_000, LimitVersion: 1}
+	a.Learn(org, 0, cicadabudget.Pool{Drawn: 5_000, Limit: 10_000, LimitVersion: 1}, 1, epoch)
+	var got []bool
+	for i, after := range []time.Duration{0, time.Second, 3 * time.Second} {
+		now := epoch.Add(after)
+		a.Learn(org, 0, dry, uint64(i+2), now)
+		verdict, _, short := a.Reserve(org, 1_000, now)
+		if verdict != cicadabudget.Dry {
+			t.Errorf("verdict %v after %v", verdict, after)
+		}
+		got = append(got, short.Passing)
+	}
+	if diff := cmp.Diff([]bool{true, true, false}, got); diff != "" {
+		t.Errorf("may pass, after 0, 1 and 3 s (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cicadabudget/book.go
+++ b/internal/cicadabudget/book.go
@@ -50,8 +50,9 @@
 		claimed map[string]Units
 		// claimedAt is when the row in force was sent, and claimedLapse how long
 		// it says that its claims hold.
-		claimedAt    time.Time
-		claimedLapse time.Duration
+		claimedAt      time.Time
+		claimedLapse   time.Duration
+		claimedRelease time.Duration
 		// heritage is what the row of an earlier process leaves to this one.
 		heritage map[string]Units
 		found    *Legacy
@@ -85,6 +86,7 @@
 		heritage   map[string]Units
 		sentAt     time.Time // of the first in a series of doubts
 		lapse      time.Duration
+		release    time.Duration
 	}
 
 	// OwnRow is the value of a router's own row.
@@ -94,9 +96,11 @@
 		// AsOf is a time of the store's clock, in milliseconds, and LapseMillis
 		// how long after it nothing of Dormant is spent. See dormantAfter for what
 		// is still dormant later.
-		AsOf        int64            `json:"asOf,omitempty"`
-		LapseMillis int64            `json:"lapseMillis,omitempty"`
-		Dormant     map[string]Units `json:"dormant,omitempty"`
+		AsOf        int64 `json:"asOf,omitempty"`
+		LapseMillis int64 `json:"lapseMillis,omitempty"`
+		// ReleaseMillis is the time after the lapse in which Dormant is released.
+		ReleaseMillis int64            `json:"releaseMillis,omitempty"`
+		Dormant       map[string]Units `json:"dormant,omitempty"`
 	}
 )
 
@@ -117,6 +121,14 @@
 // lapse is how long after its row was sent dormant units are not spent.
 func (b *Book) lapse() time.Duration { return b.Refresh() + releaseAfter }
 
+// release is the time in which dormant units are released after their lapse.
+func (b *Book) release() time.Duration {
+	if b.routers >= LendFrom {
+		return pooledRelease
+	}
+	return releaseOver
+}
+
 // Tick notes the store's clock from an answer that arrived at a time.
 func (b *Book) Tick(millis int64, arrived time.Time) {
 	if millis > 0 {
@@ -131,7 +143,7 @@
 	if b.accs.Settling() {
 		return nil
 	}
-	txn := &Txn{Era: b.era, OwnVersion: b.version, heritage: b.heritage, sentAt: now, lapse: b.lapse()}
+	txn := &Txn{Era: b.era, OwnVersion: b.version, heritage: b.heritage, sentAt: now, lapse: b.lapse(), release: b.release()}
 	for _, m := range moves {
 		if m.era != b.era {
 			continue // planned on a row of an earlier era
@@ -148,7 +160,7 @@
 		txn.sentAt = b.doubts[0].sentAt
 	}
 	if b.clock.millis > 0 {
-		txn.claims = b.accs.claims(txn.Moves, txn.sentAt.Add(txn.lapse), now)
+		txn.claims = b.accs.claims(txn.Moves, txn.sentAt.Add(txn.lapse), txn.release, now)
 	}
 	if len(txn.Moves) == 0 && len(b.doubts) == 0 && len(b.heritage) == 0 && !b.rowDue(txn.claims, now) {
 		b.claim(nil, now)
@@ -189,12 +201,12 @@
 
 // claim makes the accounts keep to all rows that may be in force.
 func (b *Book) claim(sent *Txn, now time.Time) {
-	rows := []rowClaims{{units: b.claimed, from: b.claimedAt.Add(b.claimedLapse)}}
+	rows := []rowClaims{{units: b.claimed, from: b.claimedAt.Add(b.claimedLapse), over: b.claimedRelease}}
 	for _, d := range b.doubts {
-		rows = append(rows, rowClaims{units: d.withheld(), from: d.sentAt.Add(d.lapse)})
+		rows = append(rows, rowClaims{units: d.withheld(), from: d.sentAt.Add(d.lapse), over: d.release})
 	}
 	if sent != nil {
-		rows = append(rows, rowClaims{units: sent.withheld(), from: sent.sentAt.Add(sent.lapse)})
+		rows = append(rows, rowClaims{units: sent.withheld(), from: sent.sentAt.Add(sent.lapse), over: sent.release})
 	}
 	b.accs.setClaims(b.era, rows, now)
 }
@@ -217,6 +229,7 @@
 	if len(txn.claims) > 0 {
 		row.AsOf = b.clock.millis + txn.sentAt.Sub(b.clock.at).Milliseconds()
 		row.LapseMillis = txn.lapse.Milliseconds()
+		row.ReleaseMillis = txn.release.Milliseconds()
 	}
 	return row
 }
@@ -284,10 +297,10 @@
 	if own.AsOf == 0 {
 		return nil
 	}
-	age := time.Duration(b.beganAt(asked)-own.AsOf)*time.Millisecond + clockMargin
+	since := time.Duration(b.beganAt(asked)-own.AsOf-own.LapseMillis)*time.Millisecond + clockMargin
 	var out map[string]Units
 	for org, n := range own.Dormant {
-		if n = dormantAfter(n, age-time.Duration(own.LapseMillis)*time.Millisecond); n > 0 {
+		if n = dormantAfter(n, since, time.Duration(own.ReleaseMillis)*time.Millisecond); n > 0 {
 			if out == nil {
 				out = map[string]Units{}
 			}
@@ -323,7 +336,7 @@
 
 func (b *Book) apply(txn *Txn, version uint64, now time.Time) {
 	// Drawn units that the row claims are withheld from the moment they are there.
-	b.claimed, b.claimedAt, b.claimedLapse = txn.claims, txn.sentAt, txn.lapse
+	b.claimed, b.claimedAt, b.claimedLapse, b.claimedRelease = txn.claims, txn.sentAt, txn.lapse, txn.release
 	b.claim(nil, now)
 	for i, m := range txn.Moves {
 		b.accs.Done(m, txn.After[i], version, now)
--- a/internal/cicadabudget/claim.go
+++ b/internal/cicadabudget/claim.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// releaseShare is the share of what a row declares dormant that is released in
-	// each second after its lapse: all of it in the length of most outages.
-	releaseShare = 0.25
+	// releaseOver is the time after its lapse in which what a row declares dormant
+	// is released, that of most outages. Where units come from lenders it is
+	// pooledRelease: routers that lack some ask others.
+	releaseOver   = 4 * time.Second
+	pooledRelease = 12 * time.Second
 )
 
 // claim is what a row declares of one account: units that are not spent before
@@ -15,18 +17,23 @@
 type claim struct {
 	units Units
 	from  time.Time
+	over  time.Duration
 }
 
 // dormant is what may not be spent yet.
-func (c claim) dormant(now time.Time) Units { return dormantAfter(c.units, now.Sub(c.from)) }
+func (c claim) dormant(now time.Time) Units { return dormantAfter(c.units, now.Sub(c.from), c.over) }
 
 // dormantAfter is what of units is dormant some time after the lapse of the row
-// that declares them.
-func dormantAfter(units Units, since time.Duration) Units {
-	if since <= 0 {
+// that declares them, which says over which time they are released.
+func dormantAfter(units Units, since, over time.Duration) Units {
+	switch {
+	case since <= 0:
 		return units
+	case since >= over:
+		return 0
+	default:
+		return units - Units(float64(units)*since.Seconds()/over.Seconds())
 	}
-	return max(units-Units(float64(units)*releaseShare*since.Seconds()), 0)
 }
 
 // dormant is what no row that may be in force lets be spent yet.
@@ -50,7 +57,7 @@
 			continue
 		}
 		share := float64(c.units-(acc.free-need)) / float64(c.units)
-		at := c.from.Add(time.Duration(share / releaseShare * float64(time.Second)))
+		at := c.from.Add(time.Duration(share * float64(c.over)))
 		longest = max(longest, at.Sub(now))
 	}
 	return longest
@@ -59,7 +66,7 @@
 // claims returns what of each account's free units to declare dormant until
 // releaseAt in a row that is about to be sent with some moves. From here on they
 // are not spent: a request that came between would make the row untrue.
-func (a *Accounts) claims(moves []Move, releaseAt, now time.Time) map[string]Units {
+func (a *Accounts) claims(moves []Move, releaseAt time.Time, over time.Duration, now time.Time) map[string]Units {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	drawn := map[string]Units{}
@@ -81,7 +88,7 @@
 		}
 		if n := free - active; n > 0 {
 			out[org] = n
-			acc.claims = append(acc.claims, claim{units: max(n-drawn[org], 0), from: releaseAt})
+			acc.claims = append(acc.claims, claim{units: max(n-drawn[org], 0), from: releaseAt, over: over})
 		}
 	}
 	return out
@@ -98,7 +105,7 @@
 		acc.claims = acc.claims[:0]
 		for _, row := range rows {
 			if n := row.units[org]; n > 0 {
-				acc.claims = append(acc.claims, claim{units: n, from: row.from})
+				acc.claims = append(acc.claims, claim{units: n, from: row.from, over: row.over})
 			}
 		}
 		a.serveWaiters(acc, now)
@@ -109,4 +116,5 @@
 type rowClaims struct {
 	units map[string]Units
 	from  time.Time
+	over  time.Duration
 }
--- a/internal/cicadaplace/place_test.go
+++ b/internal/cicadaplace/place_test.go
@@ -234,3 +234,38 @@
 		t.Errorf("%d groups of 18 runners", groups)
 	}
 }
+
+// TestEntriesOfAnOlderCopyAreIgnored has the store come back with what runners wrote
+// before: one that leaves goes on leaving, one that left stays away, until they write
+// again.
+func TestEntriesOfAnOlderCopyAreIgnored(t *testing.T) {
+	f := cicadaplace.NewFleet(cicadaplace.Config{Place: "p"})
+	at := func(i int, seq int64, leaving bool) cicadaplace.Entry {
+		e := entry(i)
+		e.Born, e.Seq, e.Leaving = 1000, seq, leaving
+		return e
+	}
+	leaving := func() map[string]bool {
+		out := map[string]bool{}
+		for _, s := range f.State(start) {
+			out[s.ID] = s.Leaving
+		}
+		return out
+	}
+	f.Apply(at(0, 7, false), start)
+	f.Apply(at(0, 8, true), start)
+	f.Apply(at(1, 5, false), start)
+	f.Remove("r01", start)
+	f.Apply(at(0, 7, false), start)
+	f.Apply(at(1, 5, false), start)
+	if diff := cmp.Diff(map[string]bool{"r00": true}, leaving()); diff != "" {
+		t.Errorf("runners that leave, after an older copy (-want +got):\n%s", diff)
+	}
+	f.Apply(at(1, 6, false), start)
+	other := at(0, 1, false)
+	other.Born = 2000 // the runner has started again
+	f.Apply(other, start)
+	if diff := cmp.Diff(map[string]bool{"r00": false, "r01": false}, leaving()); diff != "" {
+		t.Errorf("runners that leave, once they have written again (-want +got):\n%s", diff)
+	}
+}
