--- a/internal/cicadaedge/era.go
+++ b/internal/cicadaedge/era.go
@@ -38,7 +38,10 @@
 	known   bool
 	now     uint64
 	since   time.Time
-	poolsAt uint64 // era of the newest reading of all pools
+	changed bool // an era has begun while this process lived
+	// poolsRead tells that all pools were read, last in the era poolsAt.
+	poolsRead bool
+	poolsAt   uint64
 	// witness tells that the pools were followed before the present era began.
 	witness bool
 }
@@ -57,7 +60,8 @@
 		return errOtherEra
 	}
 	first := !e.known
-	e.witness = !first && e.poolsAt == e.now
+	e.changed = !first
+	e.witness = !first && e.poolsRead && e.poolsAt == e.now
 	e.rt.cfg.Log.WithField("era", era).WithField("before", e.now).WithField("first", first).WithField("witness", e.witness).
 		Info("era of the store")
 	e.known, e.now, e.since = true, era, time.Now()
@@ -69,14 +73,15 @@
 	return nil
 }
 
-// read notes that all pools were read in an era. A process that began in an era
-// of which no pool is known, though there are rows of others, has to settle.
+// read notes that all pools were read in an era. Present tells that there are some
+// of this era, earlier that there are some of others. A process that began in an era
+// without pools has to settle it, unless the whole system has just started.
 func (e *eras) read(era uint64, present, earlier bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	first := e.poolsAt == 0 && !e.witness
-	e.poolsAt = era
-	if first && era > 0 && !present && (earlier || !e.rt.cfg.FirstStart) {
+	began := !e.poolsRead && !e.changed
+	e.poolsRead, e.poolsAt = true, era
+	if began && era > 0 && (earlier || !present && !e.rt.cfg.FirstStart) {
 		e.rt.accounts.AwaitSettlement()
 		e.rt.bank.wake()
 	}
@@ -85,7 +90,7 @@
 func (e *eras) state() (era uint64, since time.Time, poolsRead, witness bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.now, e.since, e.poolsAt == e.now, e.witness
+	return e.now, e.since, e.poolsRead && e.poolsAt == e.now, e.witness
 }
 
 // eraKey is the key of a row in an era.
--- a/internal/cicadaedge/era_test.go
+++ b/internal/cicadaedge/era_test.go
@@ -4,6 +4,10 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 )
 
 const (
@@ -118,3 +122,47 @@
 		t.Errorf("%d units were used, %d were held", got*eraUse, held)
 	}
 }
+
+// TestProcessThatStartsInASettledEra starts a router after a restore, in an era in
+// which one pool has been drawn from and another has not: the other one does not
+// start empty.
+func TestProcessThatStartsInASettledEra(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.store.era = 1
+	prepaid := int64(fleetPrepaid)
+	f.doc.Organisations = append(f.doc.Organisations, cicadadeploy.Organisation{Name: "beta", Keys: []string{"k2"}, Prepaid: &prepaid})
+	f.doc.Version++
+	f.publish()
+	r := f.addRunner(nil)
+	r.does(r.answer("ok"))
+	spendBeta := func(n *node, times int) (served int) {
+		for range times {
+			if call(t, n, "/once/", map[string]string{"X-Tokens": "700,50", "X-Key": "k2"}, "").status == http.StatusOK {
+				served++
+			}
+		}
+		return served
+	}
+	n := f.ready(f.node("n1"))
+	served := spendBeta(n, 100)
+	time.Sleep(time.Second)
+	f.store.takeCopy()
+	f.store.restore()
+	for f.store.get(settledRow).Version == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	n.view.down.Store(true) // what it holds stays with it
+	f.store.put("pools", "era/2/another", cicadabudget.Pool{})
+	n.stop()
+	other := f.ready(f.node("n2"))
+	for range 60 {
+		served += spendBeta(other, 2)
+		time.Sleep(50 * time.Millisecond)
+	}
+	if used := served * eraUse; used > fleetPrepaid {
+		t.Errorf("%d units were used of %d", used, fleetPrepaid)
+	}
+}
+
+var settledRow = cicadastore.Ref{Table: "eras", Key: "era/2/settled"}
