--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -7,8 +7,7 @@
 
 const (
 	// holdAhead is how many seconds of its own use a router holds while plenty
-	// is left: longer than the nine seconds for which hosts are cut off from the
-	// store on the deployments of today.
+	// is left: longer than most outages.
 	holdAhead = 13.0
 	// activeAhead is how many of them may be spent at once. The rest is dormant,
 	// and is not lost if the process ends. It covers the time from the last row
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -16,7 +16,7 @@
 	// defaultPatience is used where neither caller nor route bound the wait.
 	defaultPatience = 30 * time.Second
 	// drawWait bounds the wait for units from the store: several of its usual
-	// answer times, and well below the objectives of today's routes.
+	// answer times, and less than callers wait for an answer in time.
 	drawWait = 350 * time.Millisecond
 	// releaseWait is how long a request waits for dormant units: less than it
 	// would take to come back.
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	// prefillRate is the prompt tokens that an engine reads in a millisecond,
-	// about that of the engines documented by today's deployments.
+	// prefillRate is the prompt tokens that an engine reads in a millisecond.
 	prefillRate = 55.0
 	// decodeCost is the added time to a first token for each running request, in
 	// milliseconds: one decode step slows by about 0.02 ms for each, and some
