--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -286,7 +286,7 @@
 		return nil
 	}
 	for org, acc := range a.byOrg {
-		delta := acc.delta(a.floor(acc), a.usual, a.routers, now)
+		delta := acc.delta(a.floor(acc), a.usual, now)
 		if delta == 0 || delta < 0 && drawOnly || acc.lent {
 			continue
 		}
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -112,7 +112,7 @@
 }
 
 // delta is what to draw, or to give back if negative.
-func (acc *account) delta(floor Units, usual float64, routers int, now time.Time) Units {
+func (acc *account) delta(floor Units, usual float64, now time.Time) Units {
 	left := acc.left()
 	var missing Units
 	for _, w := range acc.waiters {
--- a/internal/cicadabudget/lending.go
+++ b/internal/cicadabudget/lending.go
@@ -57,7 +57,7 @@
 		// Units that are dormant here stay so: they are kept for a cut.
 		first, want := a.missing(acc, now)
 		if acc.pooled {
-			want = max(want, acc.delta(a.floor(acc), a.usual, a.routers, now))
+			want = max(want, acc.delta(a.floor(acc), a.usual, now))
 		}
 		if want > 0 {
 			out = append(out, Need{Organisation: org, Least: first, Want: want})
@@ -76,7 +76,7 @@
 			continue
 		}
 		// What a row claims stays here: a process that follows takes it over.
-		if n := min(-acc.delta(a.floor(acc), a.usual, a.routers, now), acc.usable(now)); n > 0 {
+		if n := min(-acc.delta(a.floor(acc), a.usual, now), acc.usable(now)); n > 0 {
 			acc.free -= n
 			out = append(out, Surplus{Organisation: org, Units: n})
 		}
