A request larger than its budget is refused for good; reports are awaited for 5 s

TestRefusals got 503 for a request larger than the whole budget: it waited for a draw of everything, and the pool counted as just run dry. TestBudgetHoldsOverARestoredStore served 128 of 129: exactly what is left if one of three routers counts as missing, which by the code is one that did not report in 3 s; no run shows which one it was.

Change: what no budget covers is dry without a reading. Reports are awaited for 5 s, well within what routers hold.

--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -147,6 +147,10 @@
 		return Dry, nil, Shortage{}
 	}
 	a.usual += (float64(need) - a.usual) * usualWeight
+	if need > acc.bound() {
+		// Nothing that others give back would cover it.
+		return Dry, nil, Shortage{Free: acc.free, Left: acc.left(), PoolAge: now.Sub(acc.poolAt)}
+	}
 	if acc.usable(now) >= need && len(acc.waiters) == 0 {
 		acc.take(need, now)
 		return Granted, nil, Shortage{}
--- a/internal/cicadabudget/account_test.go
+++ b/internal/cicadabudget/account_test.go
@@ -501,3 +501,20 @@
 		t.Errorf("may pass, after 0, 1 and 3 s (-want +got):\n%s", diff)
 	}
 }
+
+// TestRequestLargerThanTheBudget checks that a request that no budget of its
+// organisation could cover is refused for good, with no reading of the pool, and that
+// nothing is drawn for it.
+func TestRequestLargerThanTheBudget(t *testing.T) {
+	a := cicadabudget.NewAccounts()
+	a.Configure(org, 10_000, 1)
+	verdict, _, short := a.Reserve(org, 10_001, epoch)
+	if verdict != cicadabudget.Dry || short.Passing {
+		t.Errorf("verdict %v, %+v", verdict, short)
+	}
+	for _, m := range a.Plan(false, epoch) {
+		if m.Delta > 5_000 {
+			t.Errorf("%d units are drawn", m.Delta)
+		}
+	}
+}
--- a/internal/cicadaedge/era.go
+++ b/internal/cicadaedge/era.go
@@ -17,9 +17,9 @@
 // See package cicadabudget for what that means to budgets, and docs/design/ERAS.md.
 
 const (
-	// settleWait is how long routers wait for each other's reports: more than the
-	// pauses and waits of the followers that show them the new era.
-	settleWait = 3 * time.Second
+	// settleWait is how long routers wait for each other's reports: several times
+	// the pauses and waits of the followers that show them the new era.
+	settleWait = 5 * time.Second
 	// eraKeys is the beginning of keys of rows that belong to an era.
 	eraKeys = "era/"
 	// settledKey is the key of an era's settlement, after its prefix; routers'
