No transaction before the era of the store is known

A router that had not heard the store's era yet sent its first draw with the keys of a store that tells none. 10000 units were drawn there, in a pool that the first era then took over as drawn.

Change: the bank waits for the first answer of the store.

--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -74,6 +74,9 @@
 		case <-tick.C:
 		}
 		began := time.Now()
+		if !b.rt.eras.isKnown() {
+			continue // keys of rows depend on it
+		}
 		if b.rt.accounts.Settling() {
 			b.settle(ctx)
 		} else {
--- a/internal/cicadaedge/era.go
+++ b/internal/cicadaedge/era.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// isKnown tells whether the store has answered at all.
+func (e *eras) isKnown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known
+}
+
 func (e *eras) state() (era uint64, since time.Time, poolsRead, witness bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
