Tests of eras start their fleet as a first start

The rows of that run show it: the store held no pool, and the settings did not say that the system starts for the first time, so the first router settled era 1 with one router missing and withheld a tenth. That is what is to be done when nothing is known; in the test it was not so.

Change: the first processes of these tests say so. Bounds and checks as before.

--- a/internal/cicadaedge/era_test.go
+++ b/internal/cicadaedge/era_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 )
 
@@ -49,9 +50,12 @@
 	f.store.era = 1
 	r := f.addRunner(nil)
 	r.does(r.answer("ok"))
-	return f, []*node{f.ready(f.node("n1")), f.ready(f.node("n2")), f.ready(f.node("n3"))}
+	return f, []*node{f.ready(f.node("n1", firstStart)), f.ready(f.node("n2", firstStart)), f.ready(f.node("n3", firstStart))}
 }
 
+// firstStart is the setting of a process of a system that starts for the first time.
+func firstStart(cfg *cicadaedge.Config) { cfg.FirstStart = true }
+
 // TestBudgetHoldsOverARestoredStore has the store forget what routers drew and
 // used. All of them live: they use the budget up, and no more.
 func TestBudgetHoldsOverARestoredStore(t *testing.T) {
@@ -144,7 +148,7 @@
 		}
 		return served
 	}
-	n := f.ready(f.node("n1"))
+	n := f.ready(f.node("n1", firstStart))
 	served := spendBeta(n, 100)
 	time.Sleep(time.Second)
 	f.store.takeCopy()
