--- a/internal/cicadabudget/era.go
+++ b/internal/cicadabudget/era.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// Settle makes the settlement of an era from the reports, with a number of routers
-// of which each may have drawn. Limits are the bounds that the caller knows.
+// Settle makes the settlement of an era from the reports. Routers is the number of
+// those that may have drawn.
 func Settle(by string, reports []Report, routers int) Settlement {
 	s := Settlement{By: by, Routers: max(routers, len(reports)), Bases: map[string]Base{}}
 	witnesses := 0
