No transaction before all pools have been read once

By the code: another follower's answer told the era, and the bank drew before the reading of the pools told that the era had been settled.

Change: the bank waits for that reading.

--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -75,7 +75,7 @@
 		}
 		began := time.Now()
 		if !b.rt.eras.isKnown() {
-			continue // keys of rows depend on it
+			continue // keys of rows and what pools start from depend on it
 		}
 		if b.rt.accounts.Settling() {
 			b.settle(ctx)
--- a/internal/cicadaedge/era.go
+++ b/internal/cicadaedge/era.go
@@ -87,11 +87,12 @@
 	}
 }
 
-// isKnown tells whether the store has answered at all.
+// isKnown tells whether the era is known, and whether it has to be settled: all pools
+// have been read once.
 func (e *eras) isKnown() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.known
+	return e.known && e.poolsRead
 }
 
 func (e *eras) state() (era uint64, since time.Time, poolsRead, witness bool) {
