An answer of the store is late by its usual time, not by a fixed one

The timer could also fire as the answer arrived and leave the store taken as lost.

Change: an answer is late at eight times the usual one, 120 ms at least. The watch ends under the lock under which it would speak.

--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,9 +23,13 @@
 	// probeTimeout bounds a transaction while the store does not answer: more
 	// than it takes when it is slow.
 	probeTimeout = 500 * time.Millisecond
-	// slowAnswer is how long an answer may take until other routers are asked for
-	// units: many times its usual time.
-	slowAnswer = 120 * time.Millisecond
+	// slowFactor, times the usual time of an answer, is how long one may take until
+	// other routers are asked for units; leastSlow is the shortest such time.
+	slowFactor = 8
+	leastSlow  = 120 * time.Millisecond
+	// answerWeight is the weight of one answer in the average of their times: those
+	// of a few seconds in which the store is slow change little.
+	answerWeight = 0.01
 	// txnMoves bounds the organisations in one transaction, below the store's
 	// hundred entries.
 	txnMoves = 40
@@ -36,8 +41,14 @@
 	rt    *Router
 	book  *cicadabudget.Book
 	waked signal
-	// up tells whether the last transaction was answered.
-	up      atomic.Bool
+	// up tells whether the last transaction was answered, and none is late now.
+	up atomic.Bool
+	// answerTime is the usual time of an answer, an exponential average.
+	answerTime time.Duration
+
+	callMu sync.Mutex // guards call
+	call   uint64     // number of the call that is under way; zero if none is
+
 	routers atomic.Int64
 	// settling is the era in which this router has reported.
 	settling uint64
@@ -128,10 +139,13 @@
 		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 	}
-	slow := time.AfterFunc(slowAnswer, b.noteSlow)
+	late := b.watch(txn.Number)
 	done, err := b.rt.cfg.Store.Commit(ctx, sent)
-	slow.Stop()
+	late()
 	now := time.Now()
+	if _, answered := eraOf(done, err); answered {
+		b.noteAnswer(now.Sub(asked))
+	}
 	var conflict *cicadastore.ConflictError
 	if seen, answered := eraOf(done, err); answered {
 		if other := b.rt.eras.see(seen); other != nil || seen != txn.Era {
@@ -162,16 +176,41 @@
 	return false
 }
 
-// noteSlow has other routers asked for units while an answer is awaited. Where
-// units come from lenders it does nothing: there the store is busy at times, and
-// lenders that change are worse than a late answer.
-func (b *bank) noteSlow() {
-	if int(b.routers.Load()) < cicadabudget.LendFrom {
-		b.setUp(false, errSlow)
-		b.rt.borrower.wake()
+// watch has other routers asked for units if a call takes much longer than usual. It
+// returns what ends the watch. Where units come from lenders it does nothing: there
+// the store is busy at times, and lenders that change are worse than a late answer.
+func (b *bank) watch(call uint64) (end func()) {
+	if int(b.routers.Load()) >= cicadabudget.LendFrom {
+		return func() {}
+	}
+	b.setCall(call)
+	timer := time.AfterFunc(max(leastSlow, slowFactor*b.answerTime), func() {
+		b.callMu.Lock()
+		defer b.callMu.Unlock()
+		if b.call == call {
+			b.setUp(false, errSlow)
+			b.rt.borrower.wake()
+		}
+	})
+	return func() {
+		timer.Stop()
+		b.setCall(0)
 	}
 }
 
+func (b *bank) noteAnswer(took time.Duration) {
+	if b.answerTime == 0 {
+		b.answerTime = took
+	}
+	b.answerTime += time.Duration(answerWeight * float64(took-b.answerTime))
+}
+
+func (b *bank) setCall(call uint64) {
+	b.callMu.Lock()
+	defer b.callMu.Unlock()
+	b.call = call
+}
+
 // eraOf returns the era of an answer, if there was one that tells it.
 func eraOf(done cicadastore.Committed, err error) (uint64, bool) {
 	var conflict *cicadastore.ConflictError
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -62,7 +62,8 @@
 	// storeView is one router's way to the store.
 	storeView struct {
 		*memoryStore
-		down atomic.Bool
+		down  atomic.Bool
+		delay atomic.Int64 // of each transaction, in nanoseconds
 	}
 
 	// dialect speaks headers of the tests.
@@ -192,6 +193,7 @@
 }
 
 func (v *storeView) Commit(_ context.Context, txn cicadastore.Txn) (cicadastore.Committed, error) {
+	time.Sleep(time.Duration(v.delay.Load()))
 	if err := v.fail(); err != nil {
 		return cicadastore.Committed{}, err
 	}
--- a/internal/cicadaedge/views_test.go
+++ b/internal/cicadaedge/views_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
@@ -179,6 +180,41 @@
 	}
 }
 
+// TestStoreThatIsSlowAsARule draws from a store whose answers usually take long: it
+// counts as reached, so that nobody else is asked for units. Once an answer takes
+// much longer than that, it does not.
+func TestStoreThatIsSlowAsARule(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	r := f.addRunner(nil)
+	r.does(r.answer("ok"))
+	var lost atomic.Int64
+	count := log.HandlerFunc(func(e *log.Entry) error {
+		if e.Message == "bank lost the store" {
+			lost.Add(1)
+		}
+		return nil
+	})
+	n := f.node("n1", func(cfg *cicadaedge.Config) {
+		cfg.Log = &log.Logger{Handler: count, Level: log.InfoLevel}
+		cfg.Store.(*storeView).delay.Store(int64(150 * time.Millisecond))
+	})
+	f.ready(n)
+	for range 5 {
+		call(t, n, "/once/", map[string]string{"X-Tokens": "700,50"}, "")
+		time.Sleep(300 * time.Millisecond)
+	}
+	before := lost.Load()
+	if before > 1 {
+		t.Errorf("the store counted as lost %d times, at most the first answer can be a surprise", before)
+	}
+	n.view.delay.Store(int64(3 * time.Second))
+	eventually(t, "an answer is late", func() bool {
+		call(t, n, "/once/", map[string]string{"X-Tokens": "7000,50"}, "")
+		return lost.Load() > before
+	})
+}
+
 // TestOutageIsServedFromUnitsHeld takes the store away: requests go on, and what
 // is not covered is refused as not run, with a time to come back.
 func TestOutageIsServedFromUnitsHeld(t *testing.T) {
