Reports and settlement of an era hold at the size to design for

A settlement named all pools ever drawn from in one row, which 64 KB bound to some 500: beyond it the store would have refused the row, and nothing would have been drawn for the rest of the era. Each of 410 routers would have written and, five times a second, read all reports.

Change: only readings newer than the copy are reported, of a pool by the routers that drew from it and by eight others, in rows of 150 pools within one transaction. What is withheld is worked out and not stored. One router after the other may make the settlement; the others read only that.

With an unreadable settlement routers spend what they hold together and draw nothing (TestUnreadableSettlement).

--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -66,7 +66,8 @@
 		seen         View      // newest reading of the present era
 		view         View      // newest reading of an earlier era
 		dryFrom      time.Time // since when the pool is dry; zero if it is not
-		draws        []draw    // of the last witnessGap
+		recent       []draw    // of the last witnessGap
+		drew         bool      // this process has drawn from the pool
 	}
 
 	// Wait is a reservation that waits for a draw.
@@ -113,7 +114,7 @@
 	defer a.mu.Unlock()
 	acc := a.byOrg[org]
 	if acc == nil {
-		acc = &account{draining: a.draining, pool: a.settled.start(org, limit)}
+		acc = &account{draining: a.draining, pool: a.start(org, limit)}
 		a.byOrg[org] = acc
 	}
 	if version >= acc.limitVersion {
@@ -151,13 +152,14 @@
 	a.usual += (float64(need) - a.usual) * usualWeight
 	if need > acc.bound() {
 		// Nothing that others give back would cover it.
-		return Dry, nil, Shortage{Free: acc.free, Left: acc.left(), PoolAge: now.Sub(acc.poolAt), PoolRead: acc.poolVersion > 0}
+		return Dry, nil, acc.shortage(now)
 	}
 	if acc.usable(now) >= need && len(acc.waiters) == 0 {
 		acc.take(need, now)
 		return Granted, nil, Shortage{}
 	}
-	short := Shortage{Transient: acc.ranDryJustNow(now), Free: acc.free, Dormant: acc.free - acc.usable(now), Left: acc.left(), PoolAge: now.Sub(acc.poolAt), PoolRead: acc.poolVersion > 0}
+	short := acc.shortage(now)
+	short.Transient = acc.ranDryJustNow(now)
 	if acc.isDry(need, now) {
 		return Dry, nil, short
 	}
@@ -167,6 +169,13 @@
 	return Awaiting, w, short
 }
 
+func (acc *account) shortage(now time.Time) Shortage {
+	return Shortage{
+		Free: acc.free, Dormant: acc.free - acc.usable(now),
+		Left: acc.left(), PoolAge: now.Sub(acc.poolAt), PoolRead: acc.poolVersion > 0,
+	}
+}
+
 // Ready is closed when the wait has ended.
 func (w *Wait) Ready() <-chan struct{} { return w.ready }
 
--- a/internal/cicadabudget/account_test.go
+++ b/internal/cicadabudget/account_test.go
@@ -1,6 +1,8 @@
 package cicadabudget_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -411,7 +413,7 @@
 	a.Correct(org, 0, cicadabudget.Pool{Drawn: 200, Limit: 1000, LimitVersion: 1}, 5, epoch)
 	a.EnterEra(1, false)
 	want := cicadabudget.Report{Boot: "b", Witness: true, Views: map[string]cicadabudget.View{org: {Version: 9, Pool: newest}}}
-	if diff := cmp.Diff(want, a.Report("b", true)); diff != "" {
+	if diff := cmp.Diff(want, a.Report("b", true, func(string) bool { return true })); diff != "" {
 		t.Errorf("report (-want +got):\n%s", diff)
 	}
 }
@@ -432,17 +434,64 @@
 		{"all", reports, 250},
 		{"one is missing", reports[:2], 250 + 100},
 		{"one lived through nothing", append([]cicadabudget.Report{{}}, reports[:2]...), 250 + 100},
+		{"none knows more than the copy", []cicadabudget.Report{{Witness: true}, {Witness: true}, {Witness: true}}, 200},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := cicadabudget.Settle("b", tt.reports, 3)
-			b := s.Bases[org]
-			if diff := cmp.Diff(tt.want, b.View.Pool.Drawn+b.Withheld); diff != "" {
+			a := cicadabudget.NewAccounts()
+			a.Configure(org, 1000, 1)
+			a.EnterEra(2, false)
+			a.Remember(org, cicadabudget.View{Era: 1, Version: 4, Pool: cicadabudget.Pool{Drawn: 200, Limit: 1000, LimitVersion: 1}})
+			a.Adopt(2, &s)
+			if diff := cmp.Diff(tt.want, a.State(epoch)[0].Drawn); diff != "" {
 				t.Errorf("drawn (-want +got):\n%s", diff)
 			}
 		})
 	}
 }
 
+// TestReportsOfALargeFleet has a router follow many pools that it did not draw from:
+// it reports its share of those that changed since the copy, in rows of bounded size.
+func TestReportsOfALargeFleet(t *testing.T) {
+	const pools, changed, most = 73_000, 3000, 150
+	a := cicadabudget.NewAccounts()
+	for i := range pools {
+		name := fmt.Sprintf("organisation-%05d", i)
+		a.Configure(name, 1000, 1)
+		a.Learn(name, 0, cicadabudget.Pool{Drawn: 10, Limit: 1000, LimitVersion: 1}, uint64(i+1), epoch)
+	}
+	for i := range changed {
+		a.Learn(fmt.Sprintf("organisation-%05d", i), 0, cicadabudget.Pool{Drawn: 20, Limit: 1000, LimitVersion: 1}, uint64(pools+i+1), epoch)
+	}
+	a.EnterEra(1, false)
+	for i := range pools {
+		v := cicadabudget.View{Version: uint64(i + 1), Pool: cicadabudget.Pool{Drawn: 10, Limit: 1000, LimitVersion: 1}}
+		a.Remember(fmt.Sprintf("organisation-%05d", i), v)
+	}
+	all := a.Report("b", true, func(string) bool { return true })
+	if diff := cmp.Diff(changed, len(all.Views)); diff != "" {
+		t.Errorf("pools reported (-want +got):\n%s", diff)
+	}
+	named := 0
+	for _, part := range all.Parts(most) {
+		named += len(part.Views)
+		row, err := json.Marshal(part)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(row) > 64<<10 || len(part.Views) > most {
+			t.Errorf("a row of %d bytes with %d pools", len(row), len(part.Views))
+		}
+	}
+	if diff := cmp.Diff(changed, named); diff != "" {
+		t.Errorf("pools in all rows (-want +got):\n%s", diff)
+	}
+	none := a.Report("b", true, func(string) bool { return false })
+	if diff := cmp.Diff(0, len(none.Views)); diff != "" {
+		t.Errorf("pools reported that are others' to report (-want +got):\n%s", diff)
+	}
+}
+
 // TestWaitsAreToldWhenUnitsAreReleased plays a cut: requests that arrive together are
 // told a time each, the later ones a later time, and are served by then in their order.
 func TestWaitsAreToldWhenUnitsAreReleased(t *testing.T) {
--- a/internal/cicadabudget/book_test.go
+++ b/internal/cicadabudget/book_test.go
@@ -122,8 +122,10 @@
 	p.told = true
 	if p.accs.Era() != w.era {
 		p.accs.EnterEra(w.era, first)
-		if first && w.pool.version == 0 {
+		if w.before.Version > 0 {
 			p.accs.Remember(org, w.before)
+		}
+		if first && w.pool.version == 0 {
 			p.accs.AwaitSettlement()
 		}
 	}
@@ -131,7 +133,7 @@
 		return
 	}
 	if _, ok := w.reports[host]; !ok {
-		w.reports[host] = p.accs.Report("boot", !first)
+		w.reports[host] = p.accs.Report("boot", !first, func(string) bool { return true })
 	}
 	if w.settled == nil && (len(w.reports) == hostCount || w.elapsed-w.restoredAt > 3*time.Second) {
 		var list []cicadabudget.Report
--- a/internal/cicadabudget/era.go
+++ b/internal/cicadabudget/era.go
@@ -10,10 +10,10 @@
 // since is then gone from its rows, but not from the routers that drew it. Each
 // such return begins a new era. In a new era rows have new keys, so that no
 // transaction of an earlier one can change them, and nothing is drawn until the
-// routers have settled what each pool has given out: every router reports the
-// newest reading that it has, and the newest of all is the pool's base. It counts
-// each draw of a router that reports, since a router that draws reads the row it
-// wrote.
+// routers have settled what each pool has given out: routers report their readings
+// that are newer than the copy, and the newest of all is what the pool starts from.
+// It counts each draw of a router that reports, since a router that draws reads the
+// row it wrote.
 //
 // A router that does not report may have drawn more after that reading. So much is
 // withheld for it; see unseenShare.
@@ -46,24 +46,18 @@
 	Report struct {
 		Boot string `json:"boot"`
 		// Witness tells that the router followed the pools before the era began.
-		Witness bool            `json:"witness"`
-		Views   map[string]View `json:"views,omitempty"`
-	}
-
-	// Base is what a pool starts from in an era: a reading, and units that are
-	// withheld for routers that did not report.
-	Base struct {
-		View     View  `json:"view"`
-		Withheld Units `json:"withheld,omitempty"`
+		Witness bool `json:"witness"`
+		// Views are its readings that are newer than the rows of the copy.
+		Views map[string]View `json:"views,omitempty"`
 	}
 
-	// Settlement is the routers' agreement on the bases of all pools in an era. Of
-	// pools that it does not name nothing was known to be drawn.
+	// Settlement is the routers' agreement on what the pools have given out as an era
+	// begins: the readings that it names, and the rows of the copy for all others.
 	Settlement struct {
 		By      string          `json:"by"`      // boot of the router that wrote it
 		Missing int             `json:"missing"` // routers that did not follow the pools before
 		Routers int             `json:"routers"`
-		Bases   map[string]Base `json:"bases"`
+		Views   map[string]View `json:"views,omitempty"`
 	}
 )
 
@@ -82,26 +76,55 @@
 // Settle makes the settlement of an era from the reports. Routers is the number of
 // those that may have drawn.
 func Settle(by string, reports []Report, routers int) Settlement {
-	s := Settlement{By: by, Routers: max(routers, len(reports)), Bases: map[string]Base{}}
+	s := Settlement{By: by, Routers: max(routers, len(reports)), Views: map[string]View{}}
 	witnesses := 0
 	for _, r := range reports {
 		if r.Witness {
 			witnesses++
 		}
 		for org, v := range r.Views {
-			if b, ok := s.Bases[org]; !ok || v.newerThan(&b.View) {
-				s.Bases[org] = Base{View: v}
+			if old, ok := s.Views[org]; !ok || v.newerThan(&old) {
+				s.Views[org] = v
 			}
 		}
 	}
 	s.Missing = s.Routers - witnesses
-	for org, b := range s.Bases {
-		b.Withheld = s.withheld(&b.View.Pool)
-		s.Bases[org] = b
-	}
 	return s
 }
 
+// Parts splits a report into ones of at most most pools, for rows of bounded size.
+func (r *Report) Parts(most int) []Report {
+	var out []Report
+	for _, views := range split(r.Views, most) {
+		out = append(out, Report{Boot: r.Boot, Witness: r.Witness, Views: views})
+	}
+	return out
+}
+
+// Parts splits a settlement into ones of at most most pools.
+func (s *Settlement) Parts(most int) []Settlement {
+	var out []Settlement
+	for _, views := range split(s.Views, most) {
+		out = append(out, Settlement{By: s.By, Missing: s.Missing, Routers: s.Routers, Views: views})
+	}
+	return out
+}
+
+// split returns at least one map, of at most most entries each.
+func split(views map[string]View, most int) []map[string]View {
+	names := slices.Sorted(maps.Keys(views))
+	out := []map[string]View{{}}
+	for _, name := range names {
+		last := out[len(out)-1]
+		if len(last) == most {
+			last = map[string]View{}
+			out = append(out, last)
+		}
+		last[name] = views[name]
+	}
+	return out
+}
+
 // withheld is what routers that did not report may have drawn unseen, as far as
 // the pool had it.
 func (s *Settlement) withheld(p *Pool) Units {
@@ -113,17 +136,26 @@
 	return min(Units(share*float64(p.Limit)), max(p.Limit-p.Drawn, 0))
 }
 
-// start is what a pool's row holds before its first draw in the era.
-func (s *Settlement) start(org string, limit Units) Pool {
-	if s == nil {
-		return Pool{}
+// base is the reading from which a pool starts in the present era; of a pool that
+// nobody knows nothing has been drawn.
+func (a *Accounts) base(org string, limit Units) View {
+	if v, ok := a.settled.Views[org]; ok {
+		return v
 	}
-	if b, ok := s.Bases[org]; ok {
-		p := b.View.Pool
-		p.Drawn += b.Withheld
-		return p
+	if v, ok := a.copied[org]; ok {
+		return v
 	}
-	return Pool{Drawn: s.withheld(&Pool{Limit: limit})}
+	return View{Pool: Pool{Limit: limit}}
+}
+
+// start is what a pool's row holds before its first draw in the present era.
+func (a *Accounts) start(org string, limit Units) Pool {
+	if a.settled == nil {
+		return Pool{}
+	}
+	p := a.base(org, limit).Pool
+	p.Drawn += a.settled.withheld(&p)
+	return p
 }
 
 // Era is the era of the store that the accounts are in.
@@ -158,7 +190,7 @@
 		acc.pool, acc.poolVersion, acc.poolAt = Pool{}, 0, time.Time{}
 		acc.claims = nil
 	}
-	a.era, a.settled, a.settling = era, nil, !first
+	a.era, a.settled, a.copied, a.settling = era, nil, nil, !first
 }
 
 // AwaitSettlement makes a process settle the era that it began in.
@@ -168,7 +200,7 @@
 	a.settling = true
 }
 
-// Remember takes a pool's row of an earlier era, as an older copy may hold it.
+// Remember takes a pool's row of an earlier era, as the copy holds it.
 func (a *Accounts) Remember(org string, v View) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -180,17 +212,15 @@
 	}
 }
 
-// Report returns what to report of the pools: what this process has read itself,
-// or what the store still has.
-func (a *Accounts) Report(boot string, witness bool) Report {
+// Report returns what to report of the pools, once the rows of the copy are known:
+// of those that this router has drawn from, and of others if chosen says so.
+func (a *Accounts) Report(boot string, witness bool, chosen func(org string) bool) Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r := Report{Boot: boot, Witness: witness, Views: maps.Clone(a.copied)}
-	if r.Views == nil {
-		r.Views = map[string]View{}
-	}
+	r := Report{Boot: boot, Witness: witness, Views: map[string]View{}}
 	for org, acc := range a.byOrg {
-		if old, ok := r.Views[org]; acc.view.Version > 0 && (!ok || acc.view.newerThan(&old)) {
+		old := a.copied[org]
+		if acc.view.Version > 0 && acc.view.newerThan(&old) && (acc.drew || chosen(org)) {
 			r.Views[org] = acc.view
 		}
 	}
@@ -222,13 +252,13 @@
 	a.settling, a.settled = false, s
 	dropped := map[string]Units{}
 	for org, acc := range a.byOrg {
-		b := s.Bases[org]
-		if acc.view.newerThan(&b.View) && acc.free > 0 {
+		base := a.base(org, acc.limit)
+		if acc.view.newerThan(&base) && acc.free > 0 {
 			dropped[org] = acc.free
 			acc.free = 0
 		}
 		if acc.poolVersion == 0 {
-			acc.pool = s.start(org, acc.limit)
+			acc.pool = a.start(org, acc.limit)
 		}
 	}
 	return dropped
@@ -241,7 +271,7 @@
 		share = unseenPooled
 	}
 	most := Units(share * float64(acc.bound()))
-	for _, d := range acc.draws {
+	for _, d := range acc.recent {
 		if now.Sub(d.at) < witnessGap {
 			most -= d.units
 		}
@@ -251,6 +281,7 @@
 
 // countDrawn notes a draw for unseen.
 func (acc *account) countDrawn(n Units, now time.Time) {
-	acc.draws = slices.DeleteFunc(acc.draws, func(d draw) bool { return now.Sub(d.at) >= witnessGap })
-	acc.draws = append(acc.draws, draw{units: n, at: now})
+	acc.drew = true
+	acc.recent = slices.DeleteFunc(acc.recent, func(d draw) bool { return now.Sub(d.at) >= witnessGap })
+	acc.recent = append(acc.recent, draw{units: n, at: now})
 }
--- a/internal/cicadabudget/holding.go
+++ b/internal/cicadabudget/holding.go
@@ -202,7 +202,7 @@
 	for org, n := range claims {
 		acc := a.byOrg[org]
 		if acc == nil {
-			acc = &account{pool: a.settled.start(org, 0)}
+			acc = &account{pool: a.start(org, 0)}
 			a.byOrg[org] = acc
 		}
 		acc.free += n
--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -49,9 +49,8 @@
 	callMu sync.Mutex // guards call
 	call   uint64     // number of the call that is under way; zero if none is
 
-	routers atomic.Int64
-	// settling is the era in which this router has reported.
-	settling uint64
+	routers  atomic.Int64
+	reported uint64 // era in which this router has reported
 	done     chan struct{}
 }
 
--- a/internal/cicadaedge/era.go
+++ b/internal/cicadaedge/era.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,10 +25,18 @@
 	settleWait = 5 * time.Second
 	// eraKeys is the beginning of keys of rows that belong to an era.
 	eraKeys = "era/"
-	// settledKey is the key of an era's settlement, after its prefix; routers'
-	// reports have their names behind reportKeys.
-	settledKey = "settled"
-	reportKeys = "report/"
+	// settledKeys and reportKeys begin the keys of an era's settlement and of the
+	// routers' reports, which go on with the number of the part.
+	settledKeys = "settled/"
+	reportKeys  = "report/"
+	// settleTurn is how much later each router makes the settlement than the one
+	// before it in an order that all share: one is enough to read all reports.
+	settleTurn = time.Second
+	// reporters is how many routers report each pool, beside those that draw from it.
+	reporters = 8
+	// poolsInRow bounds a row: its pools have names of 200 bytes at most, and the
+	// store takes 64 KB.
+	poolsInRow = 150
 )
 
 var errOtherEra = errors.New("the answer is of another era than the newest one seen")
@@ -124,100 +135,143 @@
 }
 
 // settle reports what this router knows of the pools, and takes the settlement of
-// the era once there is one. Without one it makes it from the reports.
+// the era once there is one. Without one it makes it from the reports, in its turn.
 func (b *bank) settle(ctx context.Context) {
 	era, since, poolsRead, witness := b.rt.eras.state()
-	if b.settling != era {
-		if err := b.report(ctx, era, witness); err != nil {
-			b.setUp(false, err)
-			return
-		}
-		b.settling = era
-	}
-	rows, err := b.rt.cfg.Store.Snapshot(ctx, tableEras)
-	if err == nil {
-		err = b.rt.eras.see(rows.Era)
+	if !poolsRead {
+		return // what the copy holds need not be reported
 	}
+	err := b.trySettle(ctx, era, time.Since(since), witness)
 	if err != nil {
-		b.setUp(false, err)
-		return
+		b.rt.cfg.Log.WithField("era", era).WithError(err).Info("era not settled yet")
+	}
+	b.setUp(err == nil, err)
+}
+
+func (b *bank) trySettle(ctx context.Context, era uint64, age time.Duration, witness bool) error {
+	if b.reported != era {
+		if err := b.report(ctx, era, witness); err != nil {
+			return err
+		}
+		b.reported = era
 	}
-	b.setUp(true, nil)
-	settled, reports := b.readEra(era, &rows)
-	if settled != nil {
+	settled, err := b.readSettlement(ctx, era)
+	if err != nil || settled != nil {
 		b.adopt(era, settled)
-		return
+		return err
+	}
+	turn := slices.Index(b.rt.peers.ranked("settle/"+strconv.FormatUint(era, 10)), b.rt.cfg.Name)
+	if age < time.Duration(turn)*settleTurn {
+		return nil
 	}
+	reports, err := b.readReports(ctx, era)
 	routers := int(b.routers.Load())
-	if !poolsRead || len(reports) < routers && time.Since(since) < settleWait {
-		return
+	if err != nil || len(reports) < routers && age < settleWait {
+		return err
 	}
 	s := cicadabudget.Settle(b.rt.cfg.Boot, reports, routers)
-	if err := b.write(ctx, eraKey(era, settledKey), &s, true); err != nil {
-		// Another router may have written it first: the next reading tells.
-		b.rt.cfg.Log.WithField("era", era).WithError(err).Info("settlement not written")
-	}
+	return writeParts(ctx, b, eraKey(era, settledKeys), s.Parts(poolsInRow), true)
 }
 
 func (b *bank) report(ctx context.Context, era uint64, witness bool) error {
-	r := b.rt.accounts.Report(b.rt.cfg.Boot, witness)
+	r := b.rt.accounts.Report(b.rt.cfg.Boot, witness, func(org string) bool {
+		return slices.Index(b.rt.peers.ranked("report/"+org), b.rt.cfg.Name) < reporters
+	})
+	parts := r.Parts(poolsInRow)
 	b.rt.cfg.Log.WithField("era", era).WithField("witness", witness).WithField("pools", len(r.Views)).Info("pools reported")
-	return b.write(ctx, eraKey(era, reportKeys+b.rt.cfg.Name), &r, false)
+	return writeParts(ctx, b, eraKey(era, reportKeys+b.rt.cfg.Name+"/"), parts, false)
 }
 
-// write writes a row of the table of eras, or only if there is none.
-func (b *bank) write(ctx context.Context, key string, value any, create bool) error {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return errors.Wrap(err, "encode "+key)
-	}
-	ref := cicadastore.Ref{Table: tableEras, Key: key}
-	txn := cicadastore.Txn{Writes: []cicadastore.Write{{Ref: ref, Value: data}}}
-	if create {
-		txn.Conditions = []cicadastore.Condition{{Ref: ref}}
+// writeParts writes the rows of a report or a settlement in one transaction, which
+// the store takes whole or not at all, or only if there are none.
+func writeParts[T cicadabudget.Report | cicadabudget.Settlement](
+	ctx context.Context, b *bank, prefix string, parts []T, create bool,
+) error {
+	var txn cicadastore.Txn
+	for i := range parts {
+		row, err := json.Marshal(&parts[i])
+		if err != nil {
+			return errors.Wrap(err, "encode "+prefix)
+		}
+		ref := cicadastore.Ref{Table: tableEras, Key: fmt.Sprintf("%s%03d", prefix, i)}
+		txn.Writes = append(txn.Writes, cicadastore.Write{Ref: ref, Value: row})
+		if create {
+			txn.Conditions = append(txn.Conditions, cicadastore.Condition{Ref: ref})
+		}
 	}
 	done, err := b.rt.cfg.Store.Commit(ctx, txn)
 	if err != nil {
-		return errors.Wrap(err, "write "+key)
+		return errors.Wrap(err, "write "+prefix)
 	}
 	return b.rt.eras.see(done.Era)
 }
 
-// readEra finds the settlement and the reports of an era.
-func (b *bank) readEra(era uint64, rows *cicadastore.Batch) (*cicadabudget.Settlement, []cicadabudget.Report) {
-	var settled *cicadabudget.Settlement
-	var reports []cicadabudget.Report
-	for i := range rows.Changes {
-		c := &rows.Changes[i]
-		of, name := splitEraKey(c.Key)
-		if of != era || c.Deleted {
-			continue
-		}
-		var err error
-		if name == settledKey {
-			settled = &cicadabudget.Settlement{}
-			err = json.Unmarshal(c.Value, settled)
-		} else {
-			var r cicadabudget.Report
-			if err = json.Unmarshal(c.Value, &r); err == nil {
-				reports = append(reports, r)
-			}
+// readSettlement returns the settlement of an era, or nil if there is none. Nothing
+// is drawn on a guess: one that cannot be read has to be mended first.
+func (b *bank) readSettlement(ctx context.Context, era uint64) (*cicadabudget.Settlement, error) {
+	rows, err := cicadastore.ScanAll(ctx, b.rt.cfg.Store, tableEras, eraKey(era, settledKeys), "")
+	if err != nil || len(rows) == 0 {
+		return nil, errors.Wrap(err, "read settlement")
+	}
+	var whole cicadabudget.Settlement
+	for i := range rows {
+		var part cicadabudget.Settlement
+		if err := json.Unmarshal(rows[i].Value, &part); err != nil {
+			b.rt.cfg.Metrics.Errors.Add("eraUnreadable", 1)
+			return nil, errors.Wrapf(err, "row %s at version %d", rows[i].Key, rows[i].Version)
 		}
-		if err != nil {
+		views := whole.Views
+		whole = part
+		whole.Views = merge(views, part.Views)
+	}
+	return &whole, nil
+}
+
+// readReports returns the reports of an era. A router of which a row cannot be read
+// has not reported.
+func (b *bank) readReports(ctx context.Context, era uint64) ([]cicadabudget.Report, error) {
+	prefix := eraKey(era, reportKeys)
+	rows, err := cicadastore.ScanAll(ctx, b.rt.cfg.Store, tableEras, prefix, "")
+	if err != nil {
+		return nil, errors.Wrap(err, "read reports")
+	}
+	byRouter := map[string]cicadabudget.Report{}
+	unreadable := map[string]bool{}
+	for i := range rows {
+		name, _, _ := strings.Cut(strings.TrimPrefix(rows[i].Key, prefix), "/")
+		var part cicadabudget.Report
+		if err := json.Unmarshal(rows[i].Value, &part); err != nil {
 			b.rt.cfg.Metrics.Errors.Add("eraUnreadable", 1)
-			b.rt.cfg.Log.WithField("key", c.Key).WithField("version", c.Version).WithError(err).Error("row of an era cannot be read")
-			if name == settledKey {
-				// Nothing is drawn on a guess: the row has to be mended first.
-				return nil, nil
-			}
+			b.rt.cfg.Log.WithField("key", rows[i].Key).WithField("version", rows[i].Version).WithError(err).Error("report cannot be read")
+			unreadable[name] = true
+		}
+		part.Views = merge(byRouter[name].Views, part.Views)
+		byRouter[name] = part
+	}
+	var out []cicadabudget.Report
+	for name, r := range byRouter {
+		if !unreadable[name] {
+			out = append(out, r)
 		}
 	}
-	return settled, reports
+	return out, nil
+}
+
+func merge(a, b map[string]cicadabudget.View) map[string]cicadabudget.View {
+	out := maps.Clone(a)
+	if out == nil {
+		out = map[string]cicadabudget.View{}
+	}
+	maps.Copy(out, b)
+	return out
 }
 
 func (b *bank) adopt(era uint64, s *cicadabudget.Settlement) {
+	if s == nil {
+		return
+	}
 	dropped := b.rt.accounts.Adopt(era, s)
-	b.rt.cfg.Log.WithField("era", era).WithField("by", s.By).WithField("missing", s.Missing).WithField("pools", len(s.Bases)).
+	b.rt.cfg.Log.WithField("era", era).WithField("by", s.By).WithField("missing", s.Missing).WithField("pools", len(s.Views)).
 		Info("pools settled")
 	for org, n := range dropped {
 		b.rt.cfg.Log.WithField("era", era).WithField("organisation", org).WithField("units", int64(n)).
--- a/internal/cicadaedge/era_test.go
+++ b/internal/cicadaedge/era_test.go
@@ -172,4 +172,28 @@
 	}
 }
 
-var settledRow = cicadastore.Ref{Table: "eras", Key: "era/2/settled"}
+// TestUnreadableSettlement has a settlement in the store that cannot be read: nothing
+// is drawn until it is mended, and what routers hold is served.
+func TestUnreadableSettlement(t *testing.T) {
+	t.Parallel()
+	f, nodes := eraFleet(t)
+	n := nodes[0]
+	if got := spendAt(t, n, 3); got != 3 {
+		t.Fatalf("%d of 3 requests were served", got)
+	}
+	time.Sleep(time.Second)
+	f.store.takeCopy()
+	f.store.restore()
+	f.store.putRaw(settledRow.Table, settledRow.Key, []byte(`{"by":7`))
+	var held cicadabudget.Units // by all, as they lend to each other
+	for _, n := range nodes {
+		held += n.Accounts()[0].Free
+	}
+	if got := useUpAt(t, nodes[:1], 7*time.Second); int64(got)*eraUse > int64(held) {
+		t.Errorf("%d units were used, %d were held", got*eraUse, held)
+	}
+	f.store.put(settledRow.Table, settledRow.Key, cicadabudget.Settlement{By: "operator", Routers: 3})
+	eventually(t, "units are drawn again", func() bool { return spendAt(t, n, 1) == 1 })
+}
+
+var settledRow = cicadastore.Ref{Table: "eras", Key: "era/2/settled/000"}
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -25,7 +25,6 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaretry"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
-	"github.com/pkg/errors"
 )
 
 const (
@@ -181,8 +180,20 @@
 	return out, v.fail()
 }
 
-func (v *storeView) Scan(context.Context, cicadastore.ScanRequest) ([]cicadastore.Row, error) {
-	return nil, errors.New("not used")
+func (v *storeView) Scan(_ context.Context, req cicadastore.ScanRequest) ([]cicadastore.Row, error) {
+	if err := v.fail(); err != nil {
+		return nil, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var out []cicadastore.Row
+	for ref, row := range v.rows {
+		if ref.Table == req.Table && strings.HasPrefix(ref.Key, req.Prefix) && ref.Key > req.After {
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b cicadastore.Row) int { return strings.Compare(a.Key, b.Key) })
+	return out[:min(len(out), req.Limit)], nil
 }
 
 func (v *storeView) fail() error {
