--- a/internal/cicadabudget/account.go
+++ b/internal/cicadabudget/account.go
@@ -57,8 +57,9 @@
 		free         Units
 		claims       []claim // of all rows that may be in force
 		reserved     Units
-		own, lend    flow // of units to requests here and to other routers
-		drawn        flow // from the pool by all routers, as far as readings show it
+		spent        Units // by requests that have ended
+		own, lend    flow  // of units to requests here and to other routers
+		drawn        flow  // from the pool by all routers, as far as readings show it
 		waiters      []*Wait
 		lent         bool      // units come from a lender, not from the pool
 		pooled       bool      // they do so always, not for an outage only
@@ -239,6 +240,7 @@
 	acc := a.byOrg[org]
 	used = min(max(used, 0), reserved)
 	acc.reserved -= reserved
+	acc.spent += used
 	acc.free += reserved - used
 	acc.own.add(float64(used-reserved), now)
 	a.serveWaiters(acc, now)
@@ -382,31 +384,6 @@
 	return false
 }
 
-// AccountState describes an account in a state dump.
-type AccountState struct {
-	Organisation string `json:"organisation"`
-	Limit        Units  `json:"limit"`
-	Drawn        Units  `json:"drawnByAll"`
-	Free         Units  `json:"free"`
-	Dormant      Units  `json:"dormant"`
-	Reserved     Units  `json:"reserved"`
-	Rate         int64  `json:"unitsPerSecond"`
-}
-
-// State lists the accounts.
-func (a *Accounts) State(now time.Time) []AccountState {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	out := make([]AccountState, 0, len(a.byOrg))
-	for org, acc := range a.byOrg {
-		out = append(out, AccountState{
-			Organisation: org, Limit: acc.bound(), Drawn: acc.pool.Drawn,
-			Free: acc.free, Dormant: acc.dormant(now), Reserved: acc.reserved, Rate: int64(acc.own.rate(now)),
-		})
-	}
-	return out
-}
-
 func (acc *account) take(n Units, now time.Time) {
 	acc.free -= n
 	acc.reserved += n
--- a/internal/cicadabudget/account_test.go
+++ b/internal/cicadabudget/account_test.go
@@ -567,3 +567,23 @@
 		}
 	}
 }
+
+// TestHeldAddsUp checks that what a process says that it holds and has spent is
+// what it has drawn.
+func TestHeldAddsUp(t *testing.T) {
+	r := newRig(t, 10_000_000)
+	r.spendFor(3*time.Second, 1000, r.balance)
+	if verdict, _, _ := r.accs.Reserve(org, 700, r.now); verdict != cicadabudget.Granted {
+		t.Fatal("the request was not granted")
+	}
+	all, byOrg := r.accs.Held(1, r.now)
+	if diff := cmp.Diff(map[string]cicadabudget.Held{org: all}, byOrg); diff != "" {
+		t.Errorf("sum and details differ (-sum +details):\n%s", diff)
+	}
+	if diff := cmp.Diff(r.pool.Drawn, all.Free+all.Reserved+all.Spent); diff != "" {
+		t.Errorf("drawn and held differ (-drawn +held):\n%s", diff)
+	}
+	if all.Reserved != 700 || all.Spent != 30*1000 {
+		t.Errorf("reserved %d, spent %d, want 700 and 30000", all.Reserved, all.Spent)
+	}
+}
--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -33,6 +33,10 @@
 	// txnMoves bounds the organisations in one transaction, below the store's
 	// hundred entries.
 	txnMoves = 40
+	// heldPause lies between two lines on what this router holds, and heldDetails
+	// bounds the organisations named in one.
+	heldPause   = time.Second
+	heldDetails = 16
 )
 
 // bank moves units between this router's accounts and the pools in the store.
@@ -50,7 +54,8 @@
 	call   uint64     // number of the call that is under way; zero if none is
 
 	routers  atomic.Int64
-	reported uint64 // era in which this router has reported
+	reported uint64    // era in which this router has reported
+	heldAt   time.Time // of the last line on what is held
 	done     chan struct{}
 }
 
@@ -79,6 +84,7 @@
 		} else {
 			b.balance(ctx)
 		}
+		b.logHeld(time.Now())
 		// A slow store is not asked more than half of the time, and many routers
 		// together not more often than their claims need.
 		least := max(bankPause, time.Since(began), b.book.Refresh()/2)
@@ -297,6 +303,17 @@
 	}
 }
 
+// logHeld tells what would be lost, or left to a successor, if the process ended.
+func (b *bank) logHeld(now time.Time) {
+	if now.Sub(b.heldAt) < heldPause {
+		return
+	}
+	b.heldAt = now
+	all, byOrg := b.rt.accounts.Held(heldDetails, now)
+	b.rt.cfg.Log.WithField("free", int64(all.Free)).WithField("dormant", int64(all.Dormant)).WithField("reserved", int64(all.Reserved)).
+		WithField("spent", int64(all.Spent)).WithField("organisations", byOrg).Info("units held")
+}
+
 // giveBack returns all free units at a planned stop. It tries until ctx ends: an
 // outage of the store may be over before the process has to end.
 func (b *bank) giveBack(ctx context.Context) {
