A reload signal no longer ends a node that is stopping

Cause: the node gave SIGHUP back to its default action when its stop began. Evidence: no 'stopped' line of that process, and a reload within its stop. The signal now stays registered until the stop has ended.

--- a/internal/cicadacmd/node.go
+++ b/internal/cicadacmd/node.go
@@ -63,6 +63,10 @@
 	if len(args) > 0 {
 		return usagef("node takes no arguments")
 	}
+	// Registered until the stop has ended: its default action ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	path := v.path()
 	settings, err := cicadaplatform.LoadSettings(path)
 	if err != nil {
@@ -78,7 +82,7 @@
 	}
 	rt := cicadaedge.New(cfg)
 	rt.Start()
-	watchSettings(ctx, path, rt, logger)
+	watchSettings(ctx, path, hup, rt, logger)
 	rt.Stop()
 	return nil
 }
@@ -121,11 +125,8 @@
 }
 
 // watchSettings puts settings in force whenever the file changes, with a signal or
-// without, until ctx ends.
-func watchSettings(ctx context.Context, path string, rt *cicadaedge.Router, logger log.Interface) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// without, until ctx ends. Hup tells of SIGHUP.
+func watchSettings(ctx context.Context, path string, hup <-chan os.Signal, rt *cicadaedge.Router, logger log.Interface) {
 	tick := time.NewTicker(settingsPoll)
 	defer tick.Stop()
 	last := modified(path)
--- a/internal/cicadacmd/process_test.go
+++ b/internal/cicadacmd/process_test.go
@@ -261,3 +261,40 @@
 		t.Errorf("the router that was paused is not ready: status %d", resp.StatusCode)
 	}
 }
+
+// TestReloadSignalDoesNotEndAPlannedStop sends SIGHUP to a node that is stopping.
+func TestReloadSignalDoesNotEndAPlannedStop(t *testing.T) {
+	f := &fleet{t: t, binary: filepath.Join(t.TempDir(), "cicadadyke")}
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", f.binary, "../..")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	ready := freeAddr(t)
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	settings := fmt.Sprintf("NodeName: n\nZone: z\nListen: {Front: %q, Ready: %q}\nLimits: {MemoryMb: 100}\n"+
+		"Bounds: {GraceS: 2, ConfigMs: 2000, BudgetWindowS: 10}\nPlatform: {Address: %q}\n", freeAddr(t), ready, freeAddr(t))
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	node := f.start("node", "node", "--settings", path)
+	f.await("the node listens", func() bool {
+		resp, err := http.Get("http://" + ready + "/metrics")
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return err == nil
+	})
+	began := time.Now()
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		if err := node.cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if err := node.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if took := time.Since(began); took < time.Second {
+		t.Errorf("the stop ended after %v, before its requests could", took)
+	}
+}
