Held runners get no work after their time, whenever the table is read next

Cause: runners whose entries vanished in an outage were dropped by the next reading of the table, up to a second after their time. Ruled out: a late return of the store's calls (0.2 s). Each held runner now has an end of its own, which the choice of a runner looks at. It is not prolonged by later failures of calls, stands still while the store is away, needs an outage in which entries can lapse, and is passed on by views. The tests failed before.

--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -116,8 +116,10 @@
 		// HoldRemoved is for how long after an outage of the store the entries
 		// that vanished in it are kept.
 		HoldRemoved time.Duration
-		MaxFiles    int
-		Log         log.Interface
-		Metrics     *Metrics
+		// Heartbeat is the time between two writings of a runner's entry.
+		Heartbeat time.Duration
+		MaxFiles  int
+		Log       log.Interface
+		Metrics   *Metrics
 	}
 )
--- a/internal/cicadaedge/follow.go
+++ b/internal/cicadaedge/follow.go
@@ -50,7 +50,9 @@
 		take func(b cicadastore.Batch, whole bool, now time.Time)
 		// fresh is told of each answer, with the time at which it was asked for.
 		fresh func(asked time.Time)
-		// back is told when the store answers after failures.
+		// lost is told when the store begins to fail, and since when it has not
+		// answered; back when it answers again.
+		lost func(since time.Time)
 		back func(now time.Time)
 	}
 
@@ -94,6 +96,9 @@
 		case err != nil:
 			if !failing && ctx.Err() == nil {
 				f.rt.cfg.Log.WithField("table", f.cfg.table).WithError(err).Warn("store lost")
+				if f.cfg.lost != nil {
+					f.cfg.lost(asked.Add(-f.age(asked)))
+				}
 			}
 			failing = true
 			pause(ctx, retry)
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -181,7 +181,7 @@
 	if d := rt.deploy.Load(); d != nil && d.Version() > req.Version {
 		reply.Deployment = d.Document()
 	}
-	reply.Runners = rt.fleet.Entries()
+	reply.Runners = rt.fleet.Entries(now)
 	return reply
 }
 
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -70,7 +70,7 @@
 func New(cfg Config) *Router {
 	rt := &Router{
 		cfg:       cfg,
-		fleet:     cicadaplace.NewFleet(cicadaplace.Config{Place: cfg.Place, HoldRemoved: cfg.HoldRemoved}),
+		fleet:     cicadaplace.NewFleet(cicadaplace.Config{Place: cfg.Place, HoldRemoved: cfg.HoldRemoved, Heartbeat: cfg.Heartbeat}),
 		accounts:  cicadabudget.NewAccounts(),
 		retries:   cicadaretry.NewBudget(cfg.Bounds.Retries),
 		upstreams: newUpstreams(cfg.Metrics),
@@ -101,7 +101,8 @@
 		table: rt.cfg.Sources.DeploymentTable, wait: deploymentWait, pause: always(0), take: rt.takeDeployment,
 	})
 	rt.runners = rt.follow(ctx, followConfig{
-		table: rt.cfg.Sources.RunnerTable, wait: tableWait, pause: always(runnerPause), take: rt.takeRunners, back: rt.fleet.StoreBack,
+		table: rt.cfg.Sources.RunnerTable, wait: tableWait, pause: always(runnerPause), take: rt.takeRunners,
+		lost: rt.fleet.StoreLost, back: rt.fleet.StoreBack,
 	})
 	rt.follow(ctx, followConfig{table: tablePools, wait: tableWait, pause: rt.poolsPause, take: rt.takePools})
 	rt.follow(ctx, followConfig{table: tableRouters, wait: tableWait, pause: routersPause, take: rt.takeRouters})
--- a/internal/cicadaedge/views_test.go
+++ b/internal/cicadaedge/views_test.go
@@ -130,6 +130,37 @@
 	eventually(t, "the runner is dropped when its entry does not come back", func() bool { return len(n.Runners()) == 0 })
 }
 
+// TestRunnerThatLeftDuringACutGetsNothingLater cuts a router off, lets its runner
+// leave meanwhile, and watches until when requests reach it.
+func TestRunnerThatLeftDuringACutGetsNothingLater(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	r := f.addRunner(nil)
+	r.does(r.answer("ok"))
+	const (
+		hold = 600 * time.Millisecond
+		// slack is for the router to note that the store answers, and for the request.
+		slack = 400 * time.Millisecond
+	)
+	n := f.ready(f.node("n1", func(cfg *cicadaedge.Config) { cfg.HoldRemoved = hold }))
+	n.view.down.Store(true)
+	time.Sleep(700 * time.Millisecond)
+	f.store.remove(tableRunners, r.id)
+	n.view.down.Store(false)
+	back := time.Now()
+	var last time.Duration
+	for time.Since(back) < hold+slack+time.Second {
+		sent := time.Since(back)
+		if call(t, n, "/once/", nil, "").status == http.StatusOK {
+			last = sent
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if last > hold+slack {
+		t.Errorf("a request reached the runner %v after the cut, want none after %v", last, hold+slack)
+	}
+}
+
 // TestReusedAddress gives a runner's address to another one.
 func TestReusedAddress(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -96,12 +96,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := f.services[req.Service]
-	ignoreEjection := tooManyEjected(list, now)
+	ignoreEjection := f.tooManyEjected(list, now)
 	var best *Runner
 	var bestCost float64
-	home := homeOf(list, req)
+	home := f.homeOf(req, now)
 	for _, r := range list {
-		if r.leftOut(req, ignoreEjection, now) {
+		if f.leftOut(r, req, ignoreEjection, now) {
 			continue
 		}
 		cost := f.cost(r, req, r == home, now)
@@ -127,22 +127,22 @@
 	return t
 }
 
-func (r *Runner) leftOut(req *Request, ignoreEjection bool, now time.Time) bool {
-	return r.entry.Leaving || r.leaving || slices.Contains(req.Tried, r.entry.ID) ||
+func (f *Fleet) leftOut(r *Runner, req *Request, ignoreEjection bool, now time.Time) bool {
+	return r.entry.Leaving || r.leaving || f.isExpired(r, now) || slices.Contains(req.Tried, r.entry.ID) ||
 		!ignoreEjection && now.Before(r.ejectedUntil)
 }
 
 // homeOf returns the runner that all routers take for the request's shared
 // parts, by rendezvous hashing of the last of them, or nil.
-func homeOf(list []*Runner, req *Request) *Runner {
+func (f *Fleet) homeOf(req *Request, now time.Time) *Runner {
 	if len(req.Parts) < 2 {
 		return nil
 	}
 	key := xxhash.Sum64String(req.Parts[len(req.Parts)-2].ID)
 	var home *Runner
 	var highest uint64
-	for _, r := range list {
-		if r.entry.Leaving || r.leaving || slices.Contains(req.Tried, r.entry.ID) {
+	for _, r := range f.services[req.Service] {
+		if f.leftOut(r, req, true, now) {
 			continue
 		}
 		if w := mix(r.hash ^ key); home == nil || w > highest {
@@ -203,10 +203,10 @@
 	return n
 }
 
-func tooManyEjected(list []*Runner, now time.Time) bool {
+func (f *Fleet) tooManyEjected(list []*Runner, now time.Time) bool {
 	n, all := 0, 0
 	for _, r := range list {
-		if r.entry.Leaving || r.leaving {
+		if r.entry.Leaving || r.leaving || f.isExpired(r, now) {
 			continue
 		}
 		all++
--- a/internal/cicadaplace/fleet.go
+++ b/internal/cicadaplace/fleet.go
@@ -17,9 +17,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// droppedTime is how long the entry of a runner that left is remembered: far more
-// than the age of a copy from which the store may come back.
-const droppedTime = 2 * time.Minute
+const (
+	// droppedTime is how long the entry of a runner that left is remembered: far more
+	// than the age of a copy from which the store may come back.
+	droppedTime = 2 * time.Minute
+	// leastSilence is the shortest outage of the store, in heartbeats, in which a
+	// living runner's entry can lapse: the platform removes entries after three, of
+	// which up to one and a half may have passed before the outage.
+	leastSilence = 1.5
+)
 
 type (
 	// Entry is what a runner says of itself.
@@ -34,6 +40,9 @@
 		Leaving bool
 		// WarmIn is how much longer the runner stays slow after its start.
 		WarmIn time.Duration
+		// HeldFor is how much longer a router that relays the entry uses the runner
+		// although the store has it no more; zero for an entry that the store has.
+		HeldFor time.Duration
 	}
 
 	// Part is a part of a prompt.
@@ -48,6 +57,9 @@
 		// HoldRemoved is how long entries removed while the store was away stay
 		// in use after its return, as the platform documents it.
 		HoldRemoved time.Duration
+		// Heartbeat is the time between two writings of an entry. Zero if it is not
+		// known.
+		Heartbeat time.Duration
 	}
 
 	// Fleet is the set of runners that this router knows.
@@ -57,8 +69,11 @@
 		mu       sync.Mutex // guards the fields below
 		byID     map[string]*Runner
 		services map[string][]*Runner // in no order
-		// storeBack is when the store answered again after an outage.
-		storeBack time.Time
+		// awayAt is since when the store has not answered; zero while it does.
+		awayAt time.Time
+		// holdUntil is until when entries that are removed stay in use: they may have
+		// lapsed in an outage of the store.
+		holdUntil time.Time
 		// dropped are the last entries of runners that left, by id.
 		dropped map[string]droppedEntry
 	}
@@ -75,8 +90,9 @@
 		entry     Entry
 		hash      uint64
 		firstSeen time.Time
-		// removedAt is when the entry vanished while the store was unsure.
-		removedAt time.Time
+		// heldUntil is until when the runner is used although its entry was removed;
+		// zero while there is an entry.
+		heldUntil time.Time
 		gone      bool // removed for good or replaced; tickets may still hold it
 		leaving   bool // said so itself, on an answer
 
@@ -121,8 +137,10 @@
 		return nil, false
 	}
 	if old != nil && old.entry.sameRunner(&e) {
-		changed = old.entry.Leaving != e.Leaving || !old.removedAt.IsZero()
-		old.removedAt = time.Time{}
+		changed = old.entry.Leaving != e.Leaving || old.isHeld() != (e.HeldFor > 0)
+		if !old.isHeld() || e.HeldFor <= 0 {
+			old.heldUntil = e.heldUntil(now)
+		}
 		// The other fields stay as they are, and are read without the lock.
 		old.entry.Leaving, old.entry.Slots, old.entry.WarmIn, old.entry.Seq = e.Leaving, e.Slots, e.WarmIn, e.Seq
 		return nil, changed
@@ -130,7 +148,7 @@
 	if old != nil {
 		f.drop(old, now)
 	}
-	r := &Runner{entry: e, hash: xxhash.Sum64String(e.ID), firstSeen: now}
+	r := &Runner{entry: e, hash: xxhash.Sum64String(e.ID), firstSeen: now, heldUntil: e.heldUntil(now)}
 	f.byID[e.ID] = r
 	f.services[e.Service] = append(f.services[e.Service], r)
 	return old, true
@@ -154,8 +172,37 @@
 	return e.Born == o.Born && e.Addr == o.Addr && e.Service == o.Service && e.Place == o.Place
 }
 
-// Remove takes a runner's entry away: at once, or after HoldRemoved if the store
-// has been away so recently that the entry may have lapsed meanwhile.
+func (e *Entry) heldUntil(now time.Time) time.Time {
+	if e.HeldFor <= 0 {
+		return time.Time{}
+	}
+	return now.Add(e.HeldFor)
+}
+
+func (r *Runner) isHeld() bool { return !r.heldUntil.IsZero() }
+
+// holdTime is the time by which runners are held. It stands still while the store
+// is away: no entry can come back then.
+func (f *Fleet) holdTime(now time.Time) time.Time {
+	if !f.awayAt.IsZero() {
+		return f.awayAt
+	}
+	return now
+}
+
+// holdLeft is how much longer a runner is held.
+func (f *Fleet) holdLeft(r *Runner, now time.Time) time.Duration {
+	return r.heldUntil.Sub(f.holdTime(now))
+}
+
+// isExpired tells whether a held runner's entry had its time to come back.
+func (f *Fleet) isExpired(r *Runner, now time.Time) bool {
+	return r.isHeld() && f.holdLeft(r, now) <= 0
+}
+
+// Remove takes a runner's entry away: at once, or at the end of the time within
+// which entries that lapsed in an outage of the store come back. It returns the
+// runner unless it is held.
 func (f *Fleet) Remove(id string, now time.Time) *Runner {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -163,8 +210,10 @@
 	if r == nil {
 		return nil
 	}
-	if !r.entry.Leaving && !f.storeBack.IsZero() && now.Sub(f.storeBack) < f.cfg.HoldRemoved {
-		r.removedAt = now
+	if !r.entry.Leaving && f.holdTime(now).Before(f.holdUntil) && !f.isExpired(r, now) {
+		if !r.isHeld() {
+			r.heldUntil = f.holdUntil
+		}
 		return nil
 	}
 	f.drop(r, now)
@@ -184,11 +233,34 @@
 	return out
 }
 
-// StoreBack notes that the store answers again after an outage.
+// StoreLost notes that the store has not answered since a time.
+func (f *Fleet) StoreLost(since time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.awayAt = since
+}
+
+// StoreBack notes that the store answers again. After an outage in which no living
+// runner's entry can have lapsed, entries that are removed are gone.
 func (f *Fleet) StoreBack(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.storeBack = now
+	away := now.Sub(f.awayAt)
+	mayLapse := away >= time.Duration(leastSilence*float64(f.cfg.Heartbeat))
+	f.holdUntil = f.holdUntil.Add(away)
+	if mayLapse {
+		f.holdUntil = now.Add(f.cfg.HoldRemoved)
+	}
+	for _, r := range f.byID {
+		switch {
+		case !r.isHeld() || f.isExpired(r, now):
+		case mayLapse:
+			r.heldUntil = f.holdUntil
+		default:
+			r.heldUntil = r.heldUntil.Add(away)
+		}
+	}
+	f.awayAt = time.Time{}
 }
 
 // Sweep removes the runners whose entries vanished in an outage and did not
@@ -203,7 +275,7 @@
 		}
 	}
 	for _, r := range f.byID {
-		if !r.removedAt.IsZero() && now.Sub(f.storeBack) >= f.cfg.HoldRemoved {
+		if f.isExpired(r, now) {
 			f.drop(r, now)
 			out = append(out, r)
 		}
@@ -225,6 +297,7 @@
 	Addr          string `json:"addr"`
 	Place         string `json:"place"`
 	Leaving       bool   `json:"leaving"`
+	Held          bool   `json:"held"` // in use although the store has no entry
 	InFlight      int    `json:"inFlight"`
 	WaitingTokens int    `json:"waitingTokens"`
 	Running       int    `json:"reportedRunning"`
@@ -241,7 +314,7 @@
 	for _, r := range f.byID {
 		out = append(out, RunnerState{
 			ID: r.entry.ID, Service: r.entry.Service, Addr: r.entry.Addr, Place: r.entry.Place,
-			Leaving: r.entry.Leaving || r.leaving, InFlight: r.inFlight, WaitingTokens: r.debt,
+			Leaving: r.entry.Leaving || r.leaving, Held: r.isHeld(), InFlight: r.inFlight, WaitingTokens: r.debt,
 			Running: r.reported.Running, Waiting: r.reported.Waiting,
 			ReportAgeMS: now.Sub(r.reportedAt).Milliseconds(), Ejected: now.Before(r.ejectedUntil),
 		})
@@ -275,12 +348,20 @@
 }
 
 // Entries returns the entries of all runners in use.
-func (f *Fleet) Entries() []Entry {
+func (f *Fleet) Entries(now time.Time) []Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]Entry, 0, len(f.byID))
 	for _, r := range f.byID {
-		out = append(out, r.entry)
+		if f.isExpired(r, now) {
+			continue
+		}
+		e := r.entry
+		e.HeldFor = 0
+		if r.isHeld() {
+			e.HeldFor = f.holdLeft(r, now)
+		}
+		out = append(out, e)
 	}
 	return out
 }
--- a/internal/cicadaplace/place_test.go
+++ b/internal/cicadaplace/place_test.go
@@ -197,6 +197,7 @@
 // TestLapsedEntries follows an entry that vanishes around an outage.
 func TestLapsedEntries(t *testing.T) {
 	f := newFleet(2)
+	f.StoreLost(start.Add(-9 * time.Second))
 	f.StoreBack(start)
 	if r := f.Remove(entry(0).ID, start.Add(time.Second)); r != nil {
 		t.Error("the entry was dropped within the time to come back")
