An entry that cannot be read ends the hold of its runner; holds are logged

A runner whose entry vanished in an outage stayed in use although its entry was there again and named no runner: the removal of unreadable entries waited like any other. Holding a runner and ignoring an older entry have log lines; the latter is counted.

--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -117,11 +117,11 @@
 	s.wake()
 }
 
-func (s *memoryStore) remove(table, key string) {
+func (s *memoryStore) removeRunner(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.write(cicadastore.Write{Ref: cicadastore.Ref{Table: table, Key: key}, Delete: true})
+	s.write(cicadastore.Write{Ref: cicadastore.Ref{Table: tableRunners, Key: id}, Delete: true})
 	s.wake()
 }
 
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -255,13 +255,8 @@
 	seen := map[string]bool{}
 	for _, e := range entries {
 		seen[e.ID] = true
-		if replaced, _ := rt.fleet.Apply(e, now); replaced != nil {
-			rt.upstreams.forget(replaced)
-		}
-	}
-	for _, r := range rt.fleet.Retain(seen, now) {
-		rt.cfg.Log.WithField("runner", r.ID()).WithField("why", "another router's view").Info("runner removed")
-		rt.upstreams.forget(r)
+		rt.applyRunner(e, now)
 	}
+	rt.retainRunners(seen, "another router's view", now)
 	rt.peerRunnersAt.set(at)
 }
--- a/internal/cicadaedge/views.go
+++ b/internal/cicadaedge/views.go
@@ -6,6 +6,7 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 )
 
@@ -82,29 +83,20 @@
 		c := &b.Changes[i]
 		seen[c.Key] = !c.Deleted
 		if c.Deleted {
-			rt.dropRunner(c.Key, "entry removed", now)
+			rt.noteRemoval(rt.fleet.Remove(c.Key, now), "entry removed")
 			continue
 		}
 		e, err := rt.cfg.Sources.DecodeRunner(c.Key, c.Value)
 		if err != nil {
 			rt.cfg.Metrics.Errors.Add("runnerUnreadable", 1)
 			rt.cfg.Log.WithError(err).Warn("entry names no runner")
-			rt.dropRunner(c.Key, "entry unreadable", now)
+			rt.noteRemoval(rt.fleet.Discard(c.Key, now), "entry unreadable")
 			continue
 		}
-		replaced, changed := rt.fleet.Apply(e, now)
-		if replaced != nil {
-			rt.upstreams.forget(replaced)
-		}
-		if changed {
-			rt.cfg.Log.WithField("runner", e.ID).WithField("service", e.Service).WithField("addr", e.Addr).
-				WithField("place", e.Place).WithField("leaving", e.Leaving).Info("runner")
-		}
+		rt.applyRunner(e, now)
 	}
 	if whole {
-		for _, r := range rt.fleet.Retain(seen, now) {
-			rt.upstreams.forget(r)
-		}
+		rt.retainRunners(seen, "entry is not there", now)
 	}
 	for _, r := range rt.fleet.Sweep(now) {
 		rt.cfg.Log.WithField("runner", r.ID()).Info("runner did not come back after the store's outage")
@@ -112,9 +104,37 @@
 	}
 }
 
-func (rt *Router) dropRunner(id, why string, now time.Time) {
-	if r := rt.fleet.Remove(id, now); r != nil {
-		rt.cfg.Log.WithField("runner", id).WithField("why", why).Info("runner removed")
+// applyRunner takes one runner's entry.
+func (rt *Router) applyRunner(e cicadaplace.Entry, now time.Time) {
+	c := rt.fleet.Apply(e, now)
+	if c.Stale() {
+		rt.cfg.Metrics.Errors.Add("runnerStale", 1)
+		rt.cfg.Log.WithField("runner", e.ID).WithField("seq", e.Seq).Info("entry of a runner is older than its last, ignored")
+		return
+	}
+	if r := c.Gone(); r != nil {
+		rt.upstreams.forget(r)
+	}
+	if c.Changed() {
+		rt.cfg.Log.WithField("runner", e.ID).WithField("service", e.Service).WithField("addr", e.Addr).
+			WithField("place", e.Place).WithField("leaving", e.Leaving).Info("runner")
+	}
+}
+
+// retainRunners removes the runners that a whole view does not have.
+func (rt *Router) retainRunners(seen map[string]bool, why string, now time.Time) {
+	for _, c := range rt.fleet.Retain(seen, now) {
+		rt.noteRemoval(c, why)
+	}
+}
+
+// noteRemoval logs what became of a runner without an entry.
+func (rt *Router) noteRemoval(c cicadaplace.Change, why string) {
+	if c.Held() {
+		rt.cfg.Log.WithField("runner", c.ID()).WithField("why", why).Info("runner held, its entry may come back")
+	}
+	if r := c.Gone(); r != nil {
+		rt.cfg.Log.WithField("runner", c.ID()).WithField("why", why).Info("runner removed")
 		rt.upstreams.forget(r)
 	}
 }
--- a/internal/cicadaedge/views_test.go
+++ b/internal/cicadaedge/views_test.go
@@ -107,7 +107,7 @@
 		return first.runs.Load() == before
 	})
 	f.store.putRaw(tableRunners, "foreign", []byte(`{"Service": 7`))
-	f.store.remove(tableRunners, second.id)
+	f.store.removeRunner(second.id)
 	eventually(t, "both are gone", func() bool { return call(t, n, "/once/", nil, "").status == http.StatusServiceUnavailable })
 }
 
@@ -121,7 +121,7 @@
 	n := f.ready(f.node("n1"))
 	n.view.down.Store(true)
 	time.Sleep(700 * time.Millisecond)
-	f.store.remove(tableRunners, r.id)
+	f.store.removeRunner(r.id)
 	n.view.down.Store(false)
 	time.Sleep(250 * time.Millisecond)
 	if got := call(t, n, "/once/", nil, ""); got.status != http.StatusOK {
@@ -145,7 +145,7 @@
 	n := f.ready(f.node("n1", func(cfg *cicadaedge.Config) { cfg.HoldRemoved = hold }))
 	n.view.down.Store(true)
 	time.Sleep(700 * time.Millisecond)
-	f.store.remove(tableRunners, r.id)
+	f.store.removeRunner(r.id)
 	n.view.down.Store(false)
 	back := time.Now()
 	var last time.Duration
@@ -161,6 +161,26 @@
 	}
 }
 
+// TestUnreadableEntryEndsAHold writes an entry that names no runner while the runner
+// is held.
+func TestUnreadableEntryEndsAHold(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	r := f.addRunner(nil)
+	r.does(r.answer("ok"))
+	n := f.ready(f.node("n1", func(cfg *cicadaedge.Config) { cfg.HoldRemoved = time.Minute }))
+	n.view.down.Store(true)
+	time.Sleep(700 * time.Millisecond)
+	f.store.removeRunner(r.id)
+	n.view.down.Store(false)
+	eventually(t, "the runner is held", func() bool { list := n.Runners(); return len(list) == 1 && list[0].Held })
+	f.store.putRaw(tableRunners, r.id, []byte(`{"Service": 7`))
+	eventually(t, "the runner is gone", func() bool { return len(n.Runners()) == 0 })
+	if got := call(t, n, "/once/", nil, ""); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d from a runner whose entry cannot be read", got.status)
+	}
+}
+
 // TestReusedAddress gives a runner's address to another one.
 func TestReusedAddress(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaplace/fleet.go
+++ b/internal/cicadaplace/fleet.go
@@ -109,6 +109,15 @@
 		cached partSet
 	}
 
+	// Change is what an entry, or its removal, has changed.
+	Change struct {
+		id      string
+		gone    *Runner
+		changed bool
+		held    bool
+		stale   bool
+	}
+
 	// Load is a runner's report on an answer.
 	Load struct{ Running, Waiting, Slots int }
 )
@@ -127,23 +136,38 @@
 // Place returns the runner's data centre.
 func (r *Runner) Place() string { return r.entry.Place }
 
-// Apply takes a runner's entry. It returns the runner that the entry replaced,
-// if any, and whether anything but the time of the entry changed.
-func (f *Fleet) Apply(e Entry, now time.Time) (replaced *Runner, changed bool) {
+// ID returns the id of the runner that is concerned.
+func (c *Change) ID() string { return c.id }
+
+// Gone returns the runner that is no longer in use, or nil.
+func (c *Change) Gone() *Runner { return c.gone }
+
+// Changed tells whether anything but the time of the entry changed.
+func (c *Change) Changed() bool { return c.changed }
+
+// Held tells that a runner is used on without an entry, until its time to come back
+// is over.
+func (c *Change) Held() bool { return c.held }
+
+// Stale tells that an entry was ignored, as a later one is known.
+func (c *Change) Stale() bool { return c.stale }
+
+// Apply takes a runner's entry. It may replace a runner of the same id.
+func (f *Fleet) Apply(e Entry, now time.Time) Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.byID[e.ID]
 	if f.isOld(&e) {
-		return nil, false
+		return Change{id: e.ID, stale: true}
 	}
 	if old != nil && old.entry.sameRunner(&e) {
-		changed = old.entry.Leaving != e.Leaving || old.isHeld() != (e.HeldFor > 0)
+		changed := old.entry.Leaving != e.Leaving || old.isHeld() != (e.HeldFor > 0)
 		if !old.isHeld() || e.HeldFor <= 0 {
 			old.heldUntil = e.heldUntil(now)
 		}
 		// The other fields stay as they are, and are read without the lock.
 		old.entry.Leaving, old.entry.Slots, old.entry.WarmIn, old.entry.Seq = e.Leaving, e.Slots, e.WarmIn, e.Seq
-		return nil, changed
+		return Change{id: e.ID, changed: changed}
 	}
 	if old != nil {
 		f.drop(old, now)
@@ -151,7 +175,7 @@
 	r := &Runner{entry: e, hash: xxhash.Sum64String(e.ID), firstSeen: now, heldUntil: e.heldUntil(now)}
 	f.byID[e.ID] = r
 	f.services[e.Service] = append(f.services[e.Service], r)
-	return old, true
+	return Change{id: e.ID, gone: old, changed: true}
 }
 
 // isOld tells whether an entry was written before one that is known: the store may
@@ -201,33 +225,42 @@
 }
 
 // Remove takes a runner's entry away: at once, or at the end of the time within
-// which entries that lapsed in an outage of the store come back. It returns the
-// runner unless it is held.
-func (f *Fleet) Remove(id string, now time.Time) *Runner {
+// which entries that lapsed in an outage of the store come back.
+func (f *Fleet) Remove(id string, now time.Time) Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.byID[id]
-	if r == nil {
-		return nil
+	switch {
+	case r == nil:
+		return Change{id: id}
+	case r.entry.Leaving || f.isExpired(r, now) || !f.holdTime(now).Before(f.holdUntil):
+		f.drop(r, now)
+		return Change{id: id, gone: r, changed: true}
+	case r.isHeld():
+		return Change{id: id}
+	default:
+		r.heldUntil = f.holdUntil
+		return Change{id: id, changed: true, held: true}
 	}
-	if !r.entry.Leaving && f.holdTime(now).Before(f.holdUntil) && !f.isExpired(r, now) {
-		if !r.isHeld() {
-			r.heldUntil = f.holdUntil
-		}
-		return nil
+}
+
+// Discard takes a runner's entry away at once, as one that names no runner.
+func (f *Fleet) Discard(id string, now time.Time) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.byID[id]
+	if r != nil {
+		f.drop(r, now)
 	}
-	f.drop(r, now)
-	return r
+	return Change{id: id, gone: r, changed: r != nil}
 }
 
 // Retain removes all runners that are not in ids, as Remove does.
-func (f *Fleet) Retain(ids map[string]bool, now time.Time) []*Runner {
-	var out []*Runner
+func (f *Fleet) Retain(ids map[string]bool, now time.Time) []Change {
+	var out []Change
 	for _, id := range f.ids() {
 		if !ids[id] {
-			if r := f.Remove(id, now); r != nil {
-				out = append(out, r)
-			}
+			out = append(out, f.Remove(id, now))
 		}
 	}
 	return out
--- a/internal/cicadaplace/hold_test.go
+++ b/internal/cicadaplace/hold_test.go
@@ -153,3 +153,32 @@
 		t.Errorf("%d entries are relayed after that, want 1", len(got))
 	}
 }
+
+// TestHeldRunnerWithAnEntryThatNamesNone gives a held runner an entry that cannot be
+// read, or one written before its last: neither is a reason to use it.
+func TestHeldRunnerWithAnEntryThatNamesNone(t *testing.T) {
+	held := func() *cicadaplace.Fleet {
+		f := heldFleet()
+		e := entry(0)
+		e.Born, e.Seq = 1000, 7
+		f.Apply(e, start)
+		f.StoreLost(at(1))
+		f.StoreBack(at(10))
+		f.Remove(e.ID, at(10))
+		return f
+	}
+	f := held()
+	f.Discard(entry(0).ID, at(11))
+	if diff := cmp.Diff([]int{1}, used(f, at(11))); diff != "" {
+		t.Errorf("after an entry that cannot be read (-want +got):\n%s", diff)
+	}
+	f = held()
+	old := entry(0)
+	old.Born, old.Seq = 1000, 6
+	if got := f.Apply(old, at(11)); !got.Stale() {
+		t.Errorf("an entry older than the last was taken: %+v", got)
+	}
+	if diff := cmp.Diff([]int{1}, used(f, at(12))); diff != "" {
+		t.Errorf("after an older entry (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cicadaplace/place_test.go
+++ b/internal/cicadaplace/place_test.go
@@ -180,9 +180,8 @@
 	ticket := choose(t, f, prompt("a", 10_000, 1_000), start)
 	e := entry(0)
 	e.Born = 7
-	replaced, changed := f.Apply(e, start)
-	if replaced != ticket.Runner() || !changed {
-		t.Errorf("replaced %v, changed %v", replaced, changed)
+	if got := f.Apply(e, start); got.Gone() != ticket.Runner() || !got.Changed() {
+		t.Errorf("replaced %v, changed %v", got.Gone(), got.Changed())
 	}
 	state := f.State(start)
 	if diff := cmp.Diff([]int{0, 0}, []int{state[0].InFlight, state[0].WaitingTokens}); diff != "" {
@@ -199,7 +198,7 @@
 	f := newFleet(2)
 	f.StoreLost(start.Add(-9 * time.Second))
 	f.StoreBack(start)
-	if r := f.Remove(entry(0).ID, start.Add(time.Second)); r != nil {
+	if got := f.Remove(entry(0).ID, start.Add(time.Second)); got.Gone() != nil || !got.Held() {
 		t.Error("the entry was dropped within the time to come back")
 	}
 	if got := f.Sweep(start.Add(time.Second)); len(got) != 0 {
@@ -210,7 +209,7 @@
 	if got := f.Sweep(start.Add(3 * time.Second)); len(got) != 1 || got[0].ID() != entry(1).ID {
 		t.Errorf("dropped %v, want only the one that did not come back", got)
 	}
-	if r := f.Remove(entry(0).ID, start.Add(time.Minute)); r == nil {
+	if got := f.Remove(entry(0).ID, start.Add(time.Minute)); got.Gone() == nil {
 		t.Error("an entry that is removed while the store is well stays")
 	}
 }
