--- a/internal/cicadaedge/views.go
+++ b/internal/cicadaedge/views.go
@@ -93,7 +93,9 @@
 			rt.noteRemoval(rt.fleet.Discard(c.Key, now), "entry unreadable")
 			continue
 		}
-		rt.applyRunner(e, now)
+		if c := rt.applyRunner(e, now); c.Stale() {
+			rt.cfg.Log.WithField("runner", e.ID).WithField("seq", e.Seq).Info("entry of a runner is older than its last, ignored")
+		}
 	}
 	if whole {
 		rt.retainRunners(seen, "entry is not there", now)
@@ -104,13 +106,11 @@
 	}
 }
 
-// applyRunner takes one runner's entry.
-func (rt *Router) applyRunner(e cicadaplace.Entry, now time.Time) {
+// applyRunner takes one runner's entry, from the store or from another router.
+func (rt *Router) applyRunner(e cicadaplace.Entry, now time.Time) cicadaplace.Change {
 	c := rt.fleet.Apply(e, now)
 	if c.Stale() {
 		rt.cfg.Metrics.Errors.Add("runnerStale", 1)
-		rt.cfg.Log.WithField("runner", e.ID).WithField("seq", e.Seq).Info("entry of a runner is older than its last, ignored")
-		return
 	}
 	if r := c.Gone(); r != nil {
 		rt.upstreams.forget(r)
@@ -119,6 +119,7 @@
 		rt.cfg.Log.WithField("runner", e.ID).WithField("service", e.Service).WithField("addr", e.Addr).
 			WithField("place", e.Place).WithField("leaving", e.Leaving).Info("runner")
 	}
+	return c
 }
 
 // retainRunners removes the runners that a whole view does not have.
--- a/internal/cicadaplace/fleet.go
+++ b/internal/cicadaplace/fleet.go
@@ -17,15 +17,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// droppedTime is how long the entry of a runner that left is remembered: far more
-	// than the age of a copy from which the store may come back.
-	droppedTime = 2 * time.Minute
-	// leastSilence is the shortest outage of the store, in heartbeats, in which a
-	// living runner's entry can lapse: the platform removes entries after three, of
-	// which up to one and a half may have passed before the outage.
-	leastSilence = 1.5
-)
+// droppedTime is how long the entry of a runner that left is remembered: far more
+// than the age of a copy from which the store may come back.
+const droppedTime = 2 * time.Minute
 
 type (
 	// Entry is what a runner says of itself.
@@ -109,15 +103,6 @@
 		cached partSet
 	}
 
-	// Change is what an entry, or its removal, has changed.
-	Change struct {
-		id      string
-		gone    *Runner
-		changed bool
-		held    bool
-		stale   bool
-	}
-
 	// Load is a runner's report on an answer.
 	Load struct{ Running, Waiting, Slots int }
 )
@@ -136,22 +121,6 @@
 // Place returns the runner's data centre.
 func (r *Runner) Place() string { return r.entry.Place }
 
-// ID returns the id of the runner that is concerned.
-func (c *Change) ID() string { return c.id }
-
-// Gone returns the runner that is no longer in use, or nil.
-func (c *Change) Gone() *Runner { return c.gone }
-
-// Changed tells whether anything but the time of the entry changed.
-func (c *Change) Changed() bool { return c.changed }
-
-// Held tells that a runner is used on without an entry, until its time to come back
-// is over.
-func (c *Change) Held() bool { return c.held }
-
-// Stale tells that an entry was ignored, as a later one is known.
-func (c *Change) Stale() bool { return c.stale }
-
 // Apply takes a runner's entry. It may replace a runner of the same id.
 func (f *Fleet) Apply(e Entry, now time.Time) Change {
 	f.mu.Lock()
@@ -196,126 +165,6 @@
 	return e.Born == o.Born && e.Addr == o.Addr && e.Service == o.Service && e.Place == o.Place
 }
 
-func (e *Entry) heldUntil(now time.Time) time.Time {
-	if e.HeldFor <= 0 {
-		return time.Time{}
-	}
-	return now.Add(e.HeldFor)
-}
-
-func (r *Runner) isHeld() bool { return !r.heldUntil.IsZero() }
-
-// holdTime is the time by which runners are held. It stands still while the store
-// is away: no entry can come back then.
-func (f *Fleet) holdTime(now time.Time) time.Time {
-	if !f.awayAt.IsZero() {
-		return f.awayAt
-	}
-	return now
-}
-
-// holdLeft is how much longer a runner is held.
-func (f *Fleet) holdLeft(r *Runner, now time.Time) time.Duration {
-	return r.heldUntil.Sub(f.holdTime(now))
-}
-
-// isExpired tells whether a held runner's entry had its time to come back.
-func (f *Fleet) isExpired(r *Runner, now time.Time) bool {
-	return r.isHeld() && f.holdLeft(r, now) <= 0
-}
-
-// Remove takes a runner's entry away: at once, or at the end of the time within
-// which entries that lapsed in an outage of the store come back.
-func (f *Fleet) Remove(id string, now time.Time) Change {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	r := f.byID[id]
-	switch {
-	case r == nil:
-		return Change{id: id}
-	case r.entry.Leaving || f.isExpired(r, now) || !f.holdTime(now).Before(f.holdUntil):
-		f.drop(r, now)
-		return Change{id: id, gone: r, changed: true}
-	case r.isHeld():
-		return Change{id: id}
-	default:
-		r.heldUntil = f.holdUntil
-		return Change{id: id, changed: true, held: true}
-	}
-}
-
-// Discard takes a runner's entry away at once, as one that names no runner.
-func (f *Fleet) Discard(id string, now time.Time) Change {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	r := f.byID[id]
-	if r != nil {
-		f.drop(r, now)
-	}
-	return Change{id: id, gone: r, changed: r != nil}
-}
-
-// Retain removes all runners that are not in ids, as Remove does.
-func (f *Fleet) Retain(ids map[string]bool, now time.Time) []Change {
-	var out []Change
-	for _, id := range f.ids() {
-		if !ids[id] {
-			out = append(out, f.Remove(id, now))
-		}
-	}
-	return out
-}
-
-// StoreLost notes that the store has not answered since a time.
-func (f *Fleet) StoreLost(since time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.awayAt = since
-}
-
-// StoreBack notes that the store answers again. After an outage in which no living
-// runner's entry can have lapsed, entries that are removed are gone.
-func (f *Fleet) StoreBack(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	away := now.Sub(f.awayAt)
-	mayLapse := away >= time.Duration(leastSilence*float64(f.cfg.Heartbeat))
-	f.holdUntil = f.holdUntil.Add(away)
-	if mayLapse {
-		f.holdUntil = now.Add(f.cfg.HoldRemoved)
-	}
-	for _, r := range f.byID {
-		switch {
-		case !r.isHeld() || f.isExpired(r, now):
-		case mayLapse:
-			r.heldUntil = f.holdUntil
-		default:
-			r.heldUntil = r.heldUntil.Add(away)
-		}
-	}
-	f.awayAt = time.Time{}
-}
-
-// Sweep removes the runners whose entries vanished in an outage and did not
-// come back in time.
-func (f *Fleet) Sweep(now time.Time) []*Runner {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []*Runner
-	for id, d := range f.dropped {
-		if now.Sub(d.at) >= droppedTime {
-			delete(f.dropped, id)
-		}
-	}
-	for _, r := range f.byID {
-		if f.isExpired(r, now) {
-			f.drop(r, now)
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
 // Len returns the number of runners that are in use.
 func (f *Fleet) Len() int {
 	f.mu.Lock()
