--- a/internal/cicadabudget/state.go
+++ b/internal/cicadabudget/state.go
@@ -12,11 +12,8 @@
 		Organisation string `json:"organisation"`
 		Limit        Units  `json:"limit"`
 		Drawn        Units  `json:"drawnByAll"`
-		Free         Units  `json:"free"`
-		Dormant      Units  `json:"dormant"`
-		Reserved     Units  `json:"reserved"`
-		Spent        Units  `json:"spent"` // by requests that have ended
-		Rate         int64  `json:"unitsPerSecond"`
+		Held
+		Rate int64 `json:"unitsPerSecond"`
 	}
 
 	// Held is what a process would leave if it ended now.
@@ -26,6 +23,12 @@
 		Reserved Units `json:"reserved"`
 		Spent    Units `json:"spent"` // by requests that have ended
 	}
+
+	// holding is what is held of one organisation's budget.
+	holding struct {
+		organisation string
+		held         Held
+	}
 )
 
 // State lists the accounts.
@@ -35,32 +38,40 @@
 	out := make([]AccountState, 0, len(a.byOrg))
 	for org, acc := range a.byOrg {
 		out = append(out, AccountState{
-			Organisation: org, Limit: acc.bound(), Drawn: acc.pool.Drawn, Free: acc.free, Dormant: acc.dormant(now),
-			Reserved: acc.reserved, Spent: acc.spent, Rate: int64(acc.own.rate(now)),
+			Organisation: org, Limit: acc.bound(), Drawn: acc.pool.Drawn, Held: acc.held(now), Rate: int64(acc.own.rate(now)),
 		})
 	}
 	return out
 }
 
+func (acc *account) held(now time.Time) Held {
+	return Held{Free: acc.free, Dormant: acc.dormant(now), Reserved: acc.reserved, Spent: acc.spent}
+}
+
 // Held returns what is held in all accounts together, and by organisation for the
-// most accounts that hold the most.
+// most accounts that hold the most. Accounts that hold nothing cost no memory.
 func (a *Accounts) Held(most int, now time.Time) (Held, map[string]Held) {
-	list := a.State(now)
-	slices.SortFunc(list, func(x, y AccountState) int {
-		return cmp.Compare(y.Free+y.Reserved, x.Free+x.Reserved)
-	})
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	var all Held
-	byOrg := map[string]Held{}
-	for i := range list {
-		s := &list[i]
-		h := Held{Free: s.Free, Dormant: s.Dormant, Reserved: s.Reserved, Spent: s.Spent}
+	var list []holding
+	for org, acc := range a.byOrg {
+		all.Spent += acc.spent
+		if acc.free == 0 && acc.reserved == 0 {
+			continue
+		}
+		h := acc.held(now)
 		all.Free += h.Free
 		all.Dormant += h.Dormant
 		all.Reserved += h.Reserved
-		all.Spent += h.Spent
-		if i < most && h != (Held{}) {
-			byOrg[s.Organisation] = h
-		}
+		list = append(list, holding{organisation: org, held: h})
+	}
+	slices.SortFunc(list, func(x, y holding) int {
+		return cmp.Compare(y.held.Free+y.held.Reserved, x.held.Free+x.held.Reserved)
+	})
+	byOrg := map[string]Held{}
+	for _, h := range list[:min(most, len(list))] {
+		byOrg[h.organisation] = h.held
 	}
 	return all, byOrg
 }
--- a/internal/cicadacmd/process_test.go
+++ b/internal/cicadacmd/process_test.go
@@ -44,13 +44,20 @@
 	return ln.Addr().String()
 }
 
-func newFleet(t *testing.T, routers int) *fleet {
+// buildBinary builds the program.
+func buildBinary(t *testing.T) string {
 	t.Helper()
-	f := &fleet{t: t, binary: filepath.Join(t.TempDir(), "cicadadyke"), platform: freeAddr(t)}
-	build := exec.CommandContext(t.Context(), "go", "build", "-o", f.binary, "../..")
+	binary := filepath.Join(t.TempDir(), "cicadadyke")
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../..")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	return binary
+}
+
+func newFleet(t *testing.T, routers int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, binary: buildBinary(t), platform: freeAddr(t)}
 	f.writeDocument()
 	f.start("standin", "standin", "--platform", f.platform, "--pace", "5ms", "--host-lag", "200ms", f.document)
 	f.await("the platform", func() bool {
@@ -264,11 +271,7 @@
 
 // TestReloadSignalDoesNotEndAPlannedStop sends SIGHUP to a node that is stopping.
 func TestReloadSignalDoesNotEndAPlannedStop(t *testing.T) {
-	f := &fleet{t: t, binary: filepath.Join(t.TempDir(), "cicadadyke")}
-	build := exec.CommandContext(t.Context(), "go", "build", "-o", f.binary, "../..")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	f := &fleet{t: t, binary: buildBinary(t)}
 	ready := freeAddr(t)
 	path := filepath.Join(t.TempDir(), "node.yaml")
 	settings := fmt.Sprintf("NodeName: n\nZone: z\nListen: {Front: %q, Ready: %q}\nLimits: {MemoryMb: 100}\n"+
--- a/internal/cicadaedge/bank.go
+++ b/internal/cicadaedge/bank.go
@@ -33,9 +33,11 @@
 	// txnMoves bounds the organisations in one transaction, below the store's
 	// hundred entries.
 	txnMoves = 40
-	// heldPause lies between two lines on what this router holds, and heldDetails
-	// bounds the organisations named in one.
+	// heldPause lies between two lines on what this router holds, or heldFactor times
+	// as long as it takes to sum up where there are very many budgets. heldDetails
+	// bounds the organisations named in one line.
 	heldPause   = time.Second
+	heldFactor  = 500
 	heldDetails = 16
 )
 
@@ -55,7 +57,7 @@
 
 	routers  atomic.Int64
 	reported uint64    // era in which this router has reported
-	heldAt   time.Time // of the last line on what is held
+	heldNext time.Time // when the next line on what is held is due
 	done     chan struct{}
 }
 
@@ -305,11 +307,11 @@
 
 // logHeld tells what would be lost, or left to a successor, if the process ended.
 func (b *bank) logHeld(now time.Time) {
-	if now.Sub(b.heldAt) < heldPause {
+	if now.Before(b.heldNext) {
 		return
 	}
-	b.heldAt = now
 	all, byOrg := b.rt.accounts.Held(heldDetails, now)
+	b.heldNext = now.Add(max(heldPause, heldFactor*time.Since(now)))
 	b.rt.cfg.Log.WithField("free", int64(all.Free)).WithField("dormant", int64(all.Dormant)).WithField("reserved", int64(all.Reserved)).
 		WithField("spent", int64(all.Spent)).WithField("organisations", byOrg).Info("units held")
 }
