What a runner says of its limit is read, logged and counted

Now a line tells each change of a runner's limit with the request whose answer said so, a counter the answers that name one, and values that cannot be read are logged and counted. A limit ends with an answer without one to a request that was sent after the last answer that named it.

Nothing is decided by it yet.

--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -66,6 +66,11 @@
 		Sealed    bool // the runner stands for status and body
 		NotRun    bool
 		Load      *cicadaplace.Load
+		// Rate is the requests a second that the runner takes from all routers
+		// together; nil if it names no limit. RateErr is why what it names cannot be
+		// read.
+		Rate    *float64
+		RateErr error
 	}
 
 	// Dialect reads and writes a platform's headers.
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -171,6 +171,7 @@
 	if a.answer.Load != nil {
 		ticket.Report(*a.answer.Load, time.Now())
 	}
+	x.heard(a)
 	return a, nil
 }
 
--- a/internal/cicadaedge/follow.go
+++ b/internal/cicadaedge/follow.go
@@ -105,6 +105,9 @@
 			retry = min(2*retry, mostRetry)
 			continue
 		}
+		if batch.NowMillis > 0 {
+			f.rt.clock.Observe(asked, time.Now(), time.Duration(batch.NowMillis)*time.Millisecond)
+		}
 		if f.rt.eras.see(batch.Era) != nil || !whole && batch.Era != era {
 			// Versions of another era say nothing here.
 			since = 0
--- a/internal/cicadaedge/metrics.go
+++ b/internal/cicadaedge/metrics.go
@@ -29,6 +29,7 @@
 		Dials         expvar.Int // connections to runners
 		Resumed       expvar.Int // streams continued at another runner
 		Repeated      expvar.Int // requests sent to a second runner
+		Limited       expvar.Int // answers that name a runner's limit
 		DeployVersion expvar.Int
 		FirstByte     *Latency // to the first byte of an answer
 		Whole         *Latency // to the end of an answer
@@ -85,10 +86,10 @@
 // ServeHTTP writes the metrics as JSON text.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"requests":%s,"errors":%s,"store":%s,"inFlight":%s,"dials":%s,"resumed":%s,"repeated":%s,`+
+	fmt.Fprintf(w, `{"requests":%s,"errors":%s,"store":%s,"inFlight":%s,"dials":%s,"resumed":%s,"repeated":%s,"limited":%s,`+
 		`"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s}`+"\n",
 		m.Requests.String(), m.Errors.String(), m.Store.String(), m.InFlight.String(), m.Dials.String(), m.Resumed.String(),
-		m.Repeated.String(), m.DeployVersion.String(), m.FirstByte, m.Whole, m.StoreCall)
+		m.Repeated.String(), m.Limited.String(), m.DeployVersion.String(), m.FirstByte, m.Whole, m.StoreCall)
 }
 
 // logRequest writes the line of a request with what decided it.
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
+	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaretry"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
@@ -38,6 +39,8 @@
 	fleet     *cicadaplace.Fleet
 	accounts  *cicadabudget.Accounts
 	retries   *cicadaretry.Budget
+	clock     *cicadalimit.Clock
+	limits    *cicadalimit.Limits
 	upstreams *upstreams
 	bank      *bank
 	eras      *eras
@@ -68,9 +71,12 @@
 
 // New returns a router that Start begins.
 func New(cfg Config) *Router {
+	clock := &cicadalimit.Clock{}
 	rt := &Router{
 		cfg:       cfg,
 		fleet:     cicadaplace.NewFleet(cicadaplace.Config{Place: cfg.Place, HoldRemoved: cfg.HoldRemoved, Heartbeat: cfg.Heartbeat}),
+		clock:     clock,
+		limits:    cicadalimit.New(clock),
 		accounts:  cicadabudget.NewAccounts(),
 		retries:   cicadaretry.NewBudget(cfg.Bounds.Retries),
 		upstreams: newUpstreams(cfg.Metrics),
--- /dev/null
+++ b/internal/cicadalimit/limit.go
@@ -0,0 +1,257 @@
+// Package cicadalimit keeps the routers together within the rates that runners name.
+//
+// It answers the load on a runner in need, which names how many requests a second it
+// takes from all routers together. A router knows only what it sends itself, and a fixed
+// part of the rate is less than one request where routers are many. So the rate is cut
+// into units: one falls due each 1/rate seconds of a clock that all routers share, and
+// belongs to one router, found by rendezvous hashing over the routers' names. Whoever
+// owns a unit may send one request, first attempts and later ones alike. Invariants:
+//
+//   - No message decides, so a cut or an outage changes nothing in who may send.
+//   - Routers that know slightly different sets of routers disagree on few units.
+//   - A unit that is not used within its life is lost: silence saves nothing up.
+//   - A router that does not know the clock or the other routers has no units.
+//
+// A rate holds until an answer without one comes from a request that was sent after the
+// last answer that named it: answers of different connections overtake each other. What
+// a router hears it tells the others (Published, Learn), so that a router whose units are
+// rare learns of the end as well.
+//
+// The package does no input or output and reads no clock; callers pass the time in.
+package cicadalimit
+
+import (
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// unitLife is how long a unit may be used, at rates of a unit in that time or
+	// more: long enough for a request to come along. In four seconds at most five
+	// seconds' units are used.
+	unitLife = time.Second
+	// leastRate is used for smaller rates, zero among them, in requests a second. It
+	// lets the routers hear whether the runner still names its limit.
+	leastRate = 0.25
+	// mostRate is used for larger rates, in requests a second: each unit costs a look.
+	mostRate = 2000.0
+	// clockSlack is what the clocks of two routers may differ by.
+	clockSlack = 100 * time.Millisecond
+	// forgetAfter is how long a statement counts that nothing confirms.
+	forgetAfter = 10 * time.Minute
+	// endKept is how long the end of a limit is told to other routers.
+	endKept = time.Minute
+)
+
+type (
+	// Key names one start of a runner.
+	Key struct {
+		ID   string
+		Born int64 // Unix milliseconds; zero if it is not known
+	}
+
+	// Statement is what a runner last said of its limit.
+	Statement struct {
+		// Rate is the requests a second that it takes from all routers together.
+		Rate float64
+		// Ended tells that it names no limit any more.
+		Ended bool
+		// At is the local time from which the statement counts.
+		At time.Time
+	}
+
+	// Limits are the limits of the runners that this router knows of. Safe for
+	// concurrent use.
+	Limits struct {
+		clock *Clock
+
+		mu      sync.Mutex // guards the fields below
+		self    uint64
+		routers []uint64 // hashes of the names, this router's included; empty while unknown
+		runners map[Key]*limit
+		returns map[string]*schedule // by service
+	}
+
+	// limit is the limit of one runner.
+	limit struct {
+		hash       uint64
+		own, other Statement // newest by this router and by the others
+		rate       float64   // that next counts in
+		next       int64     // first unit that has not been looked at
+		due        []time.Duration
+		used       time.Duration // when the last used unit fell due
+	}
+)
+
+// New returns limits that count time by a shared clock.
+func New(clock *Clock) *Limits {
+	return &Limits{clock: clock, runners: map[Key]*limit{}, returns: map[string]*schedule{}}
+}
+
+// SetRouters sets the names of all routers, this one included.
+func (l *Limits) SetRouters(self string, names []string) {
+	hashes := make([]uint64, len(names))
+	for i, name := range names {
+		hashes[i] = xxhash.Sum64String(name)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.self, l.routers = xxhash.Sum64String(self), hashes
+}
+
+// Name notes that a runner named a rate. It tells whether this is news.
+func (l *Limits) Name(key Key, rate float64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.runner(key)
+	before, limited := r.rateNow()
+	r.own = Statement{Rate: rate, At: now}
+	return !limited || before != rate
+}
+
+// End notes that a runner named no limit on the answer to a request that was sent at a
+// time. It tells whether that ends a limit.
+func (l *Limits) End(key Key, sent time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.runners[key]
+	if r == nil {
+		return false
+	}
+	if said := r.newest(); said.Ended || !sent.After(said.At) {
+		return false
+	}
+	r.own = Statement{Ended: true, At: sent}
+	return true
+}
+
+// Forget drops what is known of a runner that is gone.
+func (l *Limits) Forget(key Key) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.runners, key)
+}
+
+// Rate returns a runner's limit, or false if it names none.
+func (l *Limits) Rate(key Key) (float64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.runners[key]; r != nil {
+		return r.rateNow()
+	}
+	return 0, false
+}
+
+// Open tells whether this router may send a request to a runner now.
+func (l *Limits) Open(key Key, d Demand, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.runners[key]
+	return r == nil || l.open(r, d, now)
+}
+
+// Take uses a unit up, if the runner is limited. It returns false if there is none.
+func (l *Limits) Take(key Key, d Demand, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.runners[key]
+	if r == nil {
+		return true
+	}
+	if !l.open(r, d, now) {
+		return false
+	}
+	if len(r.due) > 0 {
+		r.used, r.due = r.due[0], r.due[1:]
+	}
+	return true
+}
+
+func (l *Limits) open(r *limit, d Demand, now time.Time) bool {
+	rate, limited := r.rateNow()
+	if !limited {
+		r.due = nil
+		return true
+	}
+	shared, ok := l.clock.Shared(now)
+	if !ok || len(l.routers) == 0 {
+		return false
+	}
+	l.advance(r, rate, shared)
+	if len(r.due) == 0 {
+		return false
+	}
+	fresh := shared-r.due[0] < life(rate)/2
+	return !fresh || !l.isAwaited(d, now)
+}
+
+// advance takes up the units that have fallen due, and drops those that are too old.
+func (l *Limits) advance(r *limit, rate float64, shared time.Duration) {
+	last := int64(shared.Seconds() * rate)
+	oldest := shared - life(rate)
+	first := int64(oldest.Seconds()*rate) + 1
+	if rate != r.rate {
+		r.rate, r.next, r.due = rate, first, nil
+	}
+	if r.next > last+1 { // the clock was set back
+		r.next, r.used, r.due = last+1, shared, nil
+	}
+	for r.next = max(r.next, first); r.next <= last; r.next++ {
+		at := time.Duration(float64(r.next) / rate * float64(time.Second))
+		if at > r.used && l.owner(r.hash, r.next) == l.self {
+			r.due = append(r.due, at)
+		}
+	}
+	for len(r.due) > 0 && r.due[0] < oldest {
+		r.due = r.due[1:]
+	}
+}
+
+// owner returns the router that a unit belongs to.
+func (l *Limits) owner(runner uint64, unit int64) uint64 {
+	var key [24]byte
+	binary.LittleEndian.PutUint64(key[8:], runner)
+	binary.LittleEndian.PutUint64(key[16:], uint64(unit))
+	var owner, highest uint64
+	for _, name := range l.routers {
+		binary.LittleEndian.PutUint64(key[:], name)
+		if w := xxhash.Sum64(key[:]); w >= highest {
+			owner, highest = name, w
+		}
+	}
+	return owner
+}
+
+// life is how long a unit may be used.
+func life(rate float64) time.Duration {
+	return max(unitLife, time.Duration(float64(time.Second)/rate))
+}
+
+func (l *Limits) runner(key Key) *limit {
+	r := l.runners[key]
+	if r == nil {
+		r = &limit{hash: xxhash.Sum64String(key.ID)}
+		l.runners[key] = r
+	}
+	return r
+}
+
+// newest returns the statement that counts. Of two of the same time the one that limits
+// does.
+func (r *limit) newest() Statement {
+	if r.other.At.After(r.own.At) || r.other.At.Equal(r.own.At) && r.own.Ended {
+		return r.other
+	}
+	return r.own
+}
+
+func (r *limit) rateNow() (float64, bool) {
+	said := r.newest()
+	if said.At.IsZero() || said.Ended {
+		return 0, false
+	}
+	return min(max(said.Rate, leastRate), mostRate), true
+}
--- /dev/null
+++ b/internal/cicadalimit/share.go
@@ -0,0 +1,85 @@
+package cicadalimit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// mostShared bounds the statements that a router tells the others: some 100 bytes each.
+const mostShared = 300
+
+// Shared is a statement as routers tell it to each other.
+type Shared struct {
+	Runner string  `json:"runner"`
+	Born   int64   `json:"born,omitempty"`
+	Rate   float64 `json:"rate"`
+	Ended  bool    `json:"ended,omitempty"`
+	// AtMillis is the shared clock's time from which the statement counts.
+	AtMillis int64 `json:"atMillis"`
+}
+
+// Published returns what this router heard of the runners itself, the newest first, as
+// far as other routers can use it. It returns nothing while the shared clock is unknown.
+func (l *Limits) Published(now time.Time) []Shared {
+	shared, ok := l.clock.Shared(now)
+	if !ok {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Shared
+	for key, r := range l.runners {
+		age := now.Sub(r.newest().At)
+		if age > forgetAfter {
+			delete(l.runners, key)
+			continue
+		}
+		if r.own.At.IsZero() || r.own.Ended && age > endKept {
+			continue
+		}
+		at := shared - now.Sub(r.own.At)
+		out = append(out, Shared{
+			Runner: key.ID, Born: key.Born, Rate: r.own.Rate, Ended: r.own.Ended, AtMillis: at.Milliseconds(),
+		})
+	}
+	slices.SortFunc(out, func(a, b Shared) int {
+		return cmp.Or(cmp.Compare(b.AtMillis, a.AtMillis), cmp.Compare(a.Runner, b.Runner))
+	})
+	return out[:min(len(out), mostShared)]
+}
+
+// Learn takes what another router told. It returns the runners whose limit that changes.
+func (l *Limits) Learn(list []Shared, now time.Time) []Key {
+	shared, ok := l.clock.Shared(now)
+	if !ok {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changed []Key
+	for i := range list {
+		s := &list[i]
+		age := shared - time.Duration(s.AtMillis)*time.Millisecond
+		if s.Ended {
+			// The other router's clock may be ahead of this one's.
+			age += clockSlack
+		}
+		if age > forgetAfter || s.Ended && age < 0 || !isRate(s.Rate) {
+			continue
+		}
+		key := Key{ID: s.Runner, Born: s.Born}
+		r := l.runner(key)
+		before, was := r.rateNow()
+		if at := now.Add(-max(age, 0)); at.After(r.other.At) {
+			r.other = Statement{Rate: s.Rate, Ended: s.Ended, At: at}
+		}
+		if rate, is := r.rateNow(); is != was || rate != before {
+			changed = append(changed, key)
+		}
+	}
+	return changed
+}
+
+// isRate tells whether a number can be a rate: 0 or more.
+func isRate(rate float64) bool { return rate >= 0 }
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -74,6 +74,7 @@
 		ended   bool
 		cost    float64
 		cached  int
+		since   time.Time
 	}
 
 	// Result is how a request ended at a runner.
@@ -117,7 +118,7 @@
 
 // take gives a request its place at a runner.
 func (f *Fleet) take(r *Runner, req *Request, home bool, now time.Time) *Ticket {
-	t := &Ticket{f: f, r: r, cost: f.cost(r, req, home, now), cached: r.cachedTokens(req, home, now)}
+	t := &Ticket{f: f, r: r, since: now, cost: f.cost(r, req, home, now), cached: r.cachedTokens(req, home, now)}
 	t.debt = max(req.Tokens-t.cached, 0)
 	r.inFlight++
 	r.debt += t.debt
@@ -226,6 +227,9 @@
 // CachedTokens returns the prompt tokens that the runner was taken to have.
 func (t *Ticket) CachedTokens() int { return t.cached }
 
+// Since returns when the runner was chosen.
+func (t *Ticket) Since() time.Time { return t.since }
+
 // Started notes that the runner's answer has begun: its prompt is read.
 func (t *Ticket) Started() {
 	t.f.mu.Lock()
--- a/internal/cicadaplace/fleet.go
+++ b/internal/cicadaplace/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
 )
 
 // droppedTime is how long the entry of a runner that left is remembered: far more
@@ -115,6 +116,9 @@
 // ID returns the runner's id.
 func (r *Runner) ID() string { return r.entry.ID }
 
+// Key names this start of the runner.
+func (r *Runner) Key() cicadalimit.Key { return cicadalimit.Key{ID: r.entry.ID, Born: r.entry.Born} }
+
 // Addr returns the runner's address, IP:PORT.
 func (r *Runner) Addr() string { return r.entry.Addr }
 
--- a/internal/cicadastore/follow.go
+++ b/internal/cicadastore/follow.go
@@ -28,6 +28,9 @@
 		// Version is where to go on, in the same era.
 		Version uint64
 		Era     uint64
+		// NowMillis is the platform's steady clock at some time of the call; zero if it
+		// tells none.
+		NowMillis int64
 	}
 
 	// ChangesRequest asks for the changes of a table after a version. The call
