--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -237,7 +237,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	b := cicadastore.Batch{Version: max(v.version, 1), Era: v.era}
+	b := cicadastore.Batch{Version: max(v.version, 1), Era: v.era, NowMillis: time.Now().UnixMilli()}
 	for ref, row := range v.rows {
 		if ref.Table == table {
 			b.Changes = append(b.Changes, cicadastore.Change{Row: row})
@@ -259,7 +259,7 @@
 			v.mu.Unlock()
 			return cicadastore.Batch{}, cicadastore.ErrHistoryLost
 		}
-		b := cicadastore.Batch{Version: v.version, Era: v.era}
+		b := cicadastore.Batch{Version: v.version, Era: v.era, NowMillis: time.Now().UnixMilli()}
 		for _, c := range v.history {
 			if c.Table == req.Table && c.Version > req.Since {
 				b.Changes = append(b.Changes, c)
@@ -311,9 +311,14 @@
 }
 
 func (dialect) Answer(resp *http.Response) cicadaedge.Answer {
-	return cicadaedge.Answer{
+	a := cicadaedge.Answer{
 		RequestID: resp.Header.Get("X-Id"), Sealed: resp.Header.Get("X-Sealed") != "", NotRun: resp.Header.Get("X-Not-Run") != "",
 	}
+	if v := resp.Header.Get("X-Rate"); v != "" {
+		rate, err := strconv.ParseFloat(v, 64)
+		a.Rate, a.RateErr = &rate, err
+	}
+	return a
 }
 
 func (dialect) RefusalStatus(k cicadaedge.RefusalKind) int {
--- /dev/null
+++ b/internal/cicadaedge/limit_test.go
@@ -0,0 +1,175 @@
+package cicadaedge_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// limitWindow is the span in which a limited runner's requests are counted, and
+	// toldAfter the time after which a router that has been told counts.
+	limitWindow = 4 * time.Second
+	toldAfter   = 500 * time.Millisecond
+)
+
+type (
+	// limitedRunner is a runner that can name a limit and counts what it gets from
+	// routers that it has told.
+	limitedRunner struct {
+		*runner
+
+		mu       sync.Mutex // guards the fields below
+		limit    string     // empty for none
+		arrivals []arrival
+		told     map[string]time.Time // routers, since when
+	}
+
+	// arrival is a request at a runner from a router that had been told.
+	arrival struct {
+		router string
+		at     time.Time
+	}
+)
+
+func (f *fleet) addLimitedRunner(handle http.HandlerFunc) *limitedRunner {
+	l := &limitedRunner{told: map[string]time.Time{}}
+	l.runner = f.addRunner(func(w http.ResponseWriter, req *http.Request) {
+		l.note(w, req)
+		handle(w, req)
+	})
+	return l
+}
+
+func (l *limitedRunner) names(limit string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = limit
+}
+
+func (l *limitedRunner) note(w http.ResponseWriter, req *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	router, now := req.Header.Get("X-Router"), time.Now()
+	since, told := l.told[router]
+	if told && now.Sub(since) >= toldAfter {
+		l.arrivals = append(l.arrivals, arrival{router: router, at: now})
+	}
+	if l.limit == "" {
+		return
+	}
+	w.Header().Set("X-Rate", l.limit)
+	if !told {
+		l.told[router] = now
+	}
+}
+
+// most returns the most requests that came from told routers in some window.
+func (l *limitedRunner) most() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most, first := 0, 0
+	for i := range l.arrivals {
+		for l.arrivals[i].at.Sub(l.arrivals[first].at) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func (l *limitedRunner) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.arrivals)
+}
+
+// allowed is what a runner may get in a window at a limit.
+func allowed(limit string) int {
+	rate, err := strconv.ParseFloat(limit, 64)
+	if err != nil {
+		panic(err)
+	}
+	return int(1.5*rate*limitWindow.Seconds()) + 5
+}
+
+// press sends requests to routers in turn for some time and counts the answers.
+func press(t *testing.T, nodes []*node, path string, gap, span time.Duration, header map[string]string) map[int]int {
+	t.Helper()
+	var (
+		mu       sync.Mutex // guards statuses
+		statuses = map[int]int{}
+		calls    sync.WaitGroup
+	)
+	end := time.Now().Add(span)
+	for i := 0; time.Now().Before(end); i++ {
+		n := nodes[i%len(nodes)]
+		h := map[string]string{"X-Router": n.addr}
+		for k, v := range header {
+			h[k] = v
+		}
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			r := call(t, n, path, h, "x")
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[r.status]++
+		}()
+		time.Sleep(gap)
+	}
+	calls.Wait()
+	return statuses
+}
+
+func (f *fleet) nodes(count int) []*node {
+	var nodes []*node
+	for i := range count {
+		nodes = append(nodes, f.node(fmt.Sprintf("n%d", i)))
+	}
+	for _, n := range nodes {
+		f.ready(n)
+		eventually(f.t, "all routers are known", func() bool { return n.Peers() == count })
+	}
+	return nodes
+}
+
+func TestRoutersTogetherKeepARunnersLimit(t *testing.T) {
+	for _, tt := range []struct {
+		name, limit, path string
+		header            map[string]string
+	}{
+		{name: "plain", limit: "1", path: "/again/x"},
+		{name: "once", limit: "2.5", path: "/once/x"},
+		{name: "prompts", limit: "1", path: "/again/x", header: map[string]string{"X-Tokens": "8,8", "X-Parts": "a,b"}},
+		{name: "streams", limit: "1", path: "/stream/x"},
+		{name: "none at all", limit: "0", path: "/again/x"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			work := func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(200 * time.Millisecond)
+				events(w, 1, 3)
+			}
+			limited := f.addLimitedRunner(work)
+			for range 2 {
+				f.addRunner(work)
+			}
+			nodes := f.nodes(6)
+			limited.names(tt.limit)
+			statuses := press(t, nodes, tt.path, 20*time.Millisecond, 7*time.Second, tt.header)
+			if got, most := limited.most(), allowed(tt.limit); got > most {
+				t.Errorf("the runner got %d requests in %v from routers that it had told, allowed %d", got, limitWindow, most)
+			}
+			for status, n := range statuses {
+				if status != http.StatusOK {
+					t.Errorf("%d requests ended with %d, want all served by the runners without a limit", n, status)
+				}
+			}
+		})
+	}
+}
