Answers without end are cut and never given as whole

Events without end went on until the deadline.

An answer over the bound is no answer now (502, another runner where the route allows it), all answers that are held share 24 MiB beyond their first 64 KiB, an event's bound is looked at with each line, and a stream has as many bytes as the output that its caller allows. Heads, refusals, answers of other requests and drops were bounded before.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -22,8 +22,6 @@
 	// long a resumable stream may stay silent before another runner continues it.
 	firstEventFactor = 2
 	pauseFactor      = 2
-	// maxAnswerBytes bounds an answer with a length that is held until whole.
-	maxAnswerBytes = 16 << 20
 	// headroom is kept from a runner's time so that its own answer at the limit
 	// arrives before this router's.
 	headroom = 5 * time.Millisecond
@@ -328,7 +326,8 @@
 // whole forwards an answer that is no stream. One with a length is read before
 // it is forwarded, so that a broken one can be asked for again.
 func (x *exchange) whole(a *attempt) (result, bool) {
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxAnswerBytes))
+	body, err := x.rt.held.readAll(a.resp)
+	defer x.rt.held.release(len(body))
 	if err == nil && a.resp.ContentLength >= 0 && int64(len(body)) != a.resp.ContentLength && x.r.Method != http.MethodHead {
 		err = io.ErrUnexpectedEOF
 	}
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -44,6 +44,7 @@
 	clock     *cicadalimit.Clock
 	limits    *cicadalimit.Limits
 	upstreams *upstreams
+	held      heldAnswers
 	bank      *bank
 	eras      *eras
 	peers     *peers
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -18,12 +18,19 @@
 	// readBuffer holds many events of the usual size, in bytes.
 	readBuffer = 4 << 10
 	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
+	// A stream's bytes are bounded by those of its first part and of each output token
+	// that its caller allows, many times what runners send. Without a number of tokens
+	// the bound is mostStreamBytes.
+	firstStreamBytes = 1 << 20
+	tokenStreamBytes = 4 << 10
+	mostStreamBytes  = 64 << 20
 )
 
 var (
 	idField        = []byte("id:")
 	errLargeEvent  = errors.Errorf("an event is larger than %d bytes", maxEventBytes)
+	errLongStream  = errors.New("the stream has more bytes than the request allows output for")
 	readersOfEvent = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
 )
 
@@ -77,6 +84,7 @@
 	}
 	silence := x.watchSilence(a)
 	defer silence.Stop()
+	left := x.maxStreamBytes()
 	for {
 		ev, err := readEvent(r)
 		switch {
@@ -85,6 +93,9 @@
 		case err != nil && !errors.Is(err, io.EOF):
 			return x.causeOf(a, err)
 		}
+		if left -= int64(len(ev.raw)); left < 0 {
+			return errLongStream
+		}
 		if x.repeated(ev.id) {
 			continue
 		}
@@ -95,6 +106,14 @@
 	}
 }
 
+// maxStreamBytes bounds the stream of one attempt.
+func (x *exchange) maxStreamBytes() int64 {
+	if x.demand.MaxOutput <= 0 || x.demand.MaxOutput > (mostStreamBytes-firstStreamBytes)/tokenStreamBytes {
+		return mostStreamBytes
+	}
+	return firstStreamBytes + x.demand.MaxOutput*tokenStreamBytes
+}
+
 func (x *exchange) sendEvent(a *attempt, rc *http.ResponseController, ev *event, flush bool) error {
 	now := time.Now()
 	if x.delivered == 0 {
@@ -160,10 +179,9 @@
 		line, err := r.ReadSlice('\n')
 		ev.raw = append(ev.raw, line...)
 		switch {
+		case len(ev.raw) > maxEventBytes:
+			return ev, errLargeEvent
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(ev.raw) > maxEventBytes {
-				return ev, errLargeEvent
-			}
 			continue
 		case err != nil:
 			return ev, err
