--- a/internal/cicadaedge/endless_test.go
+++ b/internal/cicadaedge/endless_test.go
@@ -27,7 +27,7 @@
 		if err != nil {
 			return
 		}
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()
 		began := time.Now()
 		defer func() { took.Store(int64(time.Since(began))) }()
 		write(conn, strings.ReplaceAll(head, "ID", req.Header.Get("X-Id")), piece, gap)
