--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -52,6 +52,8 @@
 	controlTimeout = time.Second
 	// maxErrorBody bounds what is read of a runner's error, in bytes.
 	maxErrorBody = 4 << 10
+	// maxControlBody bounds an answer to a control call, in bytes.
+	maxControlBody = 1 << 20
 	maxHeader    = 64 << 10
 )
 
@@ -303,7 +305,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("runner: status %d", resp.StatusCode)
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "runner")
+	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxControlBody)).Decode(out), "runner")
 }
 
 // BrokenBy returns a BrokenError with a cause.
--- a/internal/cicadaupstream/upstream_test.go
+++ b/internal/cicadaupstream/upstream_test.go
@@ -248,3 +248,28 @@
 		}
 	})
 }
+
+// TestControlAnswersWithoutEnd lets an engine write until its caller closes.
+func TestControlAnswersWithoutEnd(t *testing.T) {
+	t.Parallel()
+	var written atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		block := []byte(strings.Repeat("x", 32<<10))
+		_, err := w.Write([]byte(`{"name":"`))
+		for end := time.Now().Add(5 * time.Second); err == nil && time.Now().Before(end); {
+			var n int
+			n, err = w.Write(block)
+			written.Add(int64(n))
+		}
+	}))
+	defer s.Close()
+	c := cicadaupstream.New(cicadaupstream.Config{})
+	defer c.Close()
+	if err := c.PollLoad(t.Context(), s.Listener.Addr().String()); err == nil {
+		t.Error("an answer without end was read")
+	}
+	s.Close()
+	if got := written.Load(); got > 32<<20 {
+		t.Errorf("the engine wrote %d MB until its connection was closed", got>>20)
+	}
+}
