Empty orders are not sent twice by the transport

An order that may run once, without a body and with a caller's Idempotency-Key, ran twice when its kept connection broke after it was read: http.Transport takes such requests for repeatable. OPTIONS without a body, too. The header keeps its value; its name is written in small letters, which is the same name. TRACE is left: it must have no body, and no route of an order uses it.

--- a/internal/cicadaedge/serve_test.go
+++ b/internal/cicadaedge/serve_test.go
@@ -280,3 +280,40 @@
 		t.Errorf("an idle connection was open for %v, configured 300 ms", open)
 	}
 }
+
+// TestEmptyOrdersAreNotRepeated sends empty orders that some HTTP clients repeat by
+// themselves when a kept connection breaks.
+func TestEmptyOrdersAreNotRepeated(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	r := f.addRunner(nil)
+	n := f.ready(f.node("n1"))
+	for _, tt := range []struct{ method, header string }{
+		{http.MethodPost, "Idempotency-Key"}, {http.MethodPost, "X-Idempotency-Key"},
+		{http.MethodOptions, "X-Other"}, {http.MethodGet, "X-Other"}, {http.MethodHead, "X-Other"},
+	} {
+		r.does(r.answer("ok"))
+		call(t, n, "/once/", nil, "")
+		before := r.runs.Load()
+		r.does(func(http.ResponseWriter, *http.Request) {
+			r.runs.Add(1)
+			cut()
+		})
+		req, err := request(t.Context(), n, "/once/", map[string]string{tt.header: "k"}, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Method = tt.method
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if ran := r.runs.Load() - before; ran != 1 || resp.StatusCode != http.StatusBadGateway {
+			t.Errorf("%s with %s: an order ran %d times, status %d, want once and %d", tt.method, tt.header, ran, resp.StatusCode, http.StatusBadGateway)
+		}
+		if key := r.request().Header.Get(tt.header); key != "k" {
+			t.Errorf("%s: the runner saw %s %q, want k", tt.method, tt.header, key)
+		}
+	}
+}
--- a/internal/cicadaedge/upstream.go
+++ b/internal/cicadaedge/upstream.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -118,12 +120,19 @@
 // do sends a request with a body. It tells whether any byte of it was written. A
 // kept connection that had ended before the first byte is replaced.
 //
-// The request's body has no GetBody, and is never empty in the transport's
-// eyes, so that the transport does not send the request again by itself.
+// The transport shall not send the request again by itself: its body has no GetBody,
+// where the method allows it a body is set also if it is empty, and the names by which
+// the transport knows requests that may be repeated are written in small letters.
 func (u *upstreams) do(
 	r *cicadaplace.Runner, s *cicadadeploy.Service, req *http.Request, body []byte,
 ) (*http.Response, bool, error) {
 	t := u.transport(r, s)
+	for _, name := range repeatHeaders {
+		if list, ok := req.Header[name]; ok {
+			delete(req.Header, name)
+			req.Header[strings.ToLower(name)] = list
+		}
+	}
 	for try := 1; ; try++ {
 		var conn *countedConn
 		var before int64
@@ -134,7 +143,7 @@
 				before = conn.written.Load()
 			}
 		}}
-		if len(body) > 0 || req.Method == http.MethodGet || req.Method == http.MethodHead {
+		if len(body) > 0 || slices.Contains(bodilessMethods, req.Method) {
 			req.Body = io.NopCloser(bytes.NewReader(body))
 		}
 		resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
@@ -148,6 +157,13 @@
 	}
 }
 
+var (
+	// repeatHeaders make http.Transport repeat a request that has no body.
+	repeatHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
+	// bodilessMethods are those of which http.Transport writes no empty body.
+	bodilessMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
+)
+
 // maxStale bounds how many ended connections are passed over for one request.
 const maxStale = 8
 
