A stream that ends with its connection in an event is not whole

Such an answer has no length; a runner that dies in the middle of an event ends it as one that is done does, and the caller got a complete success with half an event.

--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -92,6 +93,8 @@
 			return nil
 		case err != nil && !errors.Is(err, io.EOF):
 			return x.causeOf(a, err)
+		case err != nil && endsWithConnection(a.resp):
+			return io.ErrUnexpectedEOF
 		}
 		if left -= int64(len(ev.raw)); left < 0 {
 			return errLongStream
@@ -106,6 +109,12 @@
 	}
 }
 
+// endsWithConnection tells whether nothing but the end of its connection ends an answer.
+// A runner that died in an event ends it as well.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked")
+}
+
 // maxStreamBytes bounds the stream of one attempt.
 func (x *exchange) maxStreamBytes() int64 {
 	if x.demand.MaxOutput <= 0 || x.demand.MaxOutput > (mostStreamBytes-firstStreamBytes)/tokenStreamBytes {
--- a/internal/cicadaedge/stream_test.go
+++ b/internal/cicadaedge/stream_test.go
@@ -112,3 +112,31 @@
 		t.Errorf("%d runs", runs)
 	}
 }
+
+// TestStreamWithoutALengthThatEndsInAnEvent closes an answer that ends with its
+// connection in the middle of an event, without a reset.
+func TestStreamWithoutALengthThatEndsInAnEvent(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name, end string
+		whole     bool
+	}{
+		{"in an event", "id: 2\ndata: e", false},
+		{"after a line of an event", "id: 2\ndata: e2\n", false},
+		{"after an event", "id: 2\ndata: e2\n\n", true},
+	} {
+		f := newFleet(t)
+		f.addRunner(func(w http.ResponseWriter, req *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sealed: yes\r\n\r\nid: 1\ndata: e1\n\n%s", req.Header.Get("X-Id"), tt.end)
+		})
+		n := f.ready(f.node("n1"))
+		if got := call(t, n, "/stream/x", nil, "x"); (got.err == nil) != tt.whole || got.status != http.StatusOK {
+			t.Errorf("%s: status %d, error %v, body %q; want whole: %v", tt.name, got.status, got.err, got.body, tt.whole)
+		}
+	}
+}
