Calls without a body to an upstream are sent once

http.Transport repeats GET, HEAD and OPTIONS on a kept connection that breaks after the call was read. TestCallsAreSentOnce failed for these three.

--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -211,9 +211,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
-	// Without GetBody the transport cannot send the request a second time.
+	// Without GetBody the transport cannot send the request a second time, nor a GET
+	// whose body it takes for one.
 	req.GetBody = nil
-	if len(call.Body) == 0 {
+	switch {
+	case len(call.Body) > 0:
+	case call.Method == http.MethodGet || call.Method == http.MethodHead || call.Method == http.MethodOptions:
+		req.Body = io.NopCloser(bytes.NewReader(nil))
+	default:
 		req.Body = http.NoBody
 	}
 	for k, v := range call.Header {
--- a/internal/cicadaupstream/upstream_test.go
+++ b/internal/cicadaupstream/upstream_test.go
@@ -273,3 +273,35 @@
 		t.Errorf("the engine wrote %d MB until its connection was closed", got>>20)
 	}
 }
+
+// TestCallsAreSentOnce breaks a kept connection once a call without a body was read.
+func TestCallsAreSentOnce(t *testing.T) {
+	t.Parallel()
+	var got atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if got.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusOK)
+	}))
+	defer s.Close()
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPost} {
+		got.Store(0)
+		c := cicadaupstream.New(cicadaupstream.Config{})
+		for range 2 {
+			call := newCall(s.Listener.Addr().String())
+			call.Method, call.Body = method, nil
+			resp, err := c.Do(t.Context(), call)
+			if err == nil {
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+					t.Error(err)
+				}
+				resp.Body.Close()
+			}
+		}
+		c.Close()
+		if diff := cmp.Diff(int64(2), got.Load()); diff != "" {
+			t.Errorf("%s: calls that arrived, of two (-want +got):\n%s", method, diff)
+		}
+	}
+}
