--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -113,6 +113,7 @@
 		return x.noRunner(err), false
 	}
 	x.runner, x.cost, x.cached = ticket.Runner().ID(), ticket.Cost(), ticket.CachedTokens()
+	x.rate, x.limited = x.rt.limits.Rate(ticket.Runner().Key())
 	x.tried = append(x.tried, x.runner)
 	a, err := x.send(ctx, ticket)
 	if err != nil {
--- a/internal/cicadaedge/limit_test.go
+++ b/internal/cicadaedge/limit_test.go
@@ -135,12 +135,14 @@
 	for _, tt := range []struct {
 		name, limit, path string
 		header            map[string]string
+		outage            bool // the store is away
 	}{
 		{name: "plain", limit: "1", path: "/again/x"},
 		{name: "once", limit: "2.5", path: "/once/x"},
 		{name: "prompts", limit: "1", path: "/again/x", header: map[string]string{"X-Tokens": "8,8", "X-Parts": "a,b"}},
 		{name: "streams", limit: "1", path: "/stream/x"},
 		{name: "none at all", limit: "0", path: "/again/x"},
+		{name: "without the store", limit: "1", path: "/again/x", outage: true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -155,6 +157,9 @@
 			}
 			nodes := f.nodes(6)
 			limited.names(tt.limit)
+			for _, n := range nodes {
+				n.view.down.Store(tt.outage)
+			}
 			statuses := press(t, nodes, tt.path, 20*time.Millisecond, 7*time.Second, tt.header)
 			stopAll(nodes)
 			if got, most := limited.most(), allowed(tt.limit); got > most {
--- a/internal/cicadaedge/metrics.go
+++ b/internal/cicadaedge/metrics.go
@@ -121,6 +121,9 @@
 	if q.route != nil {
 		f["route"] = q.route.Name
 	}
+	if q.limited {
+		f["runnerRate"] = q.rate
+	}
 	if q.org != nil {
 		f["organisation"] = q.org.Name
 	}
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -58,6 +58,8 @@
 		runner   string
 		cost     float64
 		cached   int
+		rate     float64 // that the runner was known to name, if limited
+		limited  bool
 		firstAt  time.Time
 		eventAt  time.Time // of the last event
 		// longestPause lies between two events of a stream.
