--- a/internal/cicadaedge/serve_test.go
+++ b/internal/cicadaedge/serve_test.go
@@ -289,8 +289,11 @@
 	r := f.addRunner(nil)
 	n := f.ready(f.node("n1"))
 	for _, tt := range []struct{ method, header string }{
-		{http.MethodPost, "Idempotency-Key"}, {http.MethodPost, "X-Idempotency-Key"},
-		{http.MethodOptions, "X-Other"}, {http.MethodGet, "X-Other"}, {http.MethodHead, "X-Other"},
+		{http.MethodPost, "Idempotency-Key"},
+		{http.MethodPost, "X-Idempotency-Key"},
+		{http.MethodOptions, "X-Other"},
+		{http.MethodGet, "X-Other"},
+		{http.MethodHead, "X-Other"},
 	} {
 		r.does(r.answer("ok"))
 		call(t, n, "/once/", nil, "")
--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -54,7 +54,7 @@
 	maxErrorBody = 4 << 10
 	// maxControlBody bounds an answer to a control call, in bytes.
 	maxControlBody = 1 << 20
-	maxHeader    = 64 << 10
+	maxHeader      = 64 << 10
 )
 
 type (
