--- a/internal/cicadaedge/limit_test.go
+++ b/internal/cicadaedge/limit_test.go
@@ -1,6 +1,7 @@
 package cicadaedge_test
 
 import (
+	"flag"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -26,6 +27,7 @@
 		limit    string     // empty for none
 		arrivals []arrival
 		told     map[string]time.Time // routers, since when
+		all      int                  // requests of all routers
 	}
 
 	// arrival is a request at a runner from a router that had been told.
@@ -35,6 +37,9 @@
 	}
 )
 
+// manyRouters is the number of routers of TestManyRoutersKeepARunnersLimit: 410 by hand.
+var manyRouters = flag.Int("many-routers", 58, "routers that share a runner's limit")
+
 func (f *fleet) addLimitedRunner(handle http.HandlerFunc) *limitedRunner {
 	l := &limitedRunner{told: map[string]time.Time{}}
 	l.runner = f.addRunner(func(w http.ResponseWriter, req *http.Request) {
@@ -53,6 +58,7 @@
 func (l *limitedRunner) note(w http.ResponseWriter, req *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.all++
 	router, now := req.Header.Get("X-Router"), time.Now()
 	since, told := l.told[router]
 	if told && now.Sub(since) >= toldAfter {
@@ -81,6 +87,18 @@
 	return most
 }
 
+func (l *limitedRunner) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all
+}
+
+func (l *limitedRunner) toldCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.told)
+}
+
 // allowed is what a runner may get in a window at a limit.
 func allowed(limit string) int {
 	rate, err := strconv.ParseFloat(limit, 64)
@@ -248,3 +266,32 @@
 		t.Errorf("statuses %v, want only 200 and 503", statuses)
 	}
 }
+
+// TestManyRoutersKeepARunnersLimit has more routers than the limit allows requests in a
+// window, so that one request of each would be too many.
+func TestManyRoutersKeepARunnersLimit(t *testing.T) {
+	f := newFleet(t)
+	work := func(http.ResponseWriter, *http.Request) { time.Sleep(200 * time.Millisecond) }
+	runners := []*limitedRunner{f.addLimitedRunner(work), f.addLimitedRunner(work), f.addLimitedRunner(work)}
+	nodes := f.nodes(*manyRouters)
+	// Each router gets about a request a second, so that it has no load to go by and
+	// all prefer the same runner.
+	gap := time.Second / time.Duration(*manyRouters)
+	press(t, nodes, "/again/x", gap, time.Second, nil)
+	limited := runners[0]
+	for _, r := range runners {
+		if r.count() > limited.count() {
+			limited = r
+		}
+	}
+	limited.names("1")
+	statuses := press(t, nodes, "/again/x", gap, 10*time.Second, nil)
+	stopAll(nodes)
+	if got, most := limited.most(), allowed("1"); got > most {
+		t.Errorf("the runner got %d requests in %v from routers that it had told, allowed %d", got, limitWindow, most)
+	}
+	t.Logf("the runner told %d of %d routers, and got %d requests in a window from these", limited.toldCount(), *manyRouters, limited.most())
+	if len(statuses) != 1 || statuses[http.StatusOK] == 0 {
+		t.Errorf("statuses %v, want 200 only", statuses)
+	}
+}
