A router with all the traffic asks for the units of others

Units belong to routers in equal parts, so one of six routers that had all the traffic got 6 requests served in eight seconds at a limit of 4 a second (TestRouterWithAllTheTrafficUsesTheWholeLimit asks for 25; it fails without the question). Where no runner is left that is open to it, a router asks the owner of the unit that fell due last, which gives it up or not; what is lost on the way is lost, so a unit is still used once.

--- a/internal/cicadaedge/limit_test.go
+++ b/internal/cicadaedge/limit_test.go
@@ -295,3 +295,22 @@
 		t.Errorf("statuses %v, want 200 only", statuses)
 	}
 }
+
+// TestRouterWithAllTheTrafficUsesTheWholeLimit has one runner and one busy router.
+func TestRouterWithAllTheTrafficUsesTheWholeLimit(t *testing.T) {
+	f := newFleet(t)
+	limited := f.addLimitedRunner(func(http.ResponseWriter, *http.Request) {})
+	nodes := f.nodes(6)
+	limited.names("4")
+	const span = 8 * time.Second
+	// The other routers learn of the limit from the busy one.
+	press(t, nodes[:1], "/again/x", 20*time.Millisecond, 2*time.Second, nil)
+	statuses := press(t, nodes[:1], "/again/x", 20*time.Millisecond, span, nil)
+	stopAll(nodes)
+	if got, most := limited.most(), allowed("4"); got > most {
+		t.Errorf("the runner got %d requests in %v, allowed %d", got, limitWindow, most)
+	}
+	if got, want := statuses[http.StatusOK], int(0.8*4*span.Seconds()); got < want {
+		t.Errorf("%d requests served in %v, want %d or more: statuses %v", got, span, want, statuses)
+	}
+}
--- a/internal/cicadalimit/limit.go
+++ b/internal/cicadalimit/limit.go
@@ -7,7 +7,8 @@
 // belongs to one router, found by rendezvous hashing over the routers' names. Whoever
 // owns a unit may send one request, first attempts and later ones alike. Invariants:
 //
-//   - No message decides, so a cut or an outage changes nothing in who may send.
+//   - A unit is used by its owner, or by the one router that the owner gave it up to. No
+//     other message decides, so a cut or an outage changes nothing in who may send.
 //   - Routers that know slightly different sets of routers disagree on few units.
 //   - A unit that is not used within its life is lost: silence saves nothing up.
 //   - A router that does not know the clock or the other routers has no units.
@@ -74,11 +75,17 @@
 
 		mu      sync.Mutex // guards the fields below
 		self    uint64
-		routers []uint64 // hashes of the names, this router's included; empty while unknown
+		routers []member // this router included; empty while unknown
 		runners map[Key]*limit
 		returns map[string]*schedule // by service
 	}
 
+	// member is one of the routers.
+	member struct {
+		name string
+		hash uint64
+	}
+
 	// limit is the limit of one runner.
 	limit struct {
 		hash       uint64
@@ -87,6 +94,7 @@
 		next       int64     // first unit that has not been looked at
 		due        []time.Duration
 		used       time.Duration // when the last used unit fell due
+		asked      time.Duration // the same of the last one that its owner was asked for
 	}
 )
 
@@ -97,13 +105,13 @@
 
 // SetRouters sets the names of all routers, this one included.
 func (l *Limits) SetRouters(self string, names []string) {
-	hashes := make([]uint64, len(names))
+	routers := make([]member, len(names))
 	for i, name := range names {
-		hashes[i] = xxhash.Sum64String(name)
+		routers[i] = member{name: name, hash: xxhash.Sum64String(name)}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.self, l.routers = xxhash.Sum64String(self), hashes
+	l.self, l.routers = xxhash.Sum64String(self), routers
 }
 
 // Name notes that a runner named a rate. It tells whether this is news.
@@ -200,11 +208,11 @@
 		r.rate, r.next, r.due = rate, first, nil
 	}
 	if r.next > last+1 { // the clock was set back
-		r.next, r.used, r.due = last+1, shared, nil
+		r.next, r.used, r.asked, r.due = last+1, shared, shared, nil
 	}
 	for r.next = max(r.next, first); r.next <= last; r.next++ {
-		at := time.Duration(float64(r.next) / rate * float64(time.Second))
-		if at > r.used && l.owner(r.hash, r.next) == l.self {
+		at := unitTime(r.next, rate)
+		if at > r.used && l.owner(r.hash, r.next).hash == l.self {
 			r.due = append(r.due, at)
 		}
 	}
@@ -214,20 +222,26 @@
 }
 
 // owner returns the router that a unit belongs to.
-func (l *Limits) owner(runner uint64, unit int64) uint64 {
+func (l *Limits) owner(runner uint64, unit int64) *member {
 	var key [24]byte
 	binary.LittleEndian.PutUint64(key[8:], runner)
 	binary.LittleEndian.PutUint64(key[16:], uint64(unit))
-	var owner, highest uint64
-	for _, name := range l.routers {
-		binary.LittleEndian.PutUint64(key[:], name)
-		if w := xxhash.Sum64(key[:]); w >= highest {
-			owner, highest = name, w
+	var owner *member
+	var highest uint64
+	for i := range l.routers {
+		binary.LittleEndian.PutUint64(key[:], l.routers[i].hash)
+		if w := xxhash.Sum64(key[:]); owner == nil || w > highest {
+			owner, highest = &l.routers[i], w
 		}
 	}
 	return owner
 }
 
+// unitTime is when a unit falls due, by the shared clock.
+func unitTime(unit int64, rate float64) time.Duration {
+	return time.Duration(float64(unit) / rate * float64(time.Second))
+}
+
 // life is how long a unit may be used.
 func life(rate float64) time.Duration {
 	return max(unitLife, time.Duration(float64(time.Second)/rate))
--- a/internal/cicadalimit/limit_test.go
+++ b/internal/cicadalimit/limit_test.go
@@ -343,3 +343,76 @@
 		t.Errorf("%d units in ten seconds, want 10 or more", taken)
 	}
 }
+
+// playAsking lets the routers that have requests send whenever they may, and ask for
+// units otherwise.
+func playAsking(routers []*router, busy int, span time.Duration) arrivals {
+	byName := map[string]*router{}
+	for _, r := range routers {
+		byName[r.name] = r
+	}
+	var out arrivals
+	for at := time.Duration(0); at < span; at += 20 * time.Millisecond {
+		now := start.Add(at)
+		for _, r := range routers[:busy] {
+			if u, owner, ok := r.Foreign(runner, call, now); ok && byName[owner].Yield(&u, now) {
+				r.Receive(&u, now)
+			}
+			for r.Take(runner, call, now) {
+				out = append(out, now)
+			}
+		}
+	}
+	return out
+}
+
+func TestUnitsGoWhereTheTrafficIs(t *testing.T) {
+	for _, tt := range []struct{ routers, busy int }{{9, 1}, {9, 9}, {58, 2}, {58, 58}, {410, 5}} {
+		for _, rate := range []float64{1, 5} {
+			routers := newRouters(tt.routers, 20*time.Millisecond)
+			name(routers, rate, 0)
+			const span = 30 * time.Second
+			got := playAsking(routers, tt.busy, span)
+			if most := got.most(); most > allowed(rate) {
+				t.Errorf("%d of %d routers busy, rate %g: %d requests in a window, allowed %d", tt.busy, tt.routers, rate, most, allowed(rate))
+			}
+			if want := 0.9 * rate * span.Seconds(); float64(len(got)) < want {
+				t.Errorf("%d of %d routers busy, rate %g: %d requests in all, want %g or more", tt.busy, tt.routers, rate, len(got), want)
+			}
+		}
+	}
+}
+
+func TestAUnitIsGivenUpOnce(t *testing.T) {
+	routers := newRouters(3, 0)
+	name(routers, 1, 0)
+	given := 0
+	for at := 5 * time.Second; given == 0; at += time.Second {
+		now := start.Add(at)
+		u, owner, ok := routers[0].Foreign(runner, call, now)
+		if !ok {
+			continue
+		}
+		if _, _, again := routers[0].Foreign(runner, call, now); again {
+			t.Error("a unit is asked for twice")
+		}
+		for _, r := range routers {
+			for range 2 {
+				if r.Yield(&u, now) {
+					given++
+					if r.name != owner {
+						t.Errorf("%s gave up a unit of %s", r.name, owner)
+					}
+				}
+			}
+		}
+		for _, r := range routers {
+			if r.name == owner && r.Take(runner, call, now) {
+				t.Error("a unit was given up and used")
+			}
+		}
+	}
+	if diff := cmp.Diff(1, given); diff != "" {
+		t.Errorf("times that a unit was given up (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -177,6 +177,19 @@
 	return cicadalimit.Demand{Service: r.Service, Priority: r.Priority}
 }
 
+// Closed returns the runners that a request could go to but for their limits.
+func (f *Fleet) Closed(req *Request, now time.Time) []cicadalimit.Key {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []cicadalimit.Key
+	for _, r := range f.services[req.Service] {
+		if !f.leftOut(r, req, false, now) && !f.isOpen(r, req, now) {
+			out = append(out, r.Key())
+		}
+	}
+	return out
+}
+
 // Barred returns the ids of the service's runners that this router may not send a
 // request to now.
 func (f *Fleet) Barred(req *Request, now time.Time) []string {
