--- a/internal/cicadaedge/serve_test.go
+++ b/internal/cicadaedge/serve_test.go
@@ -1,6 +1,7 @@
 package cicadaedge_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -320,3 +322,67 @@
 		}
 	}
 }
+
+// TestLateSecondAnswer lets a runner send a copy of an answer on a connection that is in
+// use again, before the next answer and with its own length.
+func TestLateSecondAnswer(t *testing.T) {
+	t.Parallel()
+	for _, gap := range []time.Duration{0, 20 * time.Millisecond} {
+		f := newFleet(t)
+		ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = ln.Close() }()
+		go answerTwice(ln, gap)
+		f.store.put(tableRunners, "r1", cicadaplace.Entry{ID: "r1", Service: "svc", Addr: ln.Addr().String(), Place: "p", Slots: 8})
+		n := f.node("n1")
+		eventually(t, "the node is ready", func() bool { return n.Ready() && len(n.Runners()) == 1 })
+		statuses := map[int]int{}
+		for i := range 40 {
+			id := fmt.Sprintf("late%d", i)
+			got := call(t, n, "/once/x", map[string]string{"X-Id": id}, "x")
+			statuses[got.status]++
+			if got.status == http.StatusOK && got.body != "answer to "+id {
+				t.Errorf("the answer to %s is %q", id, got.body)
+			}
+		}
+		if statuses[http.StatusOK] == 0 || statuses[http.StatusBadGateway] == 0 {
+			t.Errorf("statuses %v, want answers, and second ones that were met and not given", statuses)
+		}
+	}
+}
+
+// answerTwice answers each request on its connection, and once more when the next one has
+// been read.
+func answerTwice(ln net.Listener, gap time.Duration) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			r := bufio.NewReader(conn)
+			last := ""
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					return
+				}
+				body := "answer to " + req.Header.Get("X-Id")
+				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sealed: yes\r\nContent-Length: %d\r\n\r\n%s",
+					req.Header.Get("X-Id"), len(body), body)
+				_, err = conn.Write([]byte(last + answer))
+				if err != nil {
+					return
+				}
+				last = answer
+				time.Sleep(gap)
+			}
+		}()
+	}
+}
