--- a/internal/cicadarouter/hazard_test.go
+++ b/internal/cicadarouter/hazard_test.go
@@ -55,6 +55,11 @@
 		}()
 	}
 	wg.Wait()
+	for i := range out {
+		if r := &out[i]; r.Verdict != cicadaload.Whole {
+			t.Logf("%s-%d: %v, status %d, %s %s after %v: %s", name, i, r.Verdict, r.Status, r.Code, r.Ran, r.Total, r.Detail)
+		}
+	}
 	return out
 }
 
