Units of a new rate count from its naming on

Random schedules of the limits (TestLimitHoldsInRandomSchedules) found 35 requests in a window against 34 allowed: at each change of the rate every router got the units of the last second anew, on a grid whose owners are others. Now units that had fallen due stay, and those of the new rate begin with it.

--- a/internal/cicadalimit/lend.go
+++ b/internal/cicadalimit/lend.go
@@ -63,7 +63,6 @@
 		return false
 	}
 	r.due = slices.Delete(r.due, i, i+1)
-	r.used = max(r.used, u.At)
 	return true
 }
 
--- a/internal/cicadalimit/limit.go
+++ b/internal/cicadalimit/limit.go
@@ -23,6 +23,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,9 @@
 	leastRate = 0.25
 	// mostRate is used for larger rates, in requests a second: each unit costs a look.
 	mostRate = 2000.0
+	// rateSteps is the number of rates between one and its double that units are counted
+	// in: routers that hear slightly different ones shall agree on the units.
+	rateSteps = 4
 	// clockSlack is what the clocks of two routers may differ by.
 	clockSlack = 100 * time.Millisecond
 	// forgetAfter is how long a statement counts that nothing confirms.
@@ -93,8 +97,7 @@
 		rate       float64   // that next counts in
 		next       int64     // first unit that has not been looked at
 		due        []time.Duration
-		used       time.Duration // when the last used unit fell due
-		asked      time.Duration // the same of the last one that its owner was asked for
+		asked      time.Duration // when the last one that its owner was asked for fell due
 	}
 )
 
@@ -121,7 +124,12 @@
 	r := l.runner(key, now)
 	before, limited := r.rateNow()
 	r.own = Statement{Rate: rate, At: now}
-	return !limited || before != rate
+	after, _ := r.rateNow()
+	if limited && before == after {
+		return false
+	}
+	l.begin(r, after, now)
+	return true
 }
 
 // End notes that a runner named no limit on the answer to a request that was sent at a
@@ -176,7 +184,7 @@
 		return false
 	}
 	if len(r.due) > 0 {
-		r.used, r.due = r.due[0], r.due[1:]
+		r.due = r.due[1:]
 	}
 	return true
 }
@@ -199,21 +207,27 @@
 	return !fresh || !l.isAwaited(d, now)
 }
 
+// begin counts the units of a rate from now on.
+func (l *Limits) begin(r *limit, rate float64, now time.Time) {
+	if shared, ok := l.clock.Shared(now); ok && len(l.routers) > 0 {
+		l.advance(r, rate, shared)
+	}
+}
+
 // advance takes up the units that have fallen due, and drops those that are too old.
+// Units of another rate count from now on: those of the time before were used by it.
 func (l *Limits) advance(r *limit, rate float64, shared time.Duration) {
 	last := int64(shared.Seconds() * rate)
 	oldest := shared - life(rate)
-	first := int64(oldest.Seconds()*rate) + 1
 	if rate != r.rate {
-		r.rate, r.next, r.due = rate, first, nil
+		r.rate, r.next = rate, last+1
 	}
 	if r.next > last+1 { // the clock was set back
-		r.next, r.used, r.asked, r.due = last+1, shared, shared, nil
+		r.next, r.asked, r.due = last+1, shared, nil
 	}
-	for r.next = max(r.next, first); r.next <= last; r.next++ {
-		at := unitTime(r.next, rate)
-		if at > r.used && l.owner(r.hash, r.next).hash == l.self {
-			r.due = append(r.due, at)
+	for r.next = max(r.next, int64(oldest.Seconds()*rate)+1); r.next <= last; r.next++ {
+		if l.owner(r.hash, r.next).hash == l.self {
+			r.due = append(r.due, unitTime(r.next, rate))
 		}
 	}
 	for len(r.due) > 0 && r.due[0] < oldest {
@@ -282,5 +296,12 @@
 	if said.At.IsZero() || said.Ended {
 		return 0, false
 	}
-	return min(max(said.Rate, leastRate), mostRate), true
+	return countedRate(said.Rate), true
+}
+
+// countedRate is the rate in which the units of a runner that names rate are counted: a
+// step of the scale that is not above it, where the bounds allow.
+func countedRate(rate float64) float64 {
+	rate = min(max(rate, leastRate), mostRate)
+	return math.Exp2(math.Floor(math.Log2(rate)*rateSteps) / rateSteps)
 }
--- a/internal/cicadalimit/limit_test.go
+++ b/internal/cicadalimit/limit_test.go
@@ -147,13 +147,14 @@
 func TestRatesThatChange(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
-		rates []float64 // one each second
-		quick bool      // one each 20 ms
+		rates []float64
+		every time.Duration // between two of them
 	}{
-		{"rise", []float64{1, 1, 1, 1, 5, 5, 5, 5, 5, 5}, false},
-		{"fall", []float64{5, 5, 5, 5, 1, 1, 1, 1, 1, 1}, false},
-		{"saw", []float64{1, 1.1, 1, 1.1, 1, 1.1, 1, 1.1, 1, 1.1}, true},
-		{"many values", []float64{1, 3, 2, 4, 1, 5, 2, 3, 1, 4}, false},
+		{"rise", []float64{1, 1, 1, 1, 5, 5, 5, 5, 5, 5}, time.Second},
+		{"fall", []float64{5, 5, 5, 5, 1, 1, 1, 1, 1, 1}, time.Second},
+		{"saw", []float64{1, 1.3, 1, 1.3, 1, 1.3, 1, 1.3, 1, 1.3}, 20 * time.Millisecond},
+		{"many values", []float64{1, 3, 2, 4, 1, 5, 2, 3, 1, 4}, time.Second},
+		{"jumps", []float64{1, 1.5, 4.5, 4, 3.25, 2, 3, 5}, 240 * time.Millisecond},
 	} {
 		routers := newRouters(9, 20*time.Millisecond)
 		highest := 0.0
@@ -161,11 +162,8 @@
 			highest = max(highest, r)
 		}
 		got := play(routers, 0, 10*time.Second, func(at time.Duration) {
-			if at%time.Second == 0 {
-				name(routers, tt.rates[int(at/time.Second)], at)
-			}
-			if tt.quick {
-				name(routers, tt.rates[int(at/(20*time.Millisecond))%len(tt.rates)], at)
+			if at%tt.every == 0 {
+				name(routers, tt.rates[int(at/tt.every)%len(tt.rates)], at)
 			}
 		})
 		if most := got.most(); most > allowed(highest) {
--- a/internal/cicadalimit/share.go
+++ b/internal/cicadalimit/share.go
@@ -70,7 +70,11 @@
 		if at := now.Add(-max(age, 0)); at.After(r.other.At) {
 			r.other = Statement{Rate: s.Rate, Ended: s.Ended, At: at}
 		}
-		if rate, is := r.rateNow(); is != was || rate != before {
+		rate, is := r.rateNow()
+		if is && (!was || rate != before) {
+			l.begin(r, rate, now)
+		}
+		if is != was || rate != before {
 			changed = append(changed, key)
 		}
 	}
