--- a/internal/cicadacmd/cmd_test.go
+++ b/internal/cicadacmd/cmd_test.go
@@ -93,7 +93,9 @@
 		"net": true, "net/http": true, "os": true, "io": true, "io/fs": true, "syscall": true,
 		"expvar": true, "github.com/apex/log": true, "log": true,
 	}
-	for _, pkg := range []string{"cicadabudget", "cicadaledger", "cicadaroute", "cicadamember", "cicadadoc", "cicadadeploy", "cicadaplace", "cicadaretry"} {
+	for _, pkg := range []string{
+		"cicadabudget", "cicadaledger", "cicadaroute", "cicadamember", "cicadadoc", "cicadadeploy", "cicadaplace", "cicadaretry", "cicadalimit",
+	} {
 		files, err := filepath.Glob("../" + pkg + "/*.go")
 		if err != nil || len(files) == 0 {
 			t.Fatalf("no files in %s: %v", pkg, err)
