Connections to a runner follow the number of routers

A router took its part of a runner's connections by the number of routers that it knew when its first request went there, and kept it: one that began alone held 8 of 10 when another was added (TestConnectionsFollowTheNumberOfRouters). Connections for the old part serve their requests and close.

--- a/internal/cicadaedge/limit_test.go
+++ b/internal/cicadaedge/limit_test.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 const (
@@ -314,3 +317,35 @@
 		t.Errorf("%d requests served in %v, want %d or more: statuses %v", got, span, want, statuses)
 	}
 }
+
+// TestConnectionsFollowTheNumberOfRouters adds routers after the first request went to a
+// runner that takes ten connections of all of them.
+func TestConnectionsFollowTheNumberOfRouters(t *testing.T) {
+	f := newFleet(t)
+	f.doc.Services[0].MaxConns = 10
+	f.publish()
+	var running, most atomic.Int64
+	f.addRunner(func(http.ResponseWriter, *http.Request) {
+		most.Store(max(most.Load(), running.Add(1)))
+		time.Sleep(100 * time.Millisecond)
+		running.Add(-1)
+	})
+	nodes := f.nodes(1)
+	for _, tt := range []struct {
+		routers int
+		want    int64
+	}{{1, 8}, {2, 4}} {
+		for len(nodes) < tt.routers {
+			nodes = append(nodes, f.ready(f.node(fmt.Sprint("added", len(nodes)))))
+		}
+		for _, n := range nodes {
+			eventually(t, "all routers are known", func() bool { return n.Peers() == tt.routers })
+		}
+		most.Store(0)
+		press(t, nodes[:1], "/once/x", time.Millisecond, 200*time.Millisecond, nil)
+		if diff := cmp.Diff(tt.want, most.Load()); diff != "" {
+			t.Errorf("%d routers: connections of one of them (-want +got):\n%s", tt.routers, diff)
+		}
+	}
+	stopAll(nodes)
+}
--- a/internal/cicadaedge/upstream.go
+++ b/internal/cicadaedge/upstream.go
@@ -39,10 +39,16 @@
 		metrics *Metrics
 
 		mu       sync.Mutex // guards the fields below
-		byRunner map[*cicadaplace.Runner]*http.Transport
+		byRunner map[*cicadaplace.Runner]*pool
 		routers  int
 	}
 
+	// pool is the connections to one runner.
+	pool struct {
+		*http.Transport
+		maxConns int // that the runner takes of all routers; zero for no bound
+	}
+
 	// countedConn counts the bytes written, which tells whether a request can
 	// have reached its runner.
 	countedConn struct {
@@ -52,7 +58,7 @@
 )
 
 func newUpstreams(m *Metrics) *upstreams {
-	return &upstreams{metrics: m, byRunner: map[*cicadaplace.Runner]*http.Transport{}, routers: 1}
+	return &upstreams{metrics: m, byRunner: map[*cicadaplace.Runner]*pool{}, routers: 1}
 }
 
 // Write counts what it writes, also when it fails: part may have been sent.
@@ -61,11 +67,30 @@
 	return c.Conn.Write(p)
 }
 
-// setRouters sets the number of routers that share a runner's connections.
+// setRouters sets the number of routers that share a runner's connections. Connections
+// made for another share serve the requests that they have, and close.
 func (u *upstreams) setRouters(n int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	before := u.routers
 	u.routers = max(n, 1)
+	if u.routers == before {
+		return
+	}
+	for r, p := range u.byRunner {
+		if p.MaxConnsPerHost != u.share(p.maxConns) {
+			delete(u.byRunner, r)
+			p.CloseIdleConnections()
+		}
+	}
+}
+
+// share is this router's part of the connections that a runner takes; zero for no bound.
+func (u *upstreams) share(maxConns int) int {
+	if maxConns <= 0 {
+		return 0
+	}
+	return max(int(connShare*float64(maxConns))/u.routers, minConns)
 }
 
 // forget closes the idle connections to a runner that is gone.
@@ -90,8 +115,8 @@
 func (u *upstreams) transport(r *cicadaplace.Runner, s *cicadadeploy.Service) *http.Transport {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if t := u.byRunner[r]; t != nil {
-		return t
+	if p := u.byRunner[r]; p != nil {
+		return p.Transport
 	}
 	dialer := cicadanet.NewDialer(dialTimeout)
 	t := &http.Transport{
@@ -110,10 +135,8 @@
 		ReadBufferSize:         readBuffer,
 		WriteBufferSize:        readBuffer,
 	}
-	if s.MaxConns > 0 {
-		t.MaxConnsPerHost = max(int(connShare*float64(s.MaxConns))/u.routers, minConns)
-	}
-	u.byRunner[r] = t
+	t.MaxConnsPerHost = u.share(s.MaxConns)
+	u.byRunner[r] = &pool{Transport: t, maxConns: s.MaxConns}
 	return t
 }
 
