A limit that comes back begins without units of the time before

Between its end and its next naming a runner takes any number of requests; the units of the last second counted again at the naming (TestLimitThatComesAndGoes). Statements that routers tell each other are called reports, and rates above 512 a second are counted as 512: 2,000 cost a look at all routers for each unit.

--- a/internal/cicadaedge/limit.go
+++ b/internal/cicadaedge/limit.go
@@ -56,7 +56,7 @@
 }
 
 // learnLimits takes what another router heard of the runners' limits.
-func (rt *Router) learnLimits(router string, list []cicadalimit.Shared, now time.Time) {
+func (rt *Router) learnLimits(router string, list []cicadalimit.Report, now time.Time) {
 	for _, key := range rt.limits.Learn(list, now) {
 		rate, limited := rt.limits.Rate(key)
 		rt.cfg.Log.WithField("runner", key.ID).WithField("from", router).WithField("limited", limited).
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -192,7 +192,7 @@
 		case <-rt.announced:
 		}
 		value, err := json.Marshal(routerRow{
-			Boot: rt.cfg.Boot, Relay: rt.peers.selfAddr, Limits: rt.limits.Published(time.Now()),
+			Boot: rt.cfg.Boot, Relay: rt.peers.selfAddr, Limits: rt.limits.Reports(time.Now()),
 		})
 		if err != nil {
 			rt.cfg.Log.WithError(err).Error("own row not encoded")
--- a/internal/cicadaedge/views.go
+++ b/internal/cicadaedge/views.go
@@ -23,7 +23,7 @@
 type routerRow struct {
 	Boot   string               `json:"boot"`
 	Relay  string               `json:"relay"`
-	Limits []cicadalimit.Shared `json:"limits,omitempty"`
+	Limits []cicadalimit.Report `json:"limits,omitempty"`
 }
 
 // takeDeployment takes the newest configuration that can be read. An older one
--- a/internal/cicadalimit/limit.go
+++ b/internal/cicadalimit/limit.go
@@ -15,7 +15,7 @@
 //
 // A rate holds until an answer without one comes from a request that was sent after the
 // last answer that named it: answers of different connections overtake each other. What
-// a router hears it tells the others (Published, Learn), so that a router whose units are
+// a router hears it tells the others (Reports, Learn), so that a router whose units are
 // rare learns of the end as well.
 //
 // The package does no input or output and reads no clock; callers pass the time in.
@@ -40,7 +40,7 @@
 	// lets the routers hear whether the runner still names its limit.
 	leastRate = 0.25
 	// mostRate is used for larger rates, in requests a second: each unit costs a look.
-	mostRate = 2000.0
+	mostRate = 512.0
 	// rateSteps is the number of rates between one and its double that units are counted
 	// in: routers that hear slightly different ones shall agree on the units.
 	rateSteps = 4
@@ -59,8 +59,8 @@
 		Born int64 // Unix milliseconds; zero if it is not known
 	}
 
-	// Statement is what a runner last said of its limit.
-	Statement struct {
+	// statement is what a runner last said of its limit.
+	statement struct {
 		// Rate is the requests a second that it takes from all routers together.
 		Rate float64
 		// Ended tells that it names no limit any more.
@@ -93,7 +93,7 @@
 	// limit is the limit of one runner.
 	limit struct {
 		hash       uint64
-		own, other Statement // newest by this router and by the others
+		own, other statement // newest by this router and by the others
 		rate       float64   // that next counts in
 		next       int64     // first unit that has not been looked at
 		due        []time.Duration
@@ -123,12 +123,12 @@
 	defer l.mu.Unlock()
 	r := l.runner(key, now)
 	before, limited := r.rateNow()
-	r.own = Statement{Rate: rate, At: now}
+	r.own = statement{Rate: rate, At: now}
 	after, _ := r.rateNow()
 	if limited && before == after {
 		return false
 	}
-	l.begin(r, after, now)
+	l.begin(r, after, !limited, now)
 	return true
 }
 
@@ -144,7 +144,7 @@
 	if said := r.newest(); said.Ended || !sent.After(said.At) {
 		return false
 	}
-	r.own = Statement{Ended: true, At: sent}
+	r.own = statement{Ended: true, At: sent}
 	return true
 }
 
@@ -207,8 +207,12 @@
 	return !fresh || !l.isAwaited(d, now)
 }
 
-// begin counts the units of a rate from now on.
-func (l *Limits) begin(r *limit, rate float64, now time.Time) {
+// begin counts the units of a rate from now on. Those of a limit that had ended are lost.
+func (l *Limits) begin(r *limit, rate float64, first bool, now time.Time) {
+	r.rate = 0
+	if first {
+		r.due = nil
+	}
 	if shared, ok := l.clock.Shared(now); ok && len(l.routers) > 0 {
 		l.advance(r, rate, shared)
 	}
@@ -284,7 +288,7 @@
 
 // newest returns the statement that counts. Of two of the same time the one that limits
 // does.
-func (r *limit) newest() Statement {
+func (r *limit) newest() statement {
 	if r.other.At.After(r.own.At) || r.other.At.Equal(r.own.At) && r.own.Ended {
 		return r.other
 	}
--- a/internal/cicadalimit/limit_test.go
+++ b/internal/cicadalimit/limit_test.go
@@ -218,25 +218,25 @@
 	a, b, late := routers[0], routers[1], routers[2]
 	a.Name(runner, 2, start.Add(time.Second))
 	b.Name(runner, 2, start.Add(2*time.Second))
-	late.Learn(a.Published(start.Add(3*time.Second)), start.Add(3*time.Second))
+	late.Learn(a.Reports(start.Add(3*time.Second)), start.Add(3*time.Second))
 	if rate, ok := late.Rate(runner); !ok || rate != 2 {
 		t.Errorf("a router that was not told has rate %g, %v, want 2", rate, ok)
 	}
 	a.End(runner, start.Add(1500*time.Millisecond))
-	b.Learn(a.Published(start.Add(4*time.Second)), start.Add(4*time.Second))
+	b.Learn(a.Reports(start.Add(4*time.Second)), start.Add(4*time.Second))
 	if _, ok := b.Rate(runner); !ok {
 		t.Error("an end that is older than the last naming ended the limit")
 	}
 	a.Name(runner, 2, start.Add(1900*time.Millisecond))
 	a.End(runner, start.Add(2050*time.Millisecond))
-	b.Learn(a.Published(start.Add(4*time.Second)), start.Add(4*time.Second))
+	b.Learn(a.Reports(start.Add(4*time.Second)), start.Add(4*time.Second))
 	if _, ok := b.Rate(runner); !ok {
 		t.Error("an end that the clocks cannot tell from the last naming ended the limit")
 	}
 	a.Name(runner, 2, start.Add(4*time.Second))
 	a.End(runner, start.Add(5*time.Second))
 	for _, r := range []*router{b, late} {
-		r.Learn(a.Published(start.Add(6*time.Second)), start.Add(6*time.Second))
+		r.Learn(a.Reports(start.Add(6*time.Second)), start.Add(6*time.Second))
 		if _, ok := r.Rate(runner); ok {
 			t.Errorf("%s still has the limit that another router heard the end of", r.name)
 		}
@@ -249,11 +249,11 @@
 	r := newRouters(1, 0)[0]
 	r.Name(runner, 1, start)
 	future := (time.Hour + time.Minute).Milliseconds()
-	r.Learn([]cicadalimit.Shared{{Runner: runner.ID, Born: runner.Born, Ended: true, AtMillis: future}}, start.Add(time.Second))
+	r.Learn([]cicadalimit.Report{{Runner: runner.ID, Born: runner.Born, Ended: true, AtMillis: future}}, start.Add(time.Second))
 	if _, ok := r.Rate(runner); !ok {
 		t.Error("an end from the future ended the limit")
 	}
-	r.Learn([]cicadalimit.Shared{{Runner: runner.ID, Born: runner.Born, Rate: 3, AtMillis: future}}, start.Add(2*time.Second))
+	r.Learn([]cicadalimit.Report{{Runner: runner.ID, Born: runner.Born, Rate: 3, AtMillis: future}}, start.Add(2*time.Second))
 	r.End(runner, start.Add(3*time.Second))
 	if _, ok := r.Rate(runner); ok {
 		t.Error("a limit from the future cannot be ended")
@@ -414,3 +414,20 @@
 		t.Errorf("times that a unit was given up (-want +got):\n%s", diff)
 	}
 }
+
+// TestLimitThatComesAndGoes checks that a limit begins without units of the time before,
+// in which the runner took any number of requests.
+func TestLimitThatComesAndGoes(t *testing.T) {
+	r := newRouters(1, 0)[0]
+	for at := time.Second; at < 20*time.Second; at += time.Second {
+		now := start.Add(at)
+		r.Name(runner, 4, now)
+		if r.Take(runner, call, now) {
+			t.Errorf("a unit was there %v after the start as the limit began", at)
+		}
+		if !r.Open(runner, call, now.Add(700*time.Millisecond)) {
+			t.Errorf("no unit %v after the start", at+700*time.Millisecond)
+		}
+		r.End(runner, now.Add(710*time.Millisecond))
+	}
+}
--- a/internal/cicadalimit/share.go
+++ b/internal/cicadalimit/report.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// mostShared bounds the statements that a router tells the others: some 100 bytes each.
-const mostShared = 300
+// mostReports bounds the statements that a router tells the others: some 100 bytes each.
+const mostReports = 300
 
-// Shared is a statement as routers tell it to each other.
-type Shared struct {
+// Report is a statement as routers tell it to each other.
+type Report struct {
 	Runner string  `json:"runner"`
 	Born   int64   `json:"born,omitempty"`
 	Rate   float64 `json:"rate"`
@@ -19,9 +19,9 @@
 	AtMillis int64 `json:"atMillis"`
 }
 
-// Published returns what this router heard of the runners itself, the newest first, as
+// Reports returns what this router heard of the runners itself, the newest first, as
 // far as other routers can use it. It returns nothing while the shared clock is unknown.
-func (l *Limits) Published(now time.Time) []Shared {
+func (l *Limits) Reports(now time.Time) []Report {
 	shared, ok := l.clock.Shared(now)
 	if !ok {
 		return nil
@@ -29,24 +29,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
-	var out []Shared
+	var out []Report
 	for key, r := range l.runners {
 		if r.own.At.IsZero() || r.own.Ended && now.Sub(r.own.At) > endKept {
 			continue
 		}
 		at := shared - now.Sub(r.own.At)
-		out = append(out, Shared{
+		out = append(out, Report{
 			Runner: key.ID, Born: key.Born, Rate: r.own.Rate, Ended: r.own.Ended, AtMillis: at.Milliseconds(),
 		})
 	}
-	slices.SortFunc(out, func(a, b Shared) int {
+	slices.SortFunc(out, func(a, b Report) int {
 		return cmp.Or(cmp.Compare(b.AtMillis, a.AtMillis), cmp.Compare(a.Runner, b.Runner))
 	})
-	return out[:min(len(out), mostShared)]
+	return out[:min(len(out), mostReports)]
 }
 
 // Learn takes what another router told. It returns the runners whose limit that changes.
-func (l *Limits) Learn(list []Shared, now time.Time) []Key {
+func (l *Limits) Learn(list []Report, now time.Time) []Key {
 	shared, ok := l.clock.Shared(now)
 	if !ok {
 		return nil
@@ -68,11 +68,11 @@
 		r := l.runner(key, now)
 		before, was := r.rateNow()
 		if at := now.Add(-max(age, 0)); at.After(r.other.At) {
-			r.other = Statement{Rate: s.Rate, Ended: s.Ended, At: at}
+			r.other = statement{Rate: s.Rate, Ended: s.Ended, At: at}
 		}
 		rate, is := r.rateNow()
 		if is && (!was || rate != before) {
-			l.begin(r, rate, now)
+			l.begin(r, rate, !was, now)
 		}
 		if is != was || rate != before {
 			changed = append(changed, key)
--- a/internal/cicadalimit/schedule_test.go
+++ b/internal/cicadalimit/schedule_test.go
@@ -67,7 +67,7 @@
 		}
 	case 3:
 		r := s.router("learner")
-		r.Learn(s.router("teller").Published(s.at()), s.at())
+		r.Learn(s.router("teller").Reports(s.at()), s.at())
 	case 4:
 		// An end that was overtaken by a later naming.
 		s.router("hears an old end").End(runner, start.Add(s.named[len(s.named)-1].at-time.Millisecond))
