--- a/internal/cicadasoak/soak_test.go
+++ b/internal/cicadasoak/soak_test.go
@@ -31,6 +31,8 @@
 	rest = 6 * time.Second
 	// startTime is how long a process may take until it stops as planned on a signal.
 	startTime = time.Second
+	// firstPort and ports are a range below that of outgoing connections.
+	firstPort, ports = 20_000, 12_000
 	// reviveGap lies between two looks at the processes.
 	reviveGap = 200 * time.Millisecond
 )
@@ -69,14 +71,20 @@
 	}
 )
 
+// freeAddr returns a loopback address that nobody listens on, with a port that no outgoing
+// connection takes while a router is down.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(ports)))
+		ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", addr)
+		if err == nil {
+			_ = ln.Close()
+			return addr
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func (s *soak) addRouter(binary, dir string) {
@@ -261,6 +269,9 @@
 	_ = r.cmd.Process.Signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	_ = r.cmd.Process.Signal(syscall.SIGCONT)
+	if from.Sub(r.since) < startTime {
+		r.since = time.Now() // it goes on starting
+	}
 	s.judge.trouble(r.name, from)
 	s.judge.count("freezes", 1)
 }
