An answer that is held takes no more memory than its bytes

Cause: a growing buffer holds its old and its new copy, 48 MB for an answer of 16. The body is kept in pieces now; the bound of what all answers hold counts what they take.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -328,8 +328,8 @@
 // it is forwarded, so that a broken one can be asked for again.
 func (x *exchange) whole(a *attempt) (result, bool) {
 	body, err := x.rt.held.readAll(a.resp)
-	defer x.rt.held.release(len(body))
-	if err == nil && a.resp.ContentLength >= 0 && int64(len(body)) != a.resp.ContentLength && x.r.Method != http.MethodHead {
+	defer x.rt.held.release(&body)
+	if err == nil && a.resp.ContentLength >= 0 && int64(body.length) != a.resp.ContentLength && x.r.Method != http.MethodHead {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
@@ -345,8 +345,8 @@
 	}
 	x.firstAt = time.Now()
 	x.judge(a)
-	x.begin(a, int64(len(body)))
-	if _, err := x.w.Write(body); err != nil {
+	x.begin(a, int64(body.length))
+	if err := body.writeTo(x.w); err != nil {
 		return result{left: true}, false
 	}
 	x.delivered = 1
