TestHazard07NotRunIsTrue gives each fault engines of its own

Trace: the engines of its first case say that they leave, which routers believe for good; if all routers have heard it of all engines, the second case sends nothing and 'not run' is true. Before, some engines had by chance not said it. The checks are the same, and now the second case always reaches engines.

--- a/internal/cicadarouter/hazard_test.go
+++ b/internal/cicadarouter/hazard_test.go
@@ -296,8 +296,10 @@
 // TestHazard07NotRunIsTrue refuses requests in every way that engines offer and
 // compares each "not run" with the engines' records.
 func TestHazard07NotRunIsTrue(t *testing.T) {
-	w := newWorld(t, nil)
 	for _, f := range []cicadastandin.EngineFaults{{Draining: true}, {Fail: true}, {}} {
+		// A runner that said it leaves is sent nothing for good, so each fault has
+		// engines of its own.
+		w := newWorld(t, nil)
 		for _, e := range w.Engines() {
 			e.SetFaults(f)
 		}
