--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -243,7 +243,7 @@
 	}
 	if !failed.sent {
 		res := cicadaplace.Unreached
-		if errors.Is(err, errLimited) {
+		if errors.Is(err, errLimited) || errors.Is(err, errLeaving) {
 			res = cicadaplace.CallerLeft
 		}
 		x.ended(ticket, res, err)
--- a/internal/cicadaedge/limit.go
+++ b/internal/cicadaedge/limit.go
@@ -11,21 +11,25 @@
 	"github.com/pkg/errors"
 )
 
-// connWait is how long a request waits for a connection to its runner until the
-// runner's limit is looked at again: the making of a connection takes no longer.
+// connWait is how long a request waits for a connection to its runner until it is looked
+// at again whether the runner still takes it: the making of a connection takes no longer.
 const connWait = dialTimeout
 
 // connWatch watches a request that waits for a connection.
 type connWatch struct {
-	limited func() bool
-	cancel  context.CancelCauseFunc
+	// closed tells why the request should wait no longer, or nil.
+	closed func() error
+	cancel context.CancelCauseFunc
 
 	mu      sync.Mutex // guards the fields below
 	stopped bool
 	timer   *time.Timer
 }
 
-var errLimited = errors.New("the runner named a limit while the request waited for a connection")
+var (
+	errLimited = errors.New("the runner named a limit while the request waited for a connection")
+	errLeaving = errors.New("the runner began to leave while the request waited for a connection")
+)
 
 // heard notes what an answer says of its runner's limit. Bytes of another request or of
 // another runner say nothing of it.
@@ -64,14 +68,19 @@
 	}
 }
 
-// watchConn ends an attempt that still waits for a connection when its runner is
-// limited: what has waited would come all at once. The request's context must be the
+// watchConn ends an attempt that still waits for a connection when its runner is limited,
+// as what has waited would come all at once, or leaves. The request's context must be the
 // returned one.
 func (x *exchange) watchConn(ctx context.Context, ticket *placement, cancel context.CancelCauseFunc) (context.Context, *connWatch) {
-	w := &connWatch{limited: func() bool {
-		_, limited := x.rt.limits.Rate(ticket.Runner().Key())
-		return limited
-	}, cancel: cancel}
+	w := &connWatch{cancel: cancel, closed: func() error {
+		if x.rt.fleet.IsLeaving(ticket.Runner(), time.Now()) {
+			return errLeaving
+		}
+		if _, limited := x.rt.limits.Rate(ticket.Runner().Key()); limited {
+			return errLimited
+		}
+		return nil
+	}}
 	w.mu.Lock()
 	w.timer = time.AfterFunc(connWait, w.look)
 	w.mu.Unlock()
@@ -81,14 +90,15 @@
 func (w *connWatch) look() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	switch {
-	case w.stopped:
-	case w.limited():
+	if w.stopped {
+		return
+	}
+	if err := w.closed(); err != nil {
 		w.stopped = true
-		w.cancel(errLimited)
-	default:
-		w.timer.Reset(connWait)
+		w.cancel(err)
+		return
 	}
+	w.timer.Reset(connWait)
 }
 
 func (w *connWatch) stop() {
--- a/internal/cicadaedge/limit_test.go
+++ b/internal/cicadaedge/limit_test.go
@@ -349,3 +349,32 @@
 	}
 	stopAll(nodes)
 }
+
+// TestNothingWaitsForAConnectionOfALeavingRunner lets a runner leave while requests wait
+// for one of its few connections.
+func TestNothingWaitsForAConnectionOfALeavingRunner(t *testing.T) {
+	f := newFleet(t)
+	f.doc.Services[0].MaxConns = 5
+	f.publish()
+	var left atomic.Pointer[time.Time]
+	var late atomic.Int64
+	r := f.addRunner(func(http.ResponseWriter, *http.Request) {
+		if at := left.Load(); at != nil && time.Since(*at) > 2*time.Second {
+			late.Add(1)
+		}
+		time.Sleep(700 * time.Millisecond)
+	})
+	n := f.nodes(1)[0]
+	time.AfterFunc(300*time.Millisecond, func() {
+		now := time.Now()
+		f.enter(r, true)
+		left.Store(&now)
+	})
+	statuses := press(t, []*node{n}, "/once/x", 2*time.Millisecond, 100*time.Millisecond, nil)
+	if got := late.Load(); got > 0 {
+		t.Errorf("%d requests reached the runner more than two seconds after it began to leave", got)
+	}
+	if len(statuses) > 2 || statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable] == 0 {
+		t.Errorf("statuses %v, want only 200 and 503", statuses)
+	}
+}
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -159,6 +159,13 @@
 	return t
 }
 
+// IsLeaving tells whether a runner leaves or is gone.
+func (f *Fleet) IsLeaving(r *Runner, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return r.gone || r.entry.Leaving || r.leaving || f.isExpired(r, now)
+}
+
 // isOpen tells whether the router that sends a request may send it to r now.
 func (f *Fleet) isOpen(r *Runner, req *Request, now time.Time) bool {
 	if req.Foreign {
