Which of several limits holds is decided by the router, not by the adapter

platform/ took the smallest of several values of a runner's limit: a decision. It now returns all that can be read, and the router takes the smallest.

--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -66,10 +66,9 @@
 		Sealed    bool // the runner stands for status and body
 		NotRun    bool
 		Load      *cicadaplace.Load
-		// Rate is the requests a second that the runner takes from all routers
-		// together; nil if it names no limit. RateErr is why what it names cannot be
-		// read.
-		Rate    *float64
+		// Rates are the rate limits that the runner announces, in requests a second of
+		// all routers together; empty for none. RateErr is why one cannot be read.
+		Rates   []float64
 		RateErr error
 	}
 
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -314,9 +314,13 @@
 	a := cicadaedge.Answer{
 		RequestID: resp.Header.Get("X-Id"), Sealed: resp.Header.Get("X-Sealed") != "", NotRun: resp.Header.Get("X-Not-Run") != "",
 	}
-	if v := resp.Header.Get("X-Rate"); v != "" {
+	for _, v := range resp.Header.Values("X-Rate") {
 		rate, err := strconv.ParseFloat(v, 64)
-		a.Rate, a.RateErr = &rate, err
+		if err != nil {
+			a.RateErr = err
+			continue
+		}
+		a.Rates = append(a.Rates, rate)
 	}
 	return a
 }
--- a/internal/cicadaedge/limit.go
+++ b/internal/cicadaedge/limit.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,10 +46,12 @@
 		log.WithError(said.RateErr).Warn("limit of a runner cannot be read")
 	}
 	switch {
-	case said.Rate != nil:
+	case len(said.Rates) > 0:
 		x.rt.cfg.Metrics.Limited.Add(1)
-		if x.rt.limits.Name(key, *said.Rate, time.Now()) {
-			log.WithField("rate", *said.Rate).Info("runner names a limit")
+		// Of several limits the smallest keeps them all.
+		rate := slices.Min(said.Rates)
+		if x.rt.limits.Name(key, rate, time.Now()) {
+			log.WithField("rate", rate).Info("runner names a limit")
 			x.rt.announceAgain()
 		}
 	case said.RateErr == nil && (said.Sealed || said.NotRun):
