Permits, not units: the field's terms for rate limits

'Unit' is what budgets are counted in; the right to send one request to a limited runner is a permit. Logs say 'runner announces a rate limit' and 'rate limit of a runner lifted', not the words of the users' pages. A time in a message between routers has its unit in its name (atNanos). No logic changed.

--- a/internal/cicadaedge/desk.go
+++ b/internal/cicadaedge/desk.go
@@ -153,7 +153,7 @@
 	t, err := ds.rt.fleet.Choose(req, time.Now())
 	var limited *cicadaplace.LimitedError
 	if errors.As(err, &limited) {
-		if p := ds.askUnits(ctx, req); p != nil {
+		if p := ds.askPermits(ctx, req); p != nil {
 			return p, nil
 		}
 	}
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -131,7 +131,7 @@
 	}
 	var limited *cicadaplace.LimitedError
 	if errors.As(err, &limited) {
-		d := cicadalimit.Demand{Service: x.service.Name, Priority: x.priority()}
+		d := cicadalimit.Class{Service: x.service.Name, Priority: x.priority()}
 		return refuse(RefuseLimited, x.rt.limits.Return(d, limited.Rate, time.Now()), err.Error())
 	}
 	return refuse(RefuseNoRunner, later, err.Error())
--- a/internal/cicadaedge/limit.go
+++ b/internal/cicadaedge/limit.go
@@ -28,7 +28,7 @@
 }
 
 var (
-	errLimited = errors.New("the runner named a limit while the request waited for a connection")
+	errLimited = errors.New("the runner announced a rate limit while the request waited for a connection")
 	errLeaving = errors.New("the runner began to leave while the request waited for a connection")
 )
 
@@ -43,7 +43,7 @@
 	key, log := a.ticket.Runner().Key(), x.rt.cfg.Log.WithField("runner", a.ticket.Runner().ID()).WithField("requestId", x.demand.ID)
 	if said.RateErr != nil {
 		x.rt.cfg.Metrics.Errors.Add("limitUnreadable", 1)
-		log.WithError(said.RateErr).Warn("limit of a runner cannot be read")
+		log.WithError(said.RateErr).Warn("rate limit of a runner cannot be read")
 	}
 	switch {
 	case len(said.Rates) > 0:
@@ -51,12 +51,12 @@
 		// Of several limits the smallest keeps them all.
 		rate := slices.Min(said.Rates)
 		if x.rt.limits.Name(key, rate, time.Now()) {
-			log.WithField("rate", rate).Info("runner names a limit")
+			log.WithField("rate", rate).Info("runner announces a rate limit")
 			x.rt.announceAgain()
 		}
 	case said.RateErr == nil && (said.Sealed || said.NotRun):
 		if x.rt.limits.End(key, a.ticket.Since()) {
-			log.Info("runner names no limit any more")
+			log.Info("rate limit of a runner lifted")
 			x.rt.announceAgain()
 		}
 	}
@@ -67,7 +67,7 @@
 	for _, key := range rt.limits.Learn(list, now) {
 		rate, limited := rt.limits.Rate(key)
 		rt.cfg.Log.WithField("runner", key.ID).WithField("from", router).WithField("limited", limited).
-			WithField("rate", rate).Info("limit of a runner learnt")
+			WithField("rate", rate).Info("rate limit of a runner learnt")
 	}
 }
 
--- a/internal/cicadaedge/unit.go
+++ b/internal/cicadaedge/permit.go
@@ -10,27 +10,27 @@
 )
 
 const (
-	// unitTries bounds the routers that one request asks for a unit, one after another.
-	unitTries  = 2
-	methodUnit = "unit"
+	// permitTries bounds the routers that one request asks for a permit, one after another.
+	permitTries  = 2
+	methodPermit = "permit"
 )
 
-// handleUnit gives a unit of a runner's limit up to another router.
-func (rt *Router) handleUnit(_ context.Context, u cicadalimit.Unit) bool {
+// handlePermit gives a permit of a runner's limit up to another router.
+func (rt *Router) handlePermit(_ context.Context, u cicadalimit.Permit) bool {
 	given := rt.limits.Yield(&u, time.Now())
 	if given {
-		rt.cfg.Log.WithField("runner", u.Runner).WithField("rate", u.Rate).Info("unit of a limit given up")
+		rt.cfg.Log.WithField("runner", u.Runner).WithField("rate", u.Rate).Info("permit for a limited runner given up")
 	}
 	return given
 }
 
-// askUnits asks the owners of the units that fell due last for one, where only runners
+// askPermits asks the owners of the permits that fell due last for one, where only runners
 // are left that are closed to this router. It returns nil if it gets none.
-func (ds *desks) askUnits(ctx context.Context, req *cicadaplace.Request) *placement {
-	d := cicadalimit.Demand{Service: req.Service, Priority: req.Priority}
+func (ds *desks) askPermits(ctx context.Context, req *cicadaplace.Request) *placement {
+	d := cicadalimit.Class{Service: req.Service, Priority: req.Priority}
 	tries := 0
 	for _, key := range ds.rt.fleet.Closed(req, time.Now()) {
-		if tries == unitTries {
+		if tries == permitTries {
 			return nil
 		}
 		u, owner, ok := ds.rt.limits.Foreign(key, d, time.Now())
@@ -38,10 +38,10 @@
 			continue
 		}
 		tries++
-		given, err := ds.askUnit(ctx, owner, &u)
+		given, err := ds.askPermit(ctx, owner, &u)
 		switch {
 		case err != nil:
-			ds.rt.cfg.Metrics.Errors.Add("unit", 1)
+			ds.rt.cfg.Metrics.Errors.Add("permit", 1)
 			ds.drop(owner, err)
 		case given:
 			ds.rt.limits.Receive(&u, time.Now())
@@ -53,7 +53,7 @@
 	return nil
 }
 
-func (ds *desks) askUnit(ctx context.Context, owner string, u *cicadalimit.Unit) (bool, error) {
+func (ds *desks) askPermit(ctx context.Context, owner string, u *cicadalimit.Permit) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, deskTimeout)
 	defer cancel()
 	client, err := ds.client(ctx, owner)
@@ -61,6 +61,6 @@
 		return false, err
 	}
 	var given bool
-	err = client.CallResult(ctx, methodUnit, u, &given)
-	return given, errors.Wrap(err, "ask for a unit")
+	err = client.CallResult(ctx, methodPermit, u, &given)
+	return given, errors.Wrap(err, "ask for a permit")
 }
--- a/internal/cicadaedge/relay.go
+++ b/internal/cicadaedge/relay.go
@@ -163,7 +163,7 @@
 	methods := handler.Map{
 		methodView: handler.New(rt.view), methodPlace: handler.New(rt.desk.handlePlace),
 		methodStarted: handler.New(rt.desk.handleStarted), methodEnded: handler.New(rt.desk.handleEnded),
-		methodLend: handler.New(rt.lend), methodUnit: handler.New(rt.handleUnit),
+		methodLend: handler.New(rt.lend), methodPermit: handler.New(rt.handlePermit),
 	}
 	acc := server.NetAccepter(rt.cfg.Relay, channel.Line)
 	if err := server.Loop(ctx, acc, server.Static(methods), &server.LoopOptions{
--- a/internal/cicadalimit/lend.go
+++ b/internal/cicadalimit/lend.go
@@ -5,57 +5,57 @@
 	"time"
 )
 
-// Unit is a unit that a router asks its owner for, where it has no runner left that is
+// Permit is a permit that a router asks its owner for, where it has no runner left that is
 // open to it. A router with all the traffic can so use the whole of a rate. The owner
-// alone decides; a unit whose grant is lost is lost.
-type Unit struct {
+// alone decides; a permit whose grant is lost is lost.
+type Permit struct {
 	Runner string `json:"runner"`
 	Born   int64  `json:"born,omitempty"`
-	// Rate is the one that the unit is counted in.
+	// Rate is the one that the permit is counted in.
 	Rate float64 `json:"rate"`
-	// At is when the unit fell due, by the shared clock.
-	At       time.Duration `json:"at"`
+	// At is when the permit fell due, by the shared clock.
+	At       time.Duration `json:"atNanos"`
 	Service  string        `json:"service"`
 	Priority int           `json:"priority"`
 }
 
-// key names the unit's runner.
-func (u *Unit) key() Key { return Key{ID: u.Runner, Born: u.Born} }
+// key names the permit's runner.
+func (u *Permit) key() Key { return Key{ID: u.Runner, Born: u.Born} }
 
-func (u *Unit) demand() Demand { return Demand{Service: u.Service, Priority: u.Priority} }
+func (u *Permit) class() Class { return Class{Service: u.Service, Priority: u.Priority} }
 
-// Foreign returns the unit of a runner that fell due last, and the router that it belongs
-// to. It returns false if the unit is this router's own, was returned before, or is not
+// Foreign returns the permit of a runner that fell due last, and the router that it belongs
+// to. It returns false if the permit is this router's own, was returned before, or is not
 // known.
-func (l *Limits) Foreign(key Key, d Demand, now time.Time) (Unit, string, bool) {
+func (l *Limits) Foreign(key Key, d Class, now time.Time) (Permit, string, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.runners[key]
 	if r == nil {
-		return Unit{}, "", false
+		return Permit{}, "", false
 	}
 	rate, limited := r.rateNow()
 	shared, ok := l.clock.Shared(now)
 	if !limited || !ok || len(l.routers) == 0 {
-		return Unit{}, "", false
+		return Permit{}, "", false
 	}
-	unit := int64(shared.Seconds() * rate)
-	at := unitTime(unit, rate)
-	owner := l.owner(r.hash, unit)
+	permit := int64(shared.Seconds() * rate)
+	at := permitTime(permit, rate)
+	owner := l.owner(r.hash, permit)
 	if at <= r.asked || owner.hash == l.self {
-		return Unit{}, "", false
+		return Permit{}, "", false
 	}
 	r.asked = at
-	return Unit{Runner: key.ID, Born: key.Born, Rate: rate, At: at, Service: d.Service, Priority: d.Priority}, owner.name, true
+	return Permit{Runner: key.ID, Born: key.Born, Rate: rate, At: at, Service: d.Service, Priority: d.Priority}, owner.name, true
 }
 
-// Yield gives a unit of this router's up to another one. It returns false if it is used
+// Yield gives a permit of this router's up to another one. It returns false if it is used
 // or not this router's.
-func (l *Limits) Yield(u *Unit, now time.Time) bool {
+func (l *Limits) Yield(u *Permit, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.runners[u.key()]
-	if r == nil || !l.open(r, u.demand(), now) || r.rate != u.Rate {
+	if r == nil || !l.open(r, u.class(), now) || r.rate != u.Rate {
 		return false
 	}
 	i := slices.Index(r.due, u.At)
@@ -66,8 +66,8 @@
 	return true
 }
 
-// Receive takes a unit that its owner gave up.
-func (l *Limits) Receive(u *Unit, now time.Time) {
+// Receive takes a permit that its owner gave up.
+func (l *Limits) Receive(u *Permit, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.runners[u.key()]
--- a/internal/cicadalimit/limit.go
+++ b/internal/cicadalimit/limit.go
@@ -1,21 +1,21 @@
-// Package cicadalimit keeps the routers together within the rates that runners name.
+// Package cicadalimit keeps the routers together within the rate limits that runners announce.
 //
-// It answers the load on a runner in need, which names how many requests a second it
-// takes from all routers together. A router knows only what it sends itself, and a fixed
+// It answers the load on a runner that announces a rate limit: how many requests a second
+// it takes from all routers together. A router knows only what it sends itself, and a fixed
 // part of the rate is less than one request where routers are many. So the rate is cut
-// into units: one falls due each 1/rate seconds of a clock that all routers share, and
+// into permits: one falls due each 1/rate seconds of a clock that all routers share, and
 // belongs to one router, found by rendezvous hashing over the routers' names. Whoever
-// owns a unit may send one request, first attempts and later ones alike. Invariants:
+// owns a permit may send one request, first attempts and later ones alike. Invariants:
 //
-//   - A unit is used by its owner, or by the one router that the owner gave it up to. No
+//   - A permit is used by its owner, or by the one router that the owner gave it up to. No
 //     other message decides, so a cut or an outage changes nothing in who may send.
-//   - Routers that know slightly different sets of routers disagree on few units.
-//   - A unit that is not used within its life is lost: silence saves nothing up.
-//   - A router that does not know the clock or the other routers has no units.
+//   - Routers that know slightly different sets of routers disagree on few permits.
+//   - A permit that is not used within its life is lost: silence saves nothing up.
+//   - A router that does not know the clock or the other routers has no permits.
 //
 // A rate holds until an answer without one comes from a request that was sent after the
 // last answer that named it: answers of different connections overtake each other. What
-// a router hears it tells the others (Reports, Learn), so that a router whose units are
+// a router hears it tells the others (Reports, Learn), so that a router whose permits are
 // rare learns of the end as well.
 //
 // The package does no input or output and reads no clock; callers pass the time in.
@@ -32,17 +32,17 @@
 )
 
 const (
-	// unitLife is how long a unit may be used, at rates of a unit in that time or
+	// permitLife is how long a permit may be used, at rates of a permit in that time or
 	// more: long enough for a request to come along. In four seconds at most five
-	// seconds' units are used.
-	unitLife = time.Second
+	// seconds' permits are used.
+	permitLife = time.Second
 	// leastRate is used for smaller rates, zero among them, in requests a second. It
 	// lets the routers hear whether the runner still names its limit.
 	leastRate = 0.25
-	// mostRate is used for larger rates, in requests a second: each unit costs a look.
+	// mostRate is used for larger rates, in requests a second: each permit costs a look.
 	mostRate = 512.0
-	// rateSteps is the number of rates between one and its double that units are counted
-	// in: routers that hear slightly different ones shall agree on the units.
+	// rateSteps is the number of rates between one and its double that permits are counted
+	// in: routers that hear slightly different ones shall agree on the permits.
 	rateSteps = 4
 	// clockSlack is what the clocks of two routers may differ by.
 	clockSlack = 100 * time.Millisecond
@@ -95,7 +95,7 @@
 		hash       uint64
 		own, other statement // newest by this router and by the others
 		rate       float64   // that next counts in
-		next       int64     // first unit that has not been looked at
+		next       int64     // first permit that has not been looked at
 		due        []time.Duration
 		asked      time.Duration // when the last one that its owner was asked for fell due
 	}
@@ -162,7 +162,7 @@
 }
 
 // Open tells whether this router may send a request to a runner now.
-func (l *Limits) Open(key Key, d Demand, now time.Time) bool {
+func (l *Limits) Open(key Key, d Class, now time.Time) bool {
 	if l.known.Load() == 0 {
 		return true
 	}
@@ -172,8 +172,8 @@
 	return r == nil || l.open(r, d, now)
 }
 
-// Take uses a unit up, if the runner is limited. It returns false if there is none.
-func (l *Limits) Take(key Key, d Demand, now time.Time) bool {
+// Take uses a permit up, if the runner is limited. It returns false if there is none.
+func (l *Limits) Take(key Key, d Class, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.runners[key]
@@ -189,7 +189,7 @@
 	return true
 }
 
-func (l *Limits) open(r *limit, d Demand, now time.Time) bool {
+func (l *Limits) open(r *limit, d Class, now time.Time) bool {
 	rate, limited := r.rateNow()
 	if !limited {
 		r.due = nil
@@ -207,7 +207,7 @@
 	return !fresh || !l.isAwaited(d, now)
 }
 
-// begin counts the units of a rate from now on. Those of a limit that had ended are lost.
+// begin counts the permits of a rate from now on. Those of a limit that had ended are lost.
 func (l *Limits) begin(r *limit, rate float64, first bool, now time.Time) {
 	r.rate = 0
 	if first {
@@ -218,8 +218,8 @@
 	}
 }
 
-// advance takes up the units that have fallen due, and drops those that are too old.
-// Units of another rate count from now on: those of the time before were used by it.
+// advance takes up the permits that have fallen due, and drops those that are too old.
+// Permits of another rate count from now on: those of the time before were used by it.
 func (l *Limits) advance(r *limit, rate float64, shared time.Duration) {
 	last := int64(shared.Seconds() * rate)
 	oldest := shared - life(rate)
@@ -231,7 +231,7 @@
 	}
 	for r.next = max(r.next, int64(oldest.Seconds()*rate)+1); r.next <= last; r.next++ {
 		if l.owner(r.hash, r.next).hash == l.self {
-			r.due = append(r.due, unitTime(r.next, rate))
+			r.due = append(r.due, permitTime(r.next, rate))
 		}
 	}
 	for len(r.due) > 0 && r.due[0] < oldest {
@@ -239,11 +239,11 @@
 	}
 }
 
-// owner returns the router that a unit belongs to.
-func (l *Limits) owner(runner uint64, unit int64) *member {
+// owner returns the router that a permit belongs to.
+func (l *Limits) owner(runner uint64, permit int64) *member {
 	var key [24]byte
 	binary.LittleEndian.PutUint64(key[8:], runner)
-	binary.LittleEndian.PutUint64(key[16:], uint64(unit))
+	binary.LittleEndian.PutUint64(key[16:], uint64(permit))
 	var owner *member
 	var highest uint64
 	for i := range l.routers {
@@ -255,14 +255,14 @@
 	return owner
 }
 
-// unitTime is when a unit falls due, by the shared clock.
-func unitTime(unit int64, rate float64) time.Duration {
-	return time.Duration(float64(unit) / rate * float64(time.Second))
+// permitTime is when a permit falls due, by the shared clock.
+func permitTime(permit int64, rate float64) time.Duration {
+	return time.Duration(float64(permit) / rate * float64(time.Second))
 }
 
-// life is how long a unit may be used.
+// life is how long a permit may be used.
 func life(rate float64) time.Duration {
-	return max(unitLife, time.Duration(float64(time.Second)/rate))
+	return max(permitLife, time.Duration(float64(time.Second)/rate))
 }
 
 func (l *Limits) runner(key Key, now time.Time) *limit {
@@ -303,7 +303,7 @@
 	return countedRate(said.Rate), true
 }
 
-// countedRate is the rate in which the units of a runner that names rate are counted: a
+// countedRate is the rate in which the permits of a runner that names rate are counted: a
 // step of the scale that is not above it, where the bounds allow.
 func countedRate(rate float64) float64 {
 	rate = min(max(rate, leastRate), mostRate)
--- a/internal/cicadalimit/limit_test.go
+++ b/internal/cicadalimit/limit_test.go
@@ -15,7 +15,7 @@
 var (
 	start  = time.Now()
 	runner = cicadalimit.Key{ID: "r1", Born: 7}
-	call   = cicadalimit.Demand{Service: "svc", Priority: 3}
+	call   = cicadalimit.Class{Service: "svc", Priority: 3}
 )
 
 type router struct {
@@ -172,7 +172,7 @@
 	}
 }
 
-func TestNoUnitsWithoutClockOrRouters(t *testing.T) {
+func TestNoPermitsWithoutClockOrRouters(t *testing.T) {
 	unsure := cicadalimit.New(&cicadalimit.Clock{})
 	unsure.SetRouters("a", []string{"a"})
 	alone := newRouter("a", 0)
@@ -182,7 +182,7 @@
 		}
 		l.Name(runner, 100, start)
 		if l.Open(runner, call, start.Add(time.Second)) {
-			t.Error("a limited runner is open to a router that cannot tell its units")
+			t.Error("a limited runner is open to a router that cannot tell its permits")
 		}
 	}
 }
@@ -282,9 +282,9 @@
 	check("after a step back", 3000, 5*time.Second)
 }
 
-// TestUnitsAfterTheClockWasSetBack checks that a router does not wait until the time
+// TestPermitsAfterTheClockWasSetBack checks that a router does not wait until the time
 // before the step comes round again.
-func TestUnitsAfterTheClockWasSetBack(t *testing.T) {
+func TestPermitsAfterTheClockWasSetBack(t *testing.T) {
 	r := newRouters(1, 0)[0]
 	r.Name(runner, 2, start)
 	play([]*router{r}, 0, 5*time.Second, nil)
@@ -299,9 +299,9 @@
 func TestUrgentCallersComeBackFirst(t *testing.T) {
 	routers := newRouters(2, 0)
 	r := routers[0]
-	urgent, other := cicadalimit.Demand{Service: "svc", Priority: 0}, cicadalimit.Demand{Service: "svc", Priority: 5}
+	urgent, other := cicadalimit.Class{Service: "svc", Priority: 0}, cicadalimit.Class{Service: "svc", Priority: 5}
 	var got []time.Duration
-	for _, d := range []cicadalimit.Demand{other, other, urgent, urgent, other} {
+	for _, d := range []cicadalimit.Class{other, other, urgent, urgent, other} {
 		got = append(got, r.Return(d, 4, start))
 	}
 	want := []time.Duration{500 * time.Millisecond, time.Second, 500 * time.Millisecond, time.Second, 2500 * time.Millisecond}
@@ -312,7 +312,7 @@
 	for at := time.Duration(0); at < 1900*time.Millisecond; at += 5 * time.Millisecond {
 		now := start.Add(at)
 		if r.Open(runner, other, now) && !r.Open(runner, urgent, now) {
-			t.Fatal("a unit is open to a less urgent caller only")
+			t.Fatal("a permit is open to a less urgent caller only")
 		}
 	}
 	taken := 0
@@ -322,7 +322,7 @@
 		}
 	}
 	if taken < 6 {
-		t.Errorf("less urgent callers got %d units in six seconds after the others went, want 6 or more", taken)
+		t.Errorf("less urgent callers got %d permits in six seconds after the others went, want 6 or more", taken)
 	}
 }
 
@@ -332,18 +332,18 @@
 	r.Name(runner, 2, start)
 	taken := 0
 	for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
-		r.Return(cicadalimit.Demand{Service: "svc"}, 2, start.Add(at))
+		r.Return(cicadalimit.Class{Service: "svc"}, 2, start.Add(at))
 		if r.Take(runner, call, start.Add(at)) {
 			taken++
 		}
 	}
 	if taken < 10 {
-		t.Errorf("%d units in ten seconds, want 10 or more", taken)
+		t.Errorf("%d permits in ten seconds, want 10 or more", taken)
 	}
 }
 
 // playAsking lets the routers that have requests send whenever they may, and ask for
-// units otherwise.
+// permits otherwise.
 func playAsking(routers []*router, busy int, span time.Duration) arrivals {
 	byName := map[string]*router{}
 	for _, r := range routers {
@@ -364,7 +364,7 @@
 	return out
 }
 
-func TestUnitsGoWhereTheTrafficIs(t *testing.T) {
+func TestPermitsGoWhereTheTrafficIs(t *testing.T) {
 	for _, tt := range []struct{ routers, busy int }{{9, 1}, {9, 9}, {58, 2}, {58, 58}, {410, 5}} {
 		for _, rate := range []float64{1, 5} {
 			routers := newRouters(tt.routers, 20*time.Millisecond)
@@ -381,7 +381,7 @@
 	}
 }
 
-func TestAUnitIsGivenUpOnce(t *testing.T) {
+func TestAPermitIsGivenUpOnce(t *testing.T) {
 	routers := newRouters(3, 0)
 	name(routers, 1, 0)
 	given := 0
@@ -392,30 +392,30 @@
 			continue
 		}
 		if _, _, again := routers[0].Foreign(runner, call, now); again {
-			t.Error("a unit is asked for twice")
+			t.Error("a permit is asked for twice")
 		}
 		for _, r := range routers {
 			for range 2 {
 				if r.Yield(&u, now) {
 					given++
 					if r.name != owner {
-						t.Errorf("%s gave up a unit of %s", r.name, owner)
+						t.Errorf("%s gave up a permit of %s", r.name, owner)
 					}
 				}
 			}
 		}
 		for _, r := range routers {
 			if r.name == owner && r.Take(runner, call, now) {
-				t.Error("a unit was given up and used")
+				t.Error("a permit was given up and used")
 			}
 		}
 	}
 	if diff := cmp.Diff(1, given); diff != "" {
-		t.Errorf("times that a unit was given up (-want +got):\n%s", diff)
+		t.Errorf("times that a permit was given up (-want +got):\n%s", diff)
 	}
 }
 
-// TestLimitThatComesAndGoes checks that a limit begins without units of the time before,
+// TestLimitThatComesAndGoes checks that a limit begins without permits of the time before,
 // in which the runner took any number of requests.
 func TestLimitThatComesAndGoes(t *testing.T) {
 	r := newRouters(1, 0)[0]
@@ -423,10 +423,10 @@
 		now := start.Add(at)
 		r.Name(runner, 4, now)
 		if r.Take(runner, call, now) {
-			t.Errorf("a unit was there %v after the start as the limit began", at)
+			t.Errorf("a permit was there %v after the start as the limit began", at)
 		}
 		if !r.Open(runner, call, now.Add(700*time.Millisecond)) {
-			t.Errorf("no unit %v after the start", at+700*time.Millisecond)
+			t.Errorf("no permit %v after the start", at+700*time.Millisecond)
 		}
 		r.End(runner, now.Add(710*time.Millisecond))
 	}
--- a/internal/cicadalimit/returns.go
+++ b/internal/cicadalimit/returns.go
@@ -13,8 +13,8 @@
 )
 
 type (
-	// Demand is what the sharing of units among requests depends on.
-	Demand struct {
+	// Class is what the sharing of permits among requests depends on.
+	Class struct {
 		Service  string
 		Priority int
 	}
@@ -30,7 +30,7 @@
 // Return tells after what time a refused caller should come back, if all that serve it
 // take a rate together: as soon as the callers of this router that go before it can have
 // been served, by its part of the rate.
-func (l *Limits) Return(d Demand, rate float64, now time.Time) time.Duration {
+func (l *Limits) Return(d Class, rate float64, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.returns[d.Service]
@@ -54,8 +54,8 @@
 }
 
 // isAwaited tells whether a more urgent caller of the service was refused lately, so that
-// fresh units are left to it.
-func (l *Limits) isAwaited(d Demand, now time.Time) bool {
+// fresh permits are left to it.
+func (l *Limits) isAwaited(d Class, now time.Time) bool {
 	s := l.returns[d.Service]
 	if s == nil {
 		return false
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -147,7 +147,7 @@
 // take gives a request its place at a runner.
 func (f *Fleet) take(r *Runner, req *Request, home bool, now time.Time) *Ticket {
 	if !req.Foreign {
-		f.cfg.Limits.Take(r.Key(), req.demand(), now)
+		f.cfg.Limits.Take(r.Key(), req.class(), now)
 	}
 	t := &Ticket{f: f, r: r, since: now, cost: f.cost(r, req, home, now), cached: r.cachedTokens(req, home, now)}
 	t.debt = max(req.Tokens-t.cached, 0)
@@ -171,7 +171,7 @@
 	if req.Foreign {
 		return !slices.Contains(req.Barred, r.entry.ID)
 	}
-	return f.cfg.Limits.Open(r.Key(), req.demand(), now)
+	return f.cfg.Limits.Open(r.Key(), req.class(), now)
 }
 
 // rate is what a limited runner takes in a second.
@@ -180,8 +180,8 @@
 	return rate
 }
 
-func (r *Request) demand() cicadalimit.Demand {
-	return cicadalimit.Demand{Service: r.Service, Priority: r.Priority}
+func (r *Request) class() cicadalimit.Class {
+	return cicadalimit.Class{Service: r.Service, Priority: r.Priority}
 }
 
 // Closed returns the runners that a request could go to but for their limits.
@@ -204,7 +204,7 @@
 	defer f.mu.Unlock()
 	var out []string
 	for _, r := range f.services[req.Service] {
-		if !f.cfg.Limits.Open(r.Key(), req.demand(), now) {
+		if !f.cfg.Limits.Open(r.Key(), req.class(), now) {
 			out = append(out, r.entry.ID)
 		}
 	}
--- a/internal/cicadaplace/limit_test.go
+++ b/internal/cicadaplace/limit_test.go
@@ -10,7 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// limitedFleet has three runners and a router that owns all units.
+// limitedFleet has three runners and a router that owns all permits.
 func limitedFleet(at time.Time) (*cicadaplace.Fleet, *cicadalimit.Limits) {
 	clock := &cicadalimit.Clock{}
 	clock.Observe(at, at, time.Hour)
