A router's row tells only limits that others had not told

Each row is read by all routers, so a limit that all had heard stood in each row: at 410 routers and 30 limited runners rows of 3 KB, 410 of them. A router that learnt of a limit first from another one's row, or whose statement is older, leaves it out (TestOnlyNewsIsReported failed before).

--- a/internal/cicadalimit/limit.go
+++ b/internal/cicadalimit/limit.go
@@ -94,6 +94,7 @@
 	limit struct {
 		hash       uint64
 		own, other statement // newest by this router and by the others
+		news       bool      // own changed what was known
 		rate       float64   // that next counts in
 		next       int64     // first permit that has not been looked at
 		due        []time.Duration
@@ -128,6 +129,7 @@
 	if limited && before == after {
 		return false
 	}
+	r.news = true
 	l.begin(r, after, !limited, now)
 	return true
 }
@@ -144,7 +146,7 @@
 	if said := r.newest(); said.Ended || !sent.After(said.At) {
 		return false
 	}
-	r.own = statement{Ended: true, At: sent}
+	r.own, r.news = statement{Ended: true, At: sent}, true
 	return true
 }
 
--- a/internal/cicadalimit/limit_test.go
+++ b/internal/cicadalimit/limit_test.go
@@ -431,3 +431,20 @@
 		r.End(runner, now.Add(710*time.Millisecond))
 	}
 }
+
+// TestOnlyNewsIsReported checks that a router whose row need not tell a limit does not:
+// each row is read by all routers.
+func TestOnlyNewsIsReported(t *testing.T) {
+	routers := newRouters(3, 0)
+	first, second := routers[0], routers[1]
+	first.Name(runner, 2, start)
+	second.Learn(first.Reports(start.Add(time.Second)), start.Add(time.Second))
+	second.Name(runner, 2, start.Add(2*time.Second))
+	if got := second.Reports(start.Add(3 * time.Second)); len(got) > 0 {
+		t.Errorf("a limit that was known is told again: %+v", got)
+	}
+	second.Name(runner, 4, start.Add(4*time.Second))
+	if got := second.Reports(start.Add(5 * time.Second)); len(got) != 1 || got[0].Rate != 4 {
+		t.Errorf("a changed limit is told as %+v, want one report of 4 a second", got)
+	}
+}
--- a/internal/cicadalimit/report.go
+++ b/internal/cicadalimit/report.go
@@ -19,8 +19,8 @@
 	AtMillis int64 `json:"atMillis"`
 }
 
-// Reports returns what this router heard of the runners itself, the newest first, as
-// far as other routers can use it. It returns nothing while the shared clock is unknown.
+// Reports returns what this router heard of the runners before others told it, the newest
+// first. It returns nothing while the shared clock is unknown.
 func (l *Limits) Reports(now time.Time) []Report {
 	shared, ok := l.clock.Shared(now)
 	if !ok {
@@ -31,7 +31,7 @@
 	l.sweep(now)
 	var out []Report
 	for key, r := range l.runners {
-		if r.own.At.IsZero() || r.own.Ended && now.Sub(r.own.At) > endKept {
+		if !r.news || r.newest() != r.own || r.own.Ended && now.Sub(r.own.At) > endKept {
 			continue
 		}
 		at := shared - now.Sub(r.own.At)
@@ -69,6 +69,8 @@
 		before, was := r.rateNow()
 		if at := now.Add(-max(age, 0)); at.After(r.other.At) {
 			r.other = statement{Rate: s.Rate, Ended: s.Ended, At: at}
+			// From here on the other router's row tells it.
+			r.news = r.news && !r.other.At.After(r.own.At)
 		}
 		rate, is := r.rateNow()
 		if is && (!was || rate != before) {
