What held answers may take follows the memory of the process

The bound was 24 MiB on every host: a fifth of the smallest one at hand, more than a smaller one has. It is a fifth of the memory that the settings give now. TestLargeAnswersShareTheProcessMemory: of 20 MiB an answer of 8 is refused, and its room is free again.

--- a/internal/cicadacmd/node.go
+++ b/internal/cicadacmd/node.go
@@ -105,7 +105,7 @@
 			DecodeDeployment: cicadaplatform.DecodeDeployment, DecodeRunner: cicadaplatform.DecodeRunner,
 		},
 		Dialect: cicadaplatform.Dialect{}, StopTimeout: s.StopTimeout(),
-		HoldRemoved: holdRemoved, Heartbeat: s.Heartbeat(), MaxFiles: s.MaxFiles(),
+		HoldRemoved: holdRemoved, Heartbeat: s.Heartbeat(), MaxFiles: s.MaxFiles(), MemoryBytes: s.MemoryBytes(),
 		Log: logger, Metrics: metrics,
 	}
 	for _, l := range []struct {
--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -123,7 +123,10 @@
 		// Heartbeat is the time between two writings of a runner's entry.
 		Heartbeat time.Duration
 		MaxFiles  int
-		Log       log.Interface
-		Metrics   *Metrics
+		// MemoryBytes is the memory beyond which the process is killed; zero if it is not
+		// bounded.
+		MemoryBytes int64
+		Log         log.Interface
+		Metrics     *Metrics
 	}
 )
--- a/internal/cicadaedge/endless_test.go
+++ b/internal/cicadaedge/endless_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
 )
 
 const (
@@ -131,3 +133,29 @@
 	}()
 	return peak, stopped
 }
+
+// TestLargeAnswersShareTheProcessMemory lets a runner answer with more than its router's
+// memory has room for, and with little.
+func TestLargeAnswersShareTheProcessMemory(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	var size atomic.Int64
+	f.addRunner(func(w http.ResponseWriter, _ *http.Request) {
+		for sent := int64(0); sent < size.Load(); sent += 1 << 10 {
+			if _, err := w.Write(make([]byte, 1<<10)); err != nil {
+				return
+			}
+		}
+	})
+	n := f.ready(f.node("n1", func(cfg *cicadaedge.Config) { cfg.MemoryBytes = 20 << 20 }))
+	for _, tt := range []struct {
+		bytes  int64
+		status int
+	}{{8 << 20, http.StatusBadGateway}, {1 << 10, http.StatusOK}, {3 << 20, http.StatusOK}, {8 << 20, http.StatusBadGateway}, {3 << 20, http.StatusOK}} {
+		size.Store(tt.bytes)
+		got := call(t, n, "/once/x", nil, "x")
+		if got.status != tt.status || tt.status == http.StatusOK && int64(len(got.body)) != tt.bytes {
+			t.Errorf("an answer of %d bytes: status %d with %d bytes, want %d", tt.bytes, got.status, len(got.body), tt.status)
+		}
+	}
+}
--- a/internal/cicadaedge/held.go
+++ b/internal/cicadaedge/held.go
@@ -11,22 +11,26 @@
 const (
 	// maxAnswerBytes bounds an answer that is held until it is whole.
 	maxAnswerBytes = 16 << 20
-	// maxHeldBytes bounds what all such answers hold together, beyond smallAnswer bytes
-	// of each: answers without end shall not take the room of those of the usual size.
-	maxHeldBytes = 24 << 20
-	smallAnswer  = 64 << 10
+	// heldShare is the part of the process's memory that all such answers may hold
+	// together, beyond smallAnswer bytes of each: answers without end shall not take the
+	// room of those of the usual size. Without a bound on memory it is defaultHeldBytes.
+	heldShare        = 0.2
+	defaultHeldBytes = 64 << 20
+	smallAnswer      = 64 << 10
 	// heldPiece is read at a time.
 	heldPiece = 32 << 10
 )
 
 var (
 	errLargeAnswer = errors.Errorf("the answer is larger than %d bytes", maxAnswerBytes)
-	errNoRoom      = errors.Errorf("the answers that are being read hold more than %d bytes together", maxHeldBytes)
+	errNoRoom      = errors.New("the answers that are being read hold as much as this process's memory allows")
 )
 
 type (
 	// heldAnswers counts the bytes of the answers that are held until they are whole.
 	heldAnswers struct {
+		most int // bytes
+
 		mu    sync.Mutex // guards bytes
 		bytes int
 	}
@@ -39,6 +43,15 @@
 	}
 )
 
+// newHeldAnswers takes the memory beyond which the process is killed, in bytes; zero if it
+// is not bounded.
+func newHeldAnswers(memory int64) *heldAnswers {
+	if memory <= 0 {
+		return &heldAnswers{most: defaultHeldBytes}
+	}
+	return &heldAnswers{most: int(heldShare * float64(memory))}
+}
+
 // readAll reads an answer's body. What it returns, with an error too, counts until it is
 // released.
 func (h *heldAnswers) readAll(resp *http.Response) (heldBody, error) {
@@ -87,7 +100,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.bytes += n
-	return n <= 0 || h.bytes <= maxHeldBytes
+	return n <= 0 || h.bytes <= h.most
 }
 
 func (h *heldAnswers) release(body *heldBody) { h.add(-counted(body.length)) }
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -44,7 +44,7 @@
 	clock     *cicadalimit.Clock
 	limits    *cicadalimit.Limits
 	upstreams *upstreams
-	held      heldAnswers
+	held      *heldAnswers
 	bank      *bank
 	eras      *eras
 	peers     *peers
@@ -86,6 +86,7 @@
 		accounts:  cicadabudget.NewAccounts(),
 		retries:   cicadaretry.NewBudget(cfg.Bounds.Retries),
 		upstreams: newUpstreams(cfg.Metrics),
+		held:      newHeldAnswers(cfg.MemoryBytes),
 
 		announced: newSignal(),
 	}
