--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -244,7 +244,7 @@
 	if !failed.sent {
 		res := cicadaplace.Unreached
 		if errors.Is(err, errLimited) || errors.Is(err, errLeaving) {
-			res = cicadaplace.CallerLeft
+			res = cicadaplace.Withdrawn
 		}
 		x.ended(ticket, res, err)
 		if x.begun {
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -104,6 +104,7 @@
 	Unreached                 // no connection was made
 	CallerLeft                // says nothing of the runner
 	Misdirected               // another runner has the address, or this one is leaving
+	Withdrawn                 // taken back before it was sent: says nothing of the runner
 )
 
 // Error tells of the limit.
@@ -355,7 +356,7 @@
 		r.failures, r.ejections = 0, 0
 		r.ejectedUntil = time.Time{}
 		return 0
-	case CallerLeft:
+	case CallerLeft, Withdrawn:
 		return 0
 	case Misdirected:
 		r.leaving = true
