Questions for permits are bounded, and one at most for a request

Where all runners of a service are limited, a router asked for each permit that fell due: 100 limited runners at one a second are 25 KB/s a router, 13 are planned for all control. Now a question each 25 ms at most, some 10 KB/s, and only then. TestRouterWithAllTheTrafficUsesTheWholeLimit holds. A permit that was got and not used is logged.

--- a/internal/cicadaedge/desk.go
+++ b/internal/cicadaedge/desk.go
@@ -48,6 +48,9 @@
 	desks struct {
 		rt *Router
 		*links
+
+		permitMu   sync.Mutex // guards nextPermit
+		nextPermit time.Time  // from when on a router may be asked for a permit
 	}
 
 	placeRequest struct {
@@ -153,7 +156,7 @@
 	t, err := ds.rt.fleet.Choose(req, time.Now())
 	var limited *cicadaplace.LimitedError
 	if errors.As(err, &limited) {
-		if p := ds.askPermits(ctx, req); p != nil {
+		if p := ds.withPermit(ctx, req); p != nil {
 			return p, nil
 		}
 	}
--- a/internal/cicadaedge/permit.go
+++ b/internal/cicadaedge/permit.go
@@ -10,50 +10,64 @@
 )
 
 const (
-	// permitTries bounds the routers that one request asks for a permit, one after another.
-	permitTries  = 2
+	// permitGap is the least time between two questions of a router: some 250 bytes each.
+	permitGap    = 25 * time.Millisecond
 	methodPermit = "permit"
 )
 
 // handlePermit gives a permit of a runner's limit up to another router.
-func (rt *Router) handlePermit(_ context.Context, u cicadalimit.Permit) bool {
-	given := rt.limits.Yield(&u, time.Now())
+func (rt *Router) handlePermit(_ context.Context, p cicadalimit.Permit) bool {
+	given := rt.limits.Yield(&p, time.Now())
 	if given {
-		rt.cfg.Log.WithField("runner", u.Runner).WithField("rate", u.Rate).Info("permit for a limited runner given up")
+		rt.cfg.Log.WithField("runner", p.Runner).WithField("rate", p.Rate).Info("permit for a limited runner given up")
 	}
 	return given
 }
 
-// askPermits asks the owners of the permits that fell due last for one, where only runners
+// withPermit asks the owner of the permit that fell due last for it, where only runners
 // are left that are closed to this router. It returns nil if it gets none.
-func (ds *desks) askPermits(ctx context.Context, req *cicadaplace.Request) *placement {
-	d := cicadalimit.Class{Service: req.Service, Priority: req.Priority}
-	tries := 0
-	for _, key := range ds.rt.fleet.Closed(req, time.Now()) {
-		if tries == permitTries {
-			return nil
-		}
-		u, owner, ok := ds.rt.limits.Foreign(key, d, time.Now())
-		if !ok || ds.isDown(owner) {
-			continue
-		}
-		tries++
-		given, err := ds.askPermit(ctx, owner, &u)
-		switch {
-		case err != nil:
-			ds.rt.cfg.Metrics.Errors.Add("permit", 1)
-			ds.drop(owner, err)
-		case given:
-			ds.rt.limits.Receive(&u, time.Now())
-			if t, err := ds.rt.fleet.ChooseAt(key.ID, req, time.Now()); err == nil {
-				return &placement{Ticket: t}
-			}
+func (ds *desks) withPermit(ctx context.Context, req *cicadaplace.Request) *placement {
+	p, owner, ok := ds.foreignPermit(req, time.Now())
+	if !ok {
+		return nil
+	}
+	given, err := ds.askPermit(ctx, owner, &p)
+	if err != nil {
+		ds.rt.cfg.Metrics.Errors.Add("permit", 1)
+		ds.drop(owner, err)
+		return nil
+	}
+	if !given {
+		return nil
+	}
+	ds.rt.limits.Receive(&p, time.Now())
+	t, err := ds.rt.fleet.ChooseAt(p.Runner, req, time.Now())
+	if err != nil {
+		ds.rt.cfg.Log.WithField("runner", p.Runner).WithError(err).Info("permit of another router not used")
+		return nil
+	}
+	return &placement{Ticket: t}
+}
+
+// foreignPermit returns a permit to ask for and its owner, if a question is due.
+func (ds *desks) foreignPermit(req *cicadaplace.Request, now time.Time) (cicadalimit.Permit, string, bool) {
+	ds.permitMu.Lock()
+	defer ds.permitMu.Unlock()
+	if now.Before(ds.nextPermit) {
+		return cicadalimit.Permit{}, "", false
+	}
+	class := cicadalimit.Class{Service: req.Service, Priority: req.Priority}
+	for _, key := range ds.rt.fleet.Closed(req, now) {
+		p, owner, ok := ds.rt.limits.Foreign(key, class, now)
+		if ok && !ds.isDown(owner) {
+			ds.nextPermit = now.Add(permitGap)
+			return p, owner, true
 		}
 	}
-	return nil
+	return cicadalimit.Permit{}, "", false
 }
 
-func (ds *desks) askPermit(ctx context.Context, owner string, u *cicadalimit.Permit) (bool, error) {
+func (ds *desks) askPermit(ctx context.Context, owner string, p *cicadalimit.Permit) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, deskTimeout)
 	defer cancel()
 	client, err := ds.client(ctx, owner)
@@ -61,6 +75,6 @@
 		return false, err
 	}
 	var given bool
-	err = client.CallResult(ctx, methodPermit, u, &given)
+	err = client.CallResult(ctx, methodPermit, p, &given)
 	return given, errors.Wrap(err, "ask for a permit")
 }
