The choice of a runner looks at limits only where one is known

A question to a desk names 32 barred runners at most; with hundreds limited it was several kilobytes.

--- a/internal/cicadalimit/limit.go
+++ b/internal/cicadalimit/limit.go
@@ -73,9 +73,9 @@
 	// concurrent use.
 	Limits struct {
 		clock *Clock
-		// known is the number of runners that anything is known of. It spares the
-		// lock where no runner names a limit.
-		known atomic.Int64
+		// generation rises whenever the set of runners changes that anything is known
+		// of, and is zero before the first.
+		generation atomic.Uint64
 
 		mu      sync.Mutex // guards the fields below
 		self    uint64
@@ -150,11 +150,20 @@
 	return true
 }
 
+// Generation rises whenever Knows may return something else, and is zero before any runner
+// is known.
+func (l *Limits) Generation() uint64 { return l.generation.Load() }
+
+// Knows tells whether anything is known of a runner's limit. Where nothing is, the runner
+// is open.
+func (l *Limits) Knows(key Key) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runners[key] != nil
+}
+
 // Rate returns a runner's limit, or false if it names none.
 func (l *Limits) Rate(key Key) (float64, bool) {
-	if l.known.Load() == 0 {
-		return 0, false
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r := l.runners[key]; r != nil {
@@ -165,9 +174,6 @@
 
 // Open tells whether this router may send a request to a runner now.
 func (l *Limits) Open(key Key, d Class, now time.Time) bool {
-	if l.known.Load() == 0 {
-		return true
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.runners[key]
@@ -273,7 +279,7 @@
 		l.sweep(now)
 		r = &limit{hash: xxhash.Sum64String(key.ID)}
 		l.runners[key] = r
-		l.known.Store(int64(len(l.runners)))
+		l.generation.Add(1)
 	}
 	return r
 }
@@ -283,9 +289,9 @@
 	for key, r := range l.runners {
 		if now.Sub(r.newest().At) > forgetAfter {
 			delete(l.runners, key)
+			l.generation.Add(1)
 		}
 	}
-	l.known.Store(int64(len(l.runners)))
 }
 
 // newest returns the statement that counts. Of two of the same time the one that limits
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -172,7 +172,25 @@
 	if req.Foreign {
 		return !slices.Contains(req.Barred, r.entry.ID)
 	}
-	return f.cfg.Limits.Open(r.Key(), req.class(), now)
+	return !f.mayBeLimited(r) || f.cfg.Limits.Open(r.Key(), req.class(), now)
+}
+
+// mayBeLimited tells whether anything is known of a limit of r. It spares the look at the
+// limits for the many runners that have none.
+func (f *Fleet) mayBeLimited(r *Runner) bool {
+	if g := f.cfg.Limits.Generation(); g != r.limitGeneration {
+		r.mayBeLimited, r.limitGeneration = f.cfg.Limits.Knows(r.Key()), g
+	}
+	return r.mayBeLimited
+}
+
+// isLimited tells whether r announces a limit.
+func (f *Fleet) isLimited(r *Runner) bool {
+	if !f.mayBeLimited(r) {
+		return false
+	}
+	_, limited := f.cfg.Limits.Rate(r.Key())
+	return limited
 }
 
 // rate is what a limited runner takes in a second.
@@ -198,14 +216,21 @@
 	return out
 }
 
-// Barred returns the ids of the service's runners that this router may not send a
-// request to now.
+// mostBarred bounds the runners named in a question to another router: some 15 bytes
+// each. If it chooses one that was left out, the asker chooses by itself.
+const mostBarred = 32
+
+// Barred returns the ids of runners of the service that this router may not send a
+// request to now, so many at most as a question to another router names.
 func (f *Fleet) Barred(req *Request, now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
 	for _, r := range f.services[req.Service] {
-		if !f.cfg.Limits.Open(r.Key(), req.class(), now) {
+		if len(out) == mostBarred {
+			break
+		}
+		if f.mayBeLimited(r) && !f.cfg.Limits.Open(r.Key(), req.class(), now) {
 			out = append(out, r.entry.ID)
 		}
 	}
@@ -227,7 +252,7 @@
 	var home *Runner
 	var highest uint64
 	for _, r := range f.services[req.Service] {
-		if _, limited := f.cfg.Limits.Rate(r.Key()); limited || f.leftOut(r, req, true, now) {
+		if f.isLimited(r) || f.leftOut(r, req, true, now) {
 			continue
 		}
 		if w := mix(r.hash ^ key); home == nil || w > highest {
--- a/internal/cicadaplace/fleet.go
+++ b/internal/cicadaplace/fleet.go
@@ -104,6 +104,10 @@
 		ejections    int // since the last success
 
 		cached partSet
+
+		// mayBeLimited holds for a generation of the limits.
+		mayBeLimited    bool
+		limitGeneration uint64
 	}
 
 	// Load is a runner's report on an answer.
--- a/internal/cicadaplace/limit_test.go
+++ b/internal/cicadaplace/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -75,3 +76,42 @@
 		t.Errorf("a runner that another router chose was used beyond its limit: %v", err)
 	}
 }
+
+// TestQuestionsNameFewBarredRunners checks that a question to another router stays small
+// where many runners are limited.
+func TestQuestionsNameFewBarredRunners(t *testing.T) {
+	now := time.Now()
+	f, limits := limitedFleet(now)
+	for i := range 500 {
+		e := cicadaplace.Entry{ID: fmt.Sprintf("more%03d", i), Service: "s", Addr: "a:1", Place: "p", Slots: 8}
+		f.Apply(e, now)
+		limits.Name(cicadalimit.Key{ID: e.ID}, 1, now)
+	}
+	if got := len(f.Barred(prompt("shared", 800, 100), now)); got == 0 || got > 32 {
+		t.Errorf("%d barred runners are named, want 32 at most", got)
+	}
+}
+
+// BenchmarkChooseBesideALimit places a prompt at the planned number of runners.
+func BenchmarkChooseBesideALimit(b *testing.B) {
+	for _, limited := range []int{0, 1, 100} {
+		b.Run(fmt.Sprint(limited, " limited"), func(b *testing.B) {
+			now := time.Now()
+			f, limits := limitedFleet(now)
+			for i := range 6900 {
+				e := cicadaplace.Entry{ID: fmt.Sprint("more", i), Service: "s", Addr: "a:1", Place: "p", Slots: 8}
+				f.Apply(e, now)
+				if i < limited {
+					limits.Name(cicadalimit.Key{ID: e.ID}, 1, now)
+				}
+			}
+			for b.Loop() {
+				ticket, err := f.Choose(prompt("shared", 800, 100), now)
+				if err != nil {
+					b.Fatal(err)
+				}
+				ticket.End(cicadaplace.Answered, now)
+			}
+		})
+	}
+}
