The time of the store's largest answer follows the host's link

Ten seconds were several times the largest answer on the narrowest link of the deployments at hand; on one of 1 Mbit/s it takes 17. The bound is ten seconds or that answer on a tenth of the link that the settings tell, whichever is longer.

--- a/internal/cicadacmd/node.go
+++ b/internal/cicadacmd/node.go
@@ -97,7 +97,7 @@
 		Name: s.Name(), Place: s.Place(), Host: s.Name() + "@" + s.Host(), Boot: strconv.FormatInt(time.Now().UnixNano(), 36), Began: time.Now(),
 		FirstStart: s.FirstStart(), ReadyPath: cicadaplatform.ReadyPath, Bounds: boundsOf(s),
 		Store: cicadaplatform.NewStore(cicadaplatform.StoreConfig{
-			Addr: s.StoreAddr(), Timeout: storeTimeout, OnCall: metrics.StoreCalled,
+			Addr: s.StoreAddr(), Timeout: storeTimeout, LinkMbps: s.LinkMbps(), OnCall: metrics.StoreCalled,
 		}),
 		Sources: cicadaedge.Sources{
 			DeploymentTable: cicadaplatform.TableOperator, DeploymentKey: cicadaplatform.KeyConfig,
