--- a/internal/cicadalimit/limit_test.go
+++ b/internal/cicadalimit/limit_test.go
@@ -258,6 +258,10 @@
 	if _, ok := r.Rate(runner); ok {
 		t.Error("a limit from the future cannot be ended")
 	}
+	r.Learn([]cicadalimit.Report{{Runner: runner.ID, Born: runner.Born, Rate: -1, AtMillis: future}}, start.Add(4*time.Second))
+	if _, ok := r.Rate(runner); ok {
+		t.Error("a rate below zero is a limit")
+	}
 }
 
 func TestClockAfterAJump(t *testing.T) {
--- a/internal/cicadasoak/judge_test.go
+++ b/internal/cicadasoak/judge_test.go
@@ -32,6 +32,14 @@
 		counts   map[string]int
 		faults   []string
 		troubles map[string][]span // of routers
+		ends     map[string][]span // of routers that were killed or frozen, planned stops apart
+		silent   map[string]waited // requests that got no answer
+	}
+
+	// waited is a caller's wait at a router.
+	waited struct {
+		router string
+		span
 	}
 
 	span struct{ from, to time.Time }
@@ -40,7 +48,7 @@
 func newJudge() *judge {
 	return &judge{
 		runs: map[string]int{}, notRun: map[string]string{}, kinds: map[string]kind{}, counts: map[string]int{},
-		troubles: map[string][]span{},
+		troubles: map[string][]span{}, ends: map[string][]span{}, silent: map[string]waited{},
 	}
 }
 
@@ -88,10 +96,31 @@
 }
 
 // trouble notes that a router was ended, frozen or started anew.
-func (j *judge) trouble(router string, from time.Time) {
+func (j *judge) trouble(router string, from time.Time, planned bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.troubles[router] = append(j.troubles[router], span{from, time.Now()})
+	s := span{from, time.Now()}
+	j.troubles[router] = append(j.troubles[router], s)
+	if !planned {
+		j.ends[router] = append(j.ends[router], s)
+	}
+}
+
+// wasEnded tells whether a router was killed or frozen during a wait.
+func (j *judge) wasEnded(w waited) bool {
+	for _, s := range j.ends[w.router] {
+		if !w.to.Before(s.from) && !s.to.Before(w.from) {
+			return true
+		}
+	}
+	return false
+}
+
+// unanswered notes a request whose connection ended without an answer.
+func (j *judge) unanswered(id, router string, from time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.silent[id] = waited{router, span{from, time.Now()}}
 }
 
 // excused tells whether a router's trouble was less than a contact time ago.
@@ -149,6 +178,11 @@
 			t.Errorf("REFUSED: %s was answered %s and ran", id, status)
 		}
 	}
+	for id, w := range j.silent {
+		if j.runs[id] > 0 && !j.wasEnded(w) {
+			t.Errorf("LOST: %s ran and got no answer from %s, which was neither killed nor frozen", id, w.router)
+		}
+	}
 	if j.whole > prepaid {
 		t.Errorf("BUDGET: whole answers used %d of %d", j.whole, prepaid)
 	}
--- a/internal/cicadasoak/runner_test.go
+++ b/internal/cicadasoak/runner_test.go
@@ -27,13 +27,14 @@
 
 // The manners.
 const (
-	answers manner = iota
-	refuses        // says that it did not run the request
-	fails          // ran it, and answers 500
-	breaks         // runs it and breaks off its answer
-	repeats        // sends its last answer once more before the next one
-	floods         // answers without an end
-	manners        // their number
+	answers  manner = iota
+	refuses         // says that it did not run the request
+	fails           // ran it, and answers 500
+	breaks          // runs it and breaks off its answer
+	vanishes        // runs it and closes without an answer
+	repeats         // sends its last answer once more before the next one
+	floods          // answers without an end
+	manners         // their number
 )
 
 type (
@@ -152,6 +153,8 @@
 	case fails:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
+	case vanishes:
+		panic(http.ErrAbortHandler)
 	case floods:
 		for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
 			if _, err := fmt.Fprintf(w, "%0*d", 8<<10, 0); err != nil {
--- a/internal/cicadasoak/soak_test.go
+++ b/internal/cicadasoak/soak_test.go
@@ -26,7 +26,7 @@
 	host     = "svc.example"
 	key      = "k"
 	tokensIn = 20
-	prepaid  = 60_000
+	prepaid  = 15_000
 	// rest is the quiet at the end after which requests must be served.
 	rest = 6 * time.Second
 	// startTime is how long a process may take until it stops as planned on a signal.
@@ -55,7 +55,9 @@
 		routers []*router
 		ids     atomic.Int64
 		seed    uint64
-		faults  sync.WaitGroup
+		// mannered counts the faults, a half of which are bad manners of runners.
+		mannered int
+		faults   sync.WaitGroup
 	}
 
 	// router is a router process and its successors.
@@ -145,7 +147,7 @@
 		s.judge.broken("ENDED: %s ended by itself: %v", r.name, r.err)
 	}
 	s.start(r)
-	s.judge.trouble(r.name, r.since)
+	s.judge.trouble(r.name, r.since, false)
 	s.judge.count("revived", 1)
 }
 
@@ -184,9 +186,13 @@
 	if k == stream {
 		req.Header.Set("Token-Count", strconv.Itoa(tokensIn)+","+strconv.Itoa(streamEvents))
 	}
+	began := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
 		s.judge.answered(id, k, 0, "", err)
+		if ctx.Err() == nil { // the caller still waits
+			s.judge.unanswered(id, r.name, began)
+		}
 		return 0
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -213,9 +219,12 @@
 // fault begins one fault, which may overlap with others.
 func (s *soak) fault() {
 	r, u := s.routers[s.rnd.IntN(len(s.routers))], s.runners[s.rnd.IntN(len(s.runners))]
+	other := s.runners[1+s.rnd.IntN(len(s.runners)-1)]
 	d, gap := s.millis(200, 4000), s.millis(0, 1000)
 	limit := float64(s.rnd.IntN(30)) / 10
-	m, tr := manner(s.rnd.IntN(int(manners))), trouble(s.rnd.IntN(int(slow)+1))
+	// Each bad manner has its turn in each seed.
+	s.mannered++
+	m, tr := manner(1+s.mannered/2%(int(manners)-1)), trouble(s.rnd.IntN(int(slow)+1))
 	do := []func(){
 		func() { s.restart(r, syscall.SIGKILL, gap) },
 		func() { s.restart(r, syscall.SIGTERM, gap) },
@@ -226,14 +235,16 @@
 			time.Sleep(d)
 			s.store.set(sound)
 		},
-		func() {
+		func() { other.name(&limit) },
+		func() { other.name(nil) },
+	}[s.rnd.IntN(7)]
+	if s.mannered%2 == 0 {
+		do = func() {
 			u.behave(m)
 			time.Sleep(d)
 			u.behave(answers)
-		},
-		func() { u.name(&limit) },
-		func() { u.name(nil) },
-	}[s.rnd.IntN(8)]
+		}
+	}
 	s.faults.Add(1)
 	go func() {
 		defer s.faults.Done()
@@ -253,12 +264,13 @@
 	from := time.Now()
 	_ = r.cmd.Process.Signal(sig) // the process may have ended
 	<-r.ended
-	if err := r.err; sig == syscall.SIGTERM && err != nil && from.Sub(r.since) > startTime {
+	err := r.err
+	if sig == syscall.SIGTERM && err != nil && from.Sub(r.since) > startTime {
 		s.judge.broken("STOP: %s ended with %v", r.name, err)
 	}
 	time.Sleep(gap)
 	s.start(r)
-	s.judge.trouble(r.name, from)
+	s.judge.trouble(r.name, from, sig == syscall.SIGTERM && err == nil)
 	s.judge.count("restarts", 1)
 }
 
@@ -272,7 +284,7 @@
 	if from.Sub(r.since) < startTime {
 		r.since = time.Now() // it goes on starting
 	}
-	s.judge.trouble(r.name, from)
+	s.judge.trouble(r.name, from, false)
 	s.judge.count("freezes", 1)
 }
 
@@ -305,6 +317,9 @@
 			}
 		}()
 	}
+	// The first runner has one limit all the time, the others come and go.
+	lasting := 1.0
+	s.runners[0].name(&lasting)
 	for end := time.Now().Add(*spanFlag); time.Now().Before(end); time.Sleep(s.millis(100, 900)) {
 		s.fault()
 	}
