Evacuated data centres, warming and paused runners get no more than they may

Change: the balancer keeps one reason for which a runner gets nothing (draining, evacuated, paused) and applies it to placing, placement for other routers and requests that wait for a connection. A warming runner is limited by the permits that advertised rates use, so that all routers together keep the bound without a message, cut off or not. Evacuations come with the operator's rows and, in an outage, from other routers.

--- a/internal/cicadacmd/node.go
+++ b/internal/cicadacmd/node.go
@@ -92,19 +92,21 @@
 func runtimeSettings(s *cicadaplatform.Settings) cicadaedge.RuntimeSettings {
 	return cicadaedge.RuntimeSettings{
 		RetryBudget: s.RetryBudget(), ConfigDeadline: s.ConfigDeadline(), ConfigDeadlineExtension: s.ConfigDeadlineExtension(), Seeds: s.Seeds(),
+		WarmupExcess: s.WarmupExcess(), WarmupSlack: s.WarmupSlack(),
 	}
 }
 
 func edgeConfig(ctx context.Context, s *cicadaplatform.Settings, logger log.Interface) (cicadaedge.Config, error) {
 	metrics := cicadaedge.NewMetrics()
 	cfg := cicadaedge.Config{
-		Name: s.Name(), DataCentre: s.DataCentre(), Host: s.Name() + "@" + s.Host(), BootID: strconv.FormatInt(time.Now().UnixNano(), 36), StartedAt: time.Now(),
+		Name: s.Name(), DataCentre: s.DataCentre(), Regions: s.Regions(), Host: s.Name() + "@" + s.Host(), BootID: strconv.FormatInt(time.Now().UnixNano(), 36), StartedAt: time.Now(),
 		FirstStart: s.FirstStart(), ReadyPath: cicadaplatform.ReadyPath, Runtime: runtimeSettings(s),
 		Store: cicadaplatform.NewStore(cicadaplatform.StoreConfig{
 			Addr: s.StoreAddr(), Timeout: storeTimeout, LinkMbps: s.LinkMbps(), OnCall: metrics.RecordStoreCall,
 		}),
 		Sources: cicadaedge.Sources{
 			DeploymentTable: cicadaplatform.TableOperator, DeploymentKey: cicadaplatform.KeyConfig,
+			EvacuationPrefix: cicadaplatform.EvacuationPrefix, DecodeEvacuation: cicadaplatform.DecodeEvacuation,
 			RunnerTable:      cicadaplatform.TableRunners,
 			DecodeDeployment: cicadaplatform.DecodeDeployment, DecodeRunner: cicadaplatform.DecodeRunner,
 		},
--- a/internal/cicadadeploy/snapshot.go
+++ b/internal/cicadadeploy/snapshot.go
@@ -60,6 +60,8 @@
 		Resumable bool `json:"resumable"`
 		// HasPromptParts states that requests list the parts of their prompt.
 		HasPromptParts bool `json:"prompts"`
+		// HomeRegions are the only regions whose runners may get requests; empty for all.
+		HomeRegions []string `json:"homeRegions,omitempty"`
 	}
 
 	// Target is a service and its weight among the targets of a route.
@@ -75,6 +77,10 @@
 		// MaxConns is the maximum number of connections that a runner accepts
 		// from all its clients.
 		MaxConns int `json:"maxConns"`
+		// WarmupRate is the number of requests per second that a runner tolerates within
+		// WarmupPeriod of its start; zero if it needs no warm-up.
+		WarmupRate   float64       `json:"warmupRate,omitempty"`
+		WarmupPeriod time.Duration `json:"warmupPeriod,omitempty"`
 		// Engine is nil unless the runners are model engines.
 		Engine *Engine `json:"engine,omitempty"`
 	}
@@ -91,6 +97,8 @@
 		Name     string   `json:"name"`
 		Keys     []string `json:"keys"`
 		Priority *int     `json:"priority,omitempty"` // overrides the priority of the route
+		// HomeRegions are the only regions whose runners may get requests; empty for all.
+		HomeRegions []string `json:"homeRegions,omitempty"`
 		// Prepaid is the total number of tokens that may be used; nil means no limit.
 		Prepaid *int64 `json:"prepaid,omitempty"`
 	}
--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -34,9 +34,13 @@
 	// Sources locates the deployment and the runners in the store, and decodes them.
 	Sources struct {
 		DeploymentTable, DeploymentKey string
-		RunnerTable                    string
-		DecodeDeployment               func(data []byte) (*cicadadeploy.Document, error)
-		DecodeRunner                   func(id string, data []byte) (cicadaplace.Entry, error)
+		// EvacuationPrefix is followed, in the keys of DeploymentTable, by the name of a data centre
+		// that is evacuated as long as the row exists. DecodeEvacuation checks its value.
+		EvacuationPrefix string
+		DecodeEvacuation func(data []byte) error
+		RunnerTable      string
+		DecodeDeployment func(data []byte) (*cicadadeploy.Document, error)
+		DecodeRunner     func(id string, data []byte) (cicadaplace.Entry, error)
 	}
 
 	// RequestInfo holds what the caller states in the headers of its request.
@@ -69,6 +73,12 @@
 		// routers together; empty for none. RateLimitErr is set if a value cannot be parsed.
 		RateLimits   []float64
 		RateLimitErr error
+		// Draining reports that the runner is about to leave.
+		Draining bool
+		// RetryAfter is how long the runner wants no requests of this router; zero if it does not
+		// say so. RetryAfterErr is set if the value cannot be parsed.
+		RetryAfter    time.Duration
+		RetryAfterErr error
 	}
 
 	// Dialect reads and writes the headers of a platform.
@@ -88,6 +98,9 @@
 		// ConfigDeadline is the time within which a new configuration must be applied.
 		// ConfigDeadlineExtension is added to it to allow for outages of the store.
 		ConfigDeadline, ConfigDeadlineExtension time.Duration
+		// WarmupExcess and WarmupSlack bound the requests in any second to a runner that warms up, of
+		// all routers together, to the service's rate times WarmupExcess, plus WarmupSlack.
+		WarmupExcess, WarmupSlack float64
 		// Seeds are peer addresses of other routers, used while no other router is known from the
 		// store. They may be out of date.
 		Seeds []string
@@ -96,6 +109,8 @@
 	// Config sets up a Router.
 	Config struct {
 		Name, DataCentre string
+		// Regions maps data centres to their regions.
+		Regions map[string]string
 		// Host identifies the machine, address included. A later process with the same Host proves
 		// that the earlier one has ended.
 		Host string
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -111,13 +111,13 @@
 	}
 	p, err := x.rt.placementClient.choose(ctx, &cicadaplace.Request{
 		Service: x.service.Name, Parts: x.info.PromptParts, Tokens: int(x.info.PromptTokens), Tried: x.tried,
-		Priority: x.priority(),
+		Priority: x.priority(), Homes: x.homes(),
 	}, x.deadline)
 	if err != nil {
 		return x.noRunnerResult(err), false
 	}
 	x.runnerID, x.estimateMillis, x.cachedTokens = p.Runner().ID(), p.EstimateMillis(), p.CachedTokens()
-	x.runnerRate, x.runnerLimited = x.rt.limits.Rate(p.Runner().Key())
+	x.runnerRate, x.runnerLimited = x.rt.limits.Rate(p.Runner().Key(), now)
 	x.tried = append(x.tried, x.runnerID)
 	a, err := x.send(ctx, p)
 	if err != nil {
@@ -130,9 +130,17 @@
 // noRunnerResult returns the result if no runner is left: that of the previous attempt, if there
 // was one.
 func (x *exchange) noRunnerResult(err error) result {
+	var paused *cicadaplace.PausedError
+	isPaused := errors.As(err, &paused)
 	if x.previous != nil {
+		if f := x.previous.refusal; isPaused && f != nil && f.kind == RefuseNotRun {
+			f.retryAfter = max(f.retryAfter, paused.RetryAfter)
+		}
 		return *x.previous
 	}
+	if isPaused {
+		return refuse(RefuseNoRunner, max(paused.RetryAfter, retrySoon), err.Error())
+	}
 	var limited *cicadaplace.RateLimitedError
 	if errors.As(err, &limited) {
 		class := cicadalimit.Class{Service: x.service.Name, Priority: x.priority()}
@@ -184,6 +192,7 @@
 		p.ReportLoad(*a.info.Load, time.Now())
 	}
 	x.recordRateLimit(a)
+	x.recordAvailability(a)
 	return a, nil
 }
 
@@ -225,6 +234,18 @@
 	return req.WithContext(ctx), nil
 }
 
+// homes returns the sets of regions in which the request may run.
+func (x *exchange) homes() [][]string {
+	var homes [][]string
+	if len(x.route.HomeRegions) > 0 {
+		homes = append(homes, x.route.HomeRegions)
+	}
+	if x.org != nil && len(x.org.HomeRegions) > 0 {
+		homes = append(homes, x.org.HomeRegions)
+	}
+	return homes
+}
+
 func (x *exchange) priority() int {
 	if x.org != nil && x.org.Priority != nil {
 		return *x.org.Priority
@@ -245,7 +266,7 @@
 	}
 	if !failed.sent {
 		res := cicadaplace.ConnectFailed
-		if errors.Is(err, errRateLimited) || errors.Is(err, errDraining) {
+		if isUnavailable(err) {
 			res = cicadaplace.NotSent
 		}
 		x.finishAttempt(p, res, err)
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -78,6 +78,8 @@
 		last      *http.Request
 		cancelled chan struct{} // receives one value for each request whose context was cancelled
 		service   string
+		// dataCentre is the one in the runner's entry.
+		dataCentre string
 	}
 
 	fleet struct {
@@ -117,11 +119,13 @@
 	s.notifyWatchers()
 }
 
-func (s *memoryStore) removeRunner(id string) {
+func (s *memoryStore) removeRunner(id string) { s.remove(tableRunners, id) }
+
+func (s *memoryStore) remove(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.write(cicadastore.Write{Ref: cicadastore.Ref{Table: tableRunners, Key: id}, Delete: true})
+	s.write(cicadastore.Write{Ref: cicadastore.Ref{Table: table, Key: key}, Delete: true})
 	s.notifyWatchers()
 }
 
@@ -314,6 +318,10 @@
 	a := cicadaedge.ResponseInfo{
 		RequestID: resp.Header.Get("X-Id"), Sealed: resp.Header.Get("X-Sealed") != "", NotRun: resp.Header.Get("X-Not-Run") != "",
 	}
+	a.Draining = resp.Header.Get("X-Leaving") != ""
+	if v := resp.Header.Get("X-Pause"); v != "" {
+		a.RetryAfter, a.RetryAfterErr = time.ParseDuration(v)
+	}
 	for _, v := range resp.Header.Values("X-Rate") {
 		rate, err := strconv.ParseFloat(v, 64)
 		if err != nil {
@@ -375,7 +383,7 @@
 func (f *fleet) publish() { f.store.put(tableDeploy, "config", f.doc) }
 
 func (f *fleet) addRunner(handler http.HandlerFunc) *runner {
-	r := &runner{id: fmt.Sprintf("r%d", len(f.runners)+1), handler: handler, cancelled: make(chan struct{}, 100), service: "svc"}
+	r := &runner{id: fmt.Sprintf("r%d", len(f.runners)+1), handler: handler, cancelled: make(chan struct{}, 100), service: "svc", dataCentre: "p"}
 	r.Server = httptest.NewServer(r)
 	f.t.Cleanup(r.Close)
 	f.runners = append(f.runners, r)
@@ -385,7 +393,7 @@
 
 func (f *fleet) putEntry(r *runner, draining bool) {
 	f.store.put(tableRunners, r.id, cicadaplace.Entry{
-		ID: r.id, Service: r.service, Addr: r.Listener.Addr().String(), DataCentre: "p", Slots: 8, Draining: draining,
+		ID: r.id, Service: r.service, Addr: r.Listener.Addr().String(), DataCentre: r.dataCentre, Slots: 8, Draining: draining,
 	})
 }
 
@@ -470,7 +478,8 @@
 			RetryBudget: cicadaretry.Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		},
 		Sources: cicadaedge.Sources{
-			DeploymentTable: tableDeploy, DeploymentKey: "config", RunnerTable: tableRunners,
+			DeploymentTable: tableDeploy, DeploymentKey: "config", RunnerTable: tableRunners, EvacuationPrefix: "evacuate/",
+			DecodeEvacuation: func(data []byte) error { return json.Unmarshal(data, &struct{}{}) },
 			DecodeDeployment: func(data []byte) (*cicadadeploy.Document, error) {
 				doc := &cicadadeploy.Document{}
 				return doc, json.Unmarshal(data, doc)
--- a/internal/cicadaedge/limit.go
+++ b/internal/cicadaedge/limit.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"net/http/httptrace"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/pkg/errors"
 )
 
@@ -27,17 +27,13 @@
 	timer   *time.Timer
 }
 
-var (
-	errRateLimited = errors.New("the runner announced a rate limit while the request waited for a connection")
-	errDraining    = errors.New("the runner began to leave while the request waited for a connection")
-)
+var errRateLimited = errors.New("the runner announced a rate limit while the request waited for a connection")
 
 // recordRateLimit records the rate limit in a runner's response. A response that belongs to
 // another request or runner is ignored.
 func (x *exchange) recordRateLimit(a *attempt) {
 	info := &a.info
-	relevant := info.RequestID == x.info.ID || info.NotRun && info.RequestID == ""
-	if !relevant || a.resp.StatusCode == http.StatusMisdirectedRequest {
+	if !a.isFromRunner(x.info.ID) {
 		return
 	}
 	key, log := a.placement.Runner().Key(), x.rt.cfg.Log.WithField("runner", a.placement.Runner().ID()).WithField("requestId", x.info.ID)
@@ -62,24 +58,36 @@
 	}
 }
 
+// isUnavailable reports whether an attempt was cancelled because its runner became unavailable
+// while the request waited for a connection.
+func isUnavailable(err error) bool {
+	for _, cause := range []error{errRateLimited, cicadaplace.ErrDraining, cicadaplace.ErrEvacuated, cicadaplace.ErrPaused} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // mergeLimitReports merges the rate limits that another router reported.
 func (rt *Router) mergeLimitReports(router string, reports []cicadalimit.Report, now time.Time) {
 	for _, key := range rt.limits.MergeReports(reports, now) {
-		rate, limited := rt.limits.Rate(key)
+		rate, limited := rt.limits.Rate(key, now)
 		rt.cfg.Log.WithField("runner", key.ID).WithField("from", router).WithField("limited", limited).
 			WithField("rate", rate).Info("rate limit of a runner received from another router")
 	}
 }
 
-// monitorConnWait cancels an attempt that still waits for a connection when its runner starts
-// draining, or advertises a rate limit: the waiting requests would exceed it in one burst. The
+// monitorConnWait cancels an attempt that still waits for a connection when its runner becomes
+// unavailable, or advertises a rate limit: the waiting requests would exceed it in one burst. The
 // request has to use the returned context.
 func (x *exchange) monitorConnWait(ctx context.Context, p *placement, cancel context.CancelCauseFunc) (context.Context, *connWaitMonitor) {
 	m := &connWaitMonitor{cancel: cancel, unavailable: func() error {
-		if x.rt.balancer.IsDraining(p.Runner(), time.Now()) {
-			return errDraining
+		now := time.Now()
+		if err := x.rt.balancer.Unavailability(p.Runner(), now); err != nil {
+			return errors.Wrap(err, "while the request waited for a connection")
 		}
-		if _, limited := x.rt.limits.Rate(p.Runner().Key()); limited {
+		if _, limited := x.rt.limits.Rate(p.Runner().Key(), now); limited {
 			return errRateLimited
 		}
 		return nil
--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -51,6 +51,7 @@
 	viewReply struct {
 		AgeMillis  int64                  `json:"ageMillis"`            // age of the deployment view
 		Deployment *cicadadeploy.Document `json:"deployment,omitempty"` // if newer than that of the requesting router
+		Evacuated  []string               `json:"evacuated,omitempty"`  // data centres
 		// RunnersAgeMillis is the age of the runner entries in use. If they are newer than those of
 		// the requesting router, RunnersSame is set if they have the same digest, and Runners holds
 		// them if not.
@@ -80,6 +81,7 @@
 	reply := viewReply{
 		AgeMillis:        rt.deploymentAge(now).Milliseconds(),
 		RunnersAgeMillis: rt.runnersAge(now).Milliseconds(),
+		Evacuated:        rt.evacuations.list(),
 	}
 	if d := rt.deployment.Load(); d != nil && d.Version() > req.Version {
 		reply.Deployment = d.Document()
@@ -160,6 +162,9 @@
 		rt.activate(reply.Deployment, "peer "+addr)
 	}
 	freshAt := sentAt.Add(-time.Duration(reply.AgeMillis) * time.Millisecond)
+	if len(reply.Evacuated) > 0 && freshAt.After(rt.viewTime()) {
+		rt.applyPeerEvacuations(reply.Evacuated, addr)
+	}
 	rt.peerDeploymentAt.advance(freshAt)
 	runnersAt := sentAt.Add(-time.Duration(reply.RunnersAgeMillis) * time.Millisecond)
 	if now := time.Now(); now.Sub(runnersAt) < rt.runnersAge(now) {
--- a/internal/cicadaedge/placement.go
+++ b/internal/cicadaedge/placement.go
@@ -63,9 +63,9 @@
 		Tried           []string           `json:"tried,omitempty"`
 		RemainingMillis int64              `json:"millis"` // time until the deadline of the request
 		DataCentre      string             `json:"place"`  // data centre of the requesting router
-		// Excluded holds the ids of the runners whose rate limits forbid the requesting router to
-		// use them now.
-		Excluded []string `json:"barred,omitempty"`
+		// Excluded holds the ids of the runners that the requesting router must not use now.
+		Excluded []string   `json:"barred,omitempty"`
+		Homes    [][]string `json:"homes,omitempty"` // see cicadaplace.Request
 	}
 
 	placementReply struct {
@@ -103,7 +103,7 @@
 	now := time.Now()
 	assignment, err := s.balancer.Choose(&cicadaplace.Request{
 		Service: req.Service, Parts: req.Parts, Tokens: req.Tokens, Tried: req.Tried, DataCentre: req.DataCentre,
-		Excluded: req.Excluded, ForPeer: true,
+		Excluded: req.Excluded, Homes: req.Homes, ForPeer: true,
 	}, now)
 	if err != nil {
 		return placementReply{}, err
@@ -211,7 +211,7 @@
 	err = client.CallResult(ctx, methodPlace, placementRequest{
 		Service: req.Service, Parts: req.Parts, Tokens: req.Tokens, Tried: req.Tried,
 		RemainingMillis: time.Until(deadline).Milliseconds(), DataCentre: c.rt.cfg.DataCentre,
-		Excluded: c.rt.balancer.RateLimitedIDs(req, time.Now()),
+		Excluded: c.rt.balancer.UnusableIDs(req, time.Now()), Homes: req.Homes,
 	}, &reply)
 	if err != nil {
 		var rpcErr *jrpc2.Error
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -56,6 +56,7 @@
 	settings     atomic.Pointer[RuntimeSettings]
 	deployment   atomic.Pointer[cicadadeploy.Snapshot]
 	deploymentMu sync.Mutex // serialises changes of deployment
+	evacuations  evacuations
 
 	deploymentWatcher, runnerWatcher *tableWatcher
 	// peerDeploymentAt and peerRunnersAt are the times at which the deployment and the runners
@@ -80,6 +81,7 @@
 		cfg: cfg,
 		balancer: cicadaplace.NewBalancer(cicadaplace.Config{
 			DataCentre: cfg.DataCentre, HoldPeriod: cfg.HoldPeriod, HeartbeatInterval: cfg.HeartbeatInterval, Limits: limits,
+			Regions: cfg.Regions,
 		}),
 		clock:      clock,
 		limits:     limits,
@@ -112,7 +114,7 @@
 	rt.cancel = cancel
 	rt.cfg.Log.WithField("host", rt.cfg.Name).WithField("place", rt.cfg.DataCentre).WithField("boot", rt.cfg.BootID).Info("start")
 	rt.deploymentWatcher = rt.watchTable(ctx, watchConfig{
-		table: rt.cfg.Sources.DeploymentTable, maxWait: deploymentMaxWait, interval: fixedInterval(0), apply: rt.applyDeployment,
+		table: rt.cfg.Sources.DeploymentTable, maxWait: deploymentMaxWait, interval: fixedInterval(0), apply: rt.applyOperatorRows,
 	})
 	rt.runnerWatcher = rt.watchTable(ctx, watchConfig{
 		table: rt.cfg.Sources.RunnerTable, maxWait: tableMaxWait, interval: fixedInterval(runnerInterval), apply: rt.applyRunners,
@@ -139,6 +141,9 @@
 func (rt *Router) ApplySettings(s RuntimeSettings) {
 	rt.settings.Store(&s)
 	rt.retries.Configure(s.RetryBudget)
+	if d := rt.deployment.Load(); d != nil {
+		rt.applyWarmups(d.Document())
+	}
 	rt.peers.setSeeds(s.Seeds)
 }
 
@@ -227,11 +232,12 @@
 		Boot            string                      `json:"boot"`
 		Version         uint64                      `json:"deployVersion"`
 		DeployAgeMillis int64                       `json:"deployAgeMillis"`
+		Evacuated       []string                    `json:"evacuated"`
 		Routers         int                         `json:"routers"`
 		Accounts        []cicadabudget.AccountState `json:"accounts"`
 		Runners         []cicadaplace.RunnerState   `json:"runners"`
 	}{
-		Host: rt.cfg.Name, Boot: rt.cfg.BootID, DeployAgeMillis: rt.deploymentAge(now).Milliseconds(), Routers: rt.peers.count(),
+		Host: rt.cfg.Name, Boot: rt.cfg.BootID, DeployAgeMillis: rt.deploymentAge(now).Milliseconds(), Evacuated: rt.evacuations.list(), Routers: rt.peers.count(),
 		Accounts: rt.accounts.State(now), Runners: rt.balancer.State(now),
 	}
 	if d := rt.deployment.Load(); d != nil {
--- a/internal/cicadaedge/tables.go
+++ b/internal/cicadaedge/tables.go
@@ -53,9 +53,15 @@
 	}
 }
 
+// applyOperatorRows applies the rows that the operator writes: the configuration and evacuations.
+func (rt *Router) applyOperatorRows(b cicadastore.ChangeBatch, full bool, now time.Time) {
+	rt.applyDeployment(b)
+	rt.applyEvacuations(b, full, now)
+}
+
 // applyDeployment applies the newest configuration that can be decoded. A configuration older than
 // the current one is ignored, whatever its source.
-func (rt *Router) applyDeployment(b cicadastore.ChangeBatch, _ bool, _ time.Time) {
+func (rt *Router) applyDeployment(b cicadastore.ChangeBatch) {
 	for i := range b.Changes {
 		// The newest configuration is the last one. Earlier ones in a batch are only used if it
 		// cannot be decoded: decoding them all takes a small host longer than a change may take to
@@ -99,6 +105,7 @@
 			rt.accounts.Configure(o.Name, cicadabudget.Units(*o.Prepaid), doc.Version)
 		}
 	}
+	rt.applyWarmups(doc)
 	rt.deployment.Store(snapshot)
 	rt.cfg.Metrics.DeployVersion.Set(int64(doc.Version))
 	rt.cfg.Log.WithField("version", doc.Version).WithField("before", before).WithField("from", source).
@@ -106,6 +113,21 @@
 	rt.poolSyncer.wake()
 }
 
+// applyWarmups sets the rates at which runners may get requests while they warm up.
+func (rt *Router) applyWarmups(doc *cicadadeploy.Document) {
+	settings := rt.settings.Load()
+	warmups := map[string]cicadaplace.Warmup{}
+	for i := range doc.Services {
+		s := &doc.Services[i]
+		if s.WarmupRate <= 0 {
+			continue
+		}
+		burst := s.WarmupRate*max(settings.WarmupExcess, 1) + settings.WarmupSlack
+		warmups[s.Name] = cicadaplace.Warmup{Rate: min(s.WarmupRate, cicadalimit.RateForBurst(burst)), Period: s.WarmupPeriod}
+	}
+	rt.balancer.SetWarmups(warmups, time.Now())
+}
+
 // applyRunners applies changed runner entries from the store.
 func (rt *Router) applyRunners(b cicadastore.ChangeBatch, full bool, now time.Time) {
 	seen := map[string]bool{}
--- a/internal/cicadalimit/limit.go
+++ b/internal/cicadalimit/limit.go
@@ -14,6 +14,9 @@
 //   - A permit that is not used within its lifetime is lost: unused permits do not accumulate.
 //   - A router that does not know the shared clock or the other routers has no permits.
 //
+// A runner that is warming up is limited in the same way, at a rate that the configuration
+// sets (SetWarmup).
+//
 // A limit applies until a response without one arrives for a request that was sent after
 // the last response with the limit, because responses on different connections may arrive
 // out of order. Routers exchange their observations (Reports, MergeReports), so that a
@@ -86,6 +89,12 @@
 		retrySchedules map[string]*retrySchedule // by service
 	}
 
+	// warmup is the rate limit of a runner that has just started. Its zero value is no limit.
+	warmup struct {
+		rate  float64
+		until time.Time
+	}
+
 	// router is a router that may own permits.
 	router struct {
 		name string
@@ -95,8 +104,9 @@
 	// limit is the rate limit of one runner.
 	limit struct {
 		hash           uint64
-		own, fromPeers observation     // latest observations of this router and of the other routers
-		shouldReport   bool            // own changed the limit and is not yet reported by another router
+		own, fromPeers observation // latest observations of this router and of the other routers
+		shouldReport   bool        // own changed the limit and is not yet reported by another router
+		warmup         warmup
 		permitRate     float64         // quantised rate that nextPermit is numbered by
 		nextPermit     int64           // first permit whose owner has not been computed
 		available      []time.Duration // due times of the usable permits, ascending
@@ -125,9 +135,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.limitOf(key, now)
-	oldRate, wasLimited := r.currentRate()
+	oldRate, wasLimited := r.currentRate(now)
 	r.own = observation{Rate: rate, EffectiveAt: now}
-	newRate, _ := r.currentRate()
+	newRate, _ := r.currentRate(now)
 	if wasLimited && oldRate == newRate {
 		return false
 	}
@@ -145,7 +155,7 @@
 	if r == nil {
 		return false
 	}
-	if latest := r.latest(); latest.Unlimited || !sent.After(latest.EffectiveAt) {
+	if latest := r.latest(); latest.EffectiveAt.IsZero() || latest.Unlimited || !sent.After(latest.EffectiveAt) {
 		return false
 	}
 	r.own, r.shouldReport = observation{Unlimited: true, EffectiveAt: sent}, true
@@ -165,11 +175,11 @@
 }
 
 // Rate returns the quantised rate limit of a runner, or false if it has none.
-func (l *Limits) Rate(key Key) (float64, bool) {
+func (l *Limits) Rate(key Key, now time.Time) (float64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r := l.runners[key]; r != nil {
-		return r.currentRate()
+		return r.currentRate(now)
 	}
 	return 0, false
 }
@@ -201,7 +211,7 @@
 }
 
 func (l *Limits) canSend(r *limit, class Class, now time.Time) bool {
-	rate, limited := r.currentRate()
+	rate, limited := r.currentRate(now)
 	if !limited {
 		r.available = nil
 		return true
@@ -292,7 +302,7 @@
 // removeExpired removes the runners whose limits were not confirmed for limitTTL.
 func (l *Limits) removeExpired(now time.Time) {
 	for key, r := range l.runners {
-		if now.Sub(r.latest().EffectiveAt) > limitTTL {
+		if now.Sub(r.latest().EffectiveAt) > limitTTL && !now.Before(r.warmup.until) {
 			delete(l.runners, key)
 			l.generation.Add(1)
 		}
@@ -308,12 +318,19 @@
 	return r.own
 }
 
-func (r *limit) currentRate() (float64, bool) {
-	latest := r.latest()
-	if latest.EffectiveAt.IsZero() || latest.Unlimited {
+// currentRate returns the smaller of the advertised limit and that of the warm-up.
+func (r *limit) currentRate(now time.Time) (float64, bool) {
+	rate := math.Inf(1)
+	if latest := r.latest(); !latest.EffectiveAt.IsZero() && !latest.Unlimited {
+		rate = latest.Rate
+	}
+	if now.Before(r.warmup.until) {
+		rate = min(rate, r.warmup.rate)
+	}
+	if math.IsInf(rate, 1) {
 		return 0, false
 	}
-	return quantisedRate(latest.Rate), true
+	return quantisedRate(rate), true
 }
 
 // quantisedRate returns the rate for the permits of a runner that advertises rate: the highest step of
--- a/internal/cicadalimit/limit_test.go
+++ b/internal/cicadalimit/limit_test.go
@@ -215,7 +215,7 @@
 		r := newRouters(1, 0)[0]
 		r.RecordLimit(runner, 1, start.Add(2*time.Second))
 		tt.record(r)
-		_, got := r.Rate(runner)
+		_, got := r.Rate(runner, start.Add(6*time.Second))
 		if diff := cmp.Diff(tt.want, got); diff != "" {
 			t.Errorf("%s: limited (-want +got):\n%s", tt.name, diff)
 		}
@@ -230,25 +230,25 @@
 	a.RecordLimit(runner, 2, start.Add(time.Second))
 	b.RecordLimit(runner, 2, start.Add(2*time.Second))
 	late.MergeReports(a.Reports(start.Add(3*time.Second)), start.Add(3*time.Second))
-	if rate, ok := late.Rate(runner); !ok || rate != 2 {
+	if rate, ok := late.Rate(runner, start.Add(6*time.Second)); !ok || rate != 2 {
 		t.Errorf("after merging a report, a router without an own observation has rate %g, limited %v; want 2, true", rate, ok)
 	}
 	a.RecordNoLimit(runner, start.Add(1500*time.Millisecond))
 	b.MergeReports(a.Reports(start.Add(4*time.Second)), start.Add(4*time.Second))
-	if _, ok := b.Rate(runner); !ok {
+	if _, ok := b.Rate(runner, start.Add(6*time.Second)); !ok {
 		t.Error("a report without a limit that is older than the last advertisement ended the limit")
 	}
 	a.RecordLimit(runner, 2, start.Add(1900*time.Millisecond))
 	a.RecordNoLimit(runner, start.Add(2050*time.Millisecond))
 	b.MergeReports(a.Reports(start.Add(4*time.Second)), start.Add(4*time.Second))
-	if _, ok := b.Rate(runner); !ok {
+	if _, ok := b.Rate(runner, start.Add(6*time.Second)); !ok {
 		t.Error("a report without a limit within the clock skew of the last advertisement ended the limit")
 	}
 	a.RecordLimit(runner, 2, start.Add(4*time.Second))
 	a.RecordNoLimit(runner, start.Add(5*time.Second))
 	for _, r := range []*router{b, late} {
 		r.MergeReports(a.Reports(start.Add(6*time.Second)), start.Add(6*time.Second))
-		if _, ok := r.Rate(runner); ok {
+		if _, ok := r.Rate(runner, start.Add(6*time.Second)); ok {
 			t.Errorf("%s still has a limit after another router reported its end", r.name)
 		}
 	}
@@ -262,16 +262,16 @@
 	r.RecordLimit(runner, 1, start)
 	future := (time.Hour + time.Minute).Milliseconds()
 	r.MergeReports([]cicadalimit.Report{{Runner: runner.ID, StartMillis: runner.StartMillis, Unlimited: true, AtMillis: future}}, start.Add(time.Second))
-	if _, ok := r.Rate(runner); !ok {
+	if _, ok := r.Rate(runner, start.Add(6*time.Second)); !ok {
 		t.Error("a report without a limit from the future ended the limit")
 	}
 	r.MergeReports([]cicadalimit.Report{{Runner: runner.ID, StartMillis: runner.StartMillis, Rate: 3, AtMillis: future}}, start.Add(2*time.Second))
 	r.RecordNoLimit(runner, start.Add(3*time.Second))
-	if _, ok := r.Rate(runner); ok {
+	if _, ok := r.Rate(runner, start.Add(6*time.Second)); ok {
 		t.Error("a limit from the future did not end after a later response without a limit")
 	}
 	r.MergeReports([]cicadalimit.Report{{Runner: runner.ID, StartMillis: runner.StartMillis, Rate: -1, AtMillis: future}}, start.Add(4*time.Second))
-	if _, ok := r.Rate(runner); ok {
+	if _, ok := r.Rate(runner, start.Add(6*time.Second)); ok {
 		t.Error("a negative rate was accepted as a limit")
 	}
 }
--- a/internal/cicadalimit/permit.go
+++ b/internal/cicadalimit/permit.go
@@ -33,7 +33,7 @@
 	if r == nil {
 		return Permit{}, "", false
 	}
-	rate, limited := r.currentRate()
+	rate, limited := r.currentRate(now)
 	shared, ok := l.clock.SharedTime(now)
 	if !limited || !ok || len(l.routers) == 0 {
 		return Permit{}, "", false
@@ -74,7 +74,7 @@
 	if r == nil || !ok {
 		return
 	}
-	if rate, limited := r.currentRate(); limited {
+	if rate, limited := r.currentRate(now); limited {
 		l.collectPermits(r, rate, shared)
 		r.available = append(r.available, p.DueAt)
 		slices.Sort(r.available)
--- a/internal/cicadalimit/report.go
+++ b/internal/cicadalimit/report.go
@@ -66,13 +66,13 @@
 		}
 		key := Key{ID: report.Runner, StartMillis: report.StartMillis}
 		r := l.limitOf(key, now)
-		oldRate, wasLimited := r.currentRate()
+		oldRate, wasLimited := r.currentRate(now)
 		if at := now.Add(-max(age, 0)); at.After(r.fromPeers.EffectiveAt) {
 			r.fromPeers = observation{Rate: report.Rate, Unlimited: report.Unlimited, EffectiveAt: at}
 			// The other router now reports the limit in its row.
 			r.shouldReport = r.shouldReport && !r.fromPeers.EffectiveAt.After(r.own.EffectiveAt)
 		}
-		newRate, isLimited := r.currentRate()
+		newRate, isLimited := r.currentRate(now)
 		if isLimited && (!wasLimited || newRate != oldRate) {
 			l.restartPermits(r, newRate, !wasLimited, now)
 		}
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -60,6 +60,8 @@
 		HeartbeatInterval time.Duration
 		// Limits holds the rate limits that runners advertise; nil for none.
 		Limits *cicadalimit.Limits
+		// Regions maps data centres to their regions. It is needed for requests with home regions.
+		Regions map[string]string
 	}
 
 	// Balancer holds the runners that this router knows and assigns requests to them.
@@ -76,6 +78,9 @@
 		holdUntil time.Time
 		// removed holds the last entries of removed runners, by id.
 		removed map[string]removedEntry
+		// evacuated holds the data centres whose runners must get no requests.
+		evacuated map[string]bool
+		warmups   map[string]Warmup // by service
 	}
 
 	// removedEntry is the last entry of a removed runner. It is kept as long as the store may be
@@ -83,6 +88,7 @@
 	removedEntry struct {
 		entry     Entry
 		removedAt time.Time
+		draining  bool
 	}
 
 	// Runner is a runner and the state that this router keeps about it.
@@ -95,6 +101,8 @@
 		heldUntil time.Time
 		removed   bool // removed or replaced; assignments may still refer to it
 		draining  bool // as reported by a response
+		// pausedUntil is the time until which the runner has asked this router to send nothing.
+		pausedUntil time.Time
 
 		inFlight      int
 		pendingTokens int // prompt tokens of this router's requests that await their first token
@@ -155,12 +163,18 @@
 		}
 		// The other fields are read without the lock and must not change.
 		old.entry.Draining, old.entry.Slots, old.entry.WarmupRemaining, old.entry.Seq = e.Draining, e.Slots, e.WarmupRemaining, e.Seq
+		b.limitWarmup(old, e.WarmupRemaining, now)
 		return Change{id: e.ID, changed: changed}
 	}
 	if old != nil {
 		b.removeLocked(old, now)
 	}
 	r := &Runner{entry: e, hash: xxhash.Sum64String(e.ID), firstSeen: now, heldUntil: e.heldUntil(now)}
+	if last, ok := b.removed[e.ID]; ok && last.entry.sameRunner(&e) {
+		// The runner has announced that it is draining, and its entry was only removed for a while.
+		r.draining = last.draining
+	}
+	b.limitWarmup(r, e.WarmupRemaining, now)
 	b.byID[e.ID] = r
 	b.services[e.Service] = append(b.services[e.Service], r)
 	return Change{id: e.ID, removed: old, changed: true}
@@ -199,6 +213,8 @@
 	DataCentre          string `json:"place"`
 	Draining            bool   `json:"leaving"`
 	Held                bool   `json:"held"` // in use although the entry was removed from the store
+	Evacuated           bool   `json:"evacuated"`
+	PausedMS            int64  `json:"pausedMillis"` // how much longer the runner wants no requests
 	InFlight            int    `json:"inFlight"`
 	PendingPromptTokens int    `json:"waitingTokens"`
 	Running             int    `json:"reportedRunning"`
@@ -216,13 +232,14 @@
 	out := make([]RunnerState, 0, len(b.byID))
 	for _, r := range b.byID {
 		var limit *float64
-		if rate, ok := b.cfg.Limits.Rate(r.Key()); ok {
+		if rate, ok := b.cfg.Limits.Rate(r.Key(), now); ok {
 			limit = &rate
 		}
 		out = append(out, RunnerState{
 			Limit: limit,
 			ID:    r.entry.ID, Service: r.entry.Service, Addr: r.entry.Addr, DataCentre: r.entry.DataCentre,
-			Draining: r.entry.Draining || r.draining, Held: r.isHeld(), InFlight: r.inFlight, PendingPromptTokens: r.pendingTokens,
+			Draining: r.entry.Draining || r.draining, Held: r.isHeld(), Evacuated: b.evacuated[r.entry.DataCentre],
+			PausedMS: max(r.pausedUntil.Sub(now).Milliseconds(), 0), InFlight: r.inFlight, PendingPromptTokens: r.pendingTokens,
 			Running: r.reportedLoad.Running, Waiting: r.reportedLoad.Waiting,
 			ReportAgeMS: now.Sub(r.reportedAt).Milliseconds(), Ejected: now.Before(r.ejectedUntil),
 		})
@@ -242,7 +259,7 @@
 
 func (b *Balancer) removeLocked(r *Runner, now time.Time) {
 	r.removed = true
-	b.removed[r.entry.ID] = removedEntry{entry: r.entry, removedAt: now}
+	b.removed[r.entry.ID] = removedEntry{entry: r.entry, removedAt: now, draining: r.draining}
 	if b.byID[r.entry.ID] == r {
 		delete(b.byID, r.entry.ID)
 	}
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -67,10 +67,12 @@
 		Parts  []Part
 		Tokens int      // of the whole prompt
 		Tried  []string // ids of runners that earlier attempts used
-		// Excluded holds the ids of runners whose rate limits forbid the sending router to use them now.
+		// Excluded holds the ids of runners that the sending router must not use now.
 		Excluded   []string
 		Priority   int    // 0 is the most urgent
 		DataCentre string // data centre of the sending router; empty for this router's own
+		// Homes lists sets of regions. The runner must be in a region of each set.
+		Homes [][]string
 		// ForPeer reports whether another router sends the request. That router then enforces
 		// the rate limits.
 		ForPeer bool
@@ -123,7 +125,7 @@
 			continue
 		}
 		if !b.canSend(r, req, now) {
-			limitedRate += b.rate(r)
+			limitedRate += b.rate(r, now)
 			continue
 		}
 		cost := b.cost(r, req, r == preferred, now)
@@ -137,7 +139,7 @@
 	case limitedRate > 0:
 		return nil, &RateLimitedError{Rate: limitedRate}
 	default:
-		return nil, ErrNoRunner
+		return nil, b.noRunnerError(req, now)
 	}
 }
 
@@ -156,13 +158,6 @@
 	return a
 }
 
-// IsDraining reports whether a runner is draining or no longer in use.
-func (b *Balancer) IsDraining(r *Runner, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return r.removed || r.entry.Draining || r.draining || b.isExpired(r, now)
-}
-
 // HasAlternative reports whether there is a usable runner that the request has not tried, even if
 // its rate limit forbids sending the request now.
 func (b *Balancer) HasAlternative(req *Request, now time.Time) bool {
@@ -189,17 +184,17 @@
 }
 
 // isLimited reports whether r has a rate limit.
-func (b *Balancer) isLimited(r *Runner) bool {
+func (b *Balancer) isLimited(r *Runner, now time.Time) bool {
 	if !b.mayBeLimited(r) {
 		return false
 	}
-	_, limited := b.cfg.Limits.Rate(r.Key())
+	_, limited := b.cfg.Limits.Rate(r.Key(), now)
 	return limited
 }
 
 // rate returns the rate limit of r, in requests per second.
-func (b *Balancer) rate(r *Runner) float64 {
-	rate, _ := b.cfg.Limits.Rate(r.Key())
+func (b *Balancer) rate(r *Runner, now time.Time) float64 {
+	rate, _ := b.cfg.Limits.Rate(r.Key(), now)
 	return rate
 }
 
@@ -220,34 +215,29 @@
 	return out
 }
 
-// maxRateLimitedIDs bounds the runner ids in a request to another router, which take about 15
-// bytes each. If the other router chooses a rate-limited runner that was not listed, this router
-// makes the choice itself.
-const maxRateLimitedIDs = 32
+// maxUnusableIDs bounds the runner ids in a request to another router, which take about 15 bytes
+// each. If the other router chooses an unusable runner that was not listed, this router makes the
+// choice itself.
+const maxUnusableIDs = 32
 
-// RateLimitedIDs returns the ids of the service's runners whose rate limits forbid sending the
-// request now. It returns at most maxRateLimitedIDs ids.
-func (b *Balancer) RateLimitedIDs(req *Request, now time.Time) []string {
+// UnusableIDs returns the ids of the service's runners that this router must not use now for reasons
+// that other routers may not know: their rate limits, and what they told this router. It returns at
+// most maxUnusableIDs ids.
+func (b *Balancer) UnusableIDs(req *Request, now time.Time) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []string
 	for _, r := range b.services[req.Service] {
-		if len(out) == maxRateLimitedIDs {
+		if len(out) == maxUnusableIDs {
 			break
 		}
-		if b.mayBeLimited(r) && !b.cfg.Limits.CanSend(r.Key(), req.class(), now) {
+		if r.draining || now.Before(r.pausedUntil) || b.mayBeLimited(r) && !b.cfg.Limits.CanSend(r.Key(), req.class(), now) {
 			out = append(out, r.entry.ID)
 		}
 	}
 	return out
 }
 
-// isExcluded reports whether the request cannot use r, apart from rate limits.
-func (b *Balancer) isExcluded(r *Runner, req *Request, ignoreEjection bool, now time.Time) bool {
-	return r.entry.Draining || r.draining || b.isExpired(r, now) || slices.Contains(req.Tried, r.entry.ID) ||
-		!ignoreEjection && now.Before(r.ejectedUntil)
-}
-
 // preferredRunner returns the runner that all routers prefer for the request's shared parts, by
 // rendezvous hashing of the last shared part. It returns nil if there are no shared parts.
 func (b *Balancer) preferredRunner(req *Request, now time.Time) *Runner {
@@ -258,7 +248,7 @@
 	var preferred *Runner
 	var highest uint64
 	for _, r := range b.services[req.Service] {
-		if b.isLimited(r) || b.isExcluded(r, req, true, now) {
+		if b.isLimited(r, now) || b.isExcluded(r, req, true, now) {
 			continue
 		}
 		if w := mix(r.hash ^ key); preferred == nil || w > highest {
@@ -322,7 +312,7 @@
 func (b *Balancer) tooManyEjected(list []*Runner, now time.Time) bool {
 	ejected, total := 0, 0
 	for _, r := range list {
-		if r.entry.Draining || r.draining || b.isExpired(r, now) {
+		if b.unavailability(r, now) != nil {
 			continue
 		}
 		total++
--- a/internal/cicadaplace/limit_test.go
+++ b/internal/cicadaplace/limit_test.go
@@ -72,7 +72,7 @@
 			t.Errorf("runner of a request from another router (-want +got):\n%s", diff)
 		}
 	}
-	if diff := cmp.Diff(3, len(lb.RateLimitedIDs(prompt("shared", 800, 100), now))); diff != "" {
+	if diff := cmp.Diff(3, len(lb.UnusableIDs(prompt("shared", 800, 100), now))); diff != "" {
 		t.Errorf("number of rate-limited runners (-want +got):\n%s", diff)
 	}
 	if _, err := lb.AssignTo("r3", prompt("shared", 800, 100), now); !errors.Is(err, cicadaplace.ErrNoRunner) {
@@ -80,9 +80,9 @@
 	}
 }
 
-// TestRateLimitedIDsAreBounded checks that a request to another router stays small if many runners
+// TestUnusableIDsAreBounded checks that a request to another router stays small if many runners
 // are rate-limited.
-func TestRateLimitedIDsAreBounded(t *testing.T) {
+func TestUnusableIDsAreBounded(t *testing.T) {
 	now := time.Now()
 	lb, limits := newLimitedBalancer(now)
 	for i := range 500 {
@@ -90,7 +90,7 @@
 		lb.Apply(e, now)
 		limits.RecordLimit(cicadalimit.Key{ID: e.ID}, 1, now)
 	}
-	if got := len(lb.RateLimitedIDs(prompt("shared", 800, 100), now)); got == 0 || got > 32 {
+	if got := len(lb.UnusableIDs(prompt("shared", 800, 100), now)); got == 0 || got > 32 {
 		t.Errorf("%d rate-limited runners are listed, want 1 to 32", got)
 	}
 }
