A host with an overloaded link sends a part of its callers to other hosts

Cause: callers with much traffic sit on one host, which is chosen by a hash of the caller.

Ruled out: the link's own traffic (0.3 to 20 KB/s for the store; 0.1 MB/s of events); both directions sharing the bandwidth (1.9 MB/s were seen in both).

Change: the load of each direction is measured.

--- a/internal/cicadacmd/node.go
+++ b/internal/cicadacmd/node.go
@@ -99,7 +99,8 @@
 func edgeConfig(ctx context.Context, s *cicadaplatform.Settings, logger log.Interface) (cicadaedge.Config, error) {
 	metrics := cicadaedge.NewMetrics()
 	cfg := cicadaedge.Config{
-		Name: s.Name(), DataCentre: s.DataCentre(), Regions: s.Regions(), Host: s.Name() + "@" + s.Host(), BootID: strconv.FormatInt(time.Now().UnixNano(), 36), StartedAt: time.Now(),
+		Name: s.Name(), DataCentre: s.DataCentre(), Regions: s.Regions(), Host: s.Name() + "@" + s.Host(),
+		BootID: strconv.FormatInt(time.Now().UnixNano(), 36), StartedAt: time.Now(),
 		FirstStart: s.FirstStart(), ReadyPath: cicadaplatform.ReadyPath, Runtime: runtimeSettings(s),
 		Store: cicadaplatform.NewStore(cicadaplatform.StoreConfig{
 			Addr: s.StoreAddr(), Timeout: storeTimeout, LinkMbps: s.LinkMbps(), OnCall: metrics.RecordStoreCall,
@@ -111,7 +112,8 @@
 			DecodeDeployment: cicadaplatform.DecodeDeployment, DecodeRunner: cicadaplatform.DecodeRunner,
 		},
 		Dialect: cicadaplatform.Dialect{}, StopTimeout: s.StopTimeout(),
-		HoldPeriod: holdPeriod, HeartbeatInterval: s.HeartbeatInterval(), MaxOpenFiles: s.MaxOpenFiles(), MemoryLimitBytes: s.MemoryLimitBytes(),
+		HoldPeriod: holdPeriod, HeartbeatInterval: s.HeartbeatInterval(), MaxOpenFiles: s.MaxOpenFiles(),
+		LinkMbps: s.LinkMbps(), MemoryLimitBytes: s.MemoryLimitBytes(),
 		Log: logger, Metrics: metrics,
 	}
 	for _, l := range []struct {
--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -138,6 +138,8 @@
 		// HeartbeatInterval is the time between two updates of a runner's entry.
 		HeartbeatInterval time.Duration
 		MaxOpenFiles      int
+		// LinkMbps is the bandwidth of the host's link in Mbit/s; zero if it is not known.
+		LinkMbps float64
 		// MemoryLimitBytes is the memory limit at which the process is killed; zero for no limit.
 		MemoryLimitBytes int64
 		Log              log.Interface
--- a/internal/cicadaedge/evacuation_test.go
+++ b/internal/cicadaedge/evacuation_test.go
@@ -11,14 +11,15 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// newTwoCentreRunners adds a runner in data centre p and one in data centre q to a fleet.
-func newTwoCentreRunners(f *fleet) (p, q *runner) {
-	p, q = f.addRunner(nil), f.addRunner(nil)
+// newTwoCentreRunners adds a runner in data centre p and one in data centre q to a fleet. It returns
+// the one in p.
+func newTwoCentreRunners(f *fleet) *runner {
+	p, q := f.addRunner(nil), f.addRunner(nil)
 	p.setHandler(p.respondWith("p"))
 	q.setHandler(q.respondWith("q"))
 	q.dataCentre = "q"
 	f.putEntry(q, false)
-	return p, q
+	return p
 }
 
 // callAll sends requests and returns the number of successful responses by body.
@@ -81,7 +82,7 @@
 func TestPromptsAvoidAnEvacuatedDataCentre(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
-	p, _ := newTwoCentreRunners(f)
+	p := newTwoCentreRunners(f)
 	n1, n2 := f.waitReady(f.startNode("n1")), f.waitReady(f.startNode("n2"))
 	eventually(t, "the routers know each other", func() bool { return n1.RouterCount() == 2 && n2.RouterCount() == 2 })
 	f.store.put(tableDeploy, "evacuate/p", struct{}{})
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -394,7 +394,7 @@
 	for _, name := range hopByHopHeaders {
 		h.Del(name)
 	}
-	if x.rt.stopping.Load() {
+	if x.rt.closesConnection(x.r) {
 		h.Set("Connection", "close")
 	}
 	for _, name := range []string{"Date", "Content-Type"} {
--- a/internal/cicadaedge/pause_test.go
+++ b/internal/cicadaedge/pause_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -87,3 +89,25 @@
 		})
 	}
 }
+
+// TestOverloadedLinkSendsCallersAway sends bodies that fill a slow link, and checks that the router is
+// not ready and closes its callers' connections until the traffic has gone.
+func TestOverloadedLinkSendsCallersAway(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	r := f.addRunner(nil)
+	r.setHandler(r.respondWith("ok"))
+	n := f.waitReady(f.startNode("n1", func(cfg *cicadaedge.Config) { cfg.LinkMbps = 2 }))
+	if got := call(t, n, "/once/", nil, "small"); got.connectionClose {
+		t.Error("an idle router closes the connection of a caller")
+	}
+	body := strings.Repeat("x", 50_000)
+	eventually(t, "the link is overloaded", func() bool { return call(t, n, "/once/", nil, body).connectionClose })
+	if n.Ready() {
+		t.Error("a router with an overloaded link is ready")
+	}
+	eventually(t, "the router is ready again", n.Ready)
+	if got := call(t, n, "/once/", nil, "small"); got.status != http.StatusOK || got.connectionClose {
+		t.Errorf("status %d, connection closed: %v after the overload; want 200, false", got.status, got.connectionClose)
+	}
+}
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaadmission"
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
@@ -43,6 +44,7 @@
 	retries         *cicadaretry.Budget
 	clock           *cicadalimit.Clock
 	limits          *cicadalimit.Limits
+	link            *cicadaadmission.Link
 	transports      *runnerTransports
 	buffers         *bodyBuffers
 	poolSyncer      *poolSyncer
@@ -77,6 +79,7 @@
 func New(cfg Config) *Router {
 	clock := &cicadalimit.Clock{}
 	limits := cicadalimit.New(clock)
+	link := cicadaadmission.NewLink(cfg.LinkMbps)
 	rt := &Router{
 		cfg: cfg,
 		balancer: cicadaplace.NewBalancer(cicadaplace.Config{
@@ -87,7 +90,8 @@
 		limits:     limits,
 		accounts:   cicadabudget.NewAccounts(),
 		retries:    cicadaretry.NewBudget(cfg.Runtime.RetryBudget),
-		transports: newRunnerTransports(cfg.Metrics),
+		link:       link,
+		transports: newRunnerTransports(cfg.Metrics, link),
 		buffers:    newBodyBuffers(cfg.MemoryLimitBytes),
 
 		announceSignal: newSignal(),
@@ -132,6 +136,7 @@
 	rt.callerServer = rt.newServer(rt)
 	rt.callerServer.IdleTimeout = defaultIdleTimeout
 	rt.callerServer.ConnState = trackIdle
+	rt.callerServer.ConnContext = withCallerConn
 	rt.healthServer = rt.newServer(rt.healthMux())
 	rt.runTask(func() { rt.serveListener(rt.callerServer, &callerListener{Listener: rt.cfg.CallerListener, rt: rt}) })
 	rt.runTask(func() { rt.serveListener(rt.healthServer, rt.cfg.HealthListener) })
@@ -180,10 +185,10 @@
 	return mux
 }
 
-// Ready reports whether the router accepts requests: it has a configuration and runners, and is
-// not stopping.
+// Ready reports whether the router takes new callers: it has a configuration and runners, is not
+// stopping, and its link is not overloaded.
 func (rt *Router) Ready() bool {
-	return !rt.stopping.Load() && rt.deployment.Load() != nil && rt.balancer.Len() > 0
+	return !rt.stopping.Load() && !rt.linkOverloaded() && rt.deployment.Load() != nil && rt.balancer.Len() > 0
 }
 
 // announce writes this router's row until the store accepts it, and again when the rate limits in
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -81,7 +81,7 @@
 // ServeHTTP serves a request of a caller.
 func (rt *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{rt: rt, w: w, r: r, arrivedAt: time.Now(), deployment: rt.deployment.Load()}
-	if rt.stopping.Load() {
+	if rt.closesConnection(r) {
 		w.Header().Set("Connection", "close")
 	}
 	rt.cfg.Metrics.InFlight.Add(1)
--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaadmission"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
 	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
@@ -38,6 +39,7 @@
 	// runner are dropped together with it.
 	runnerTransports struct {
 		metrics *Metrics
+		link    *cicadaadmission.Link
 
 		mu       sync.Mutex // guards the fields below
 		byRunner map[*cicadaplace.Runner]*runnerTransport
@@ -51,23 +53,32 @@
 	}
 
 	// countedConn counts the bytes written, which shows whether a request can have reached the
-	// runner.
+	// runner, and the load of the host's link.
 	countedConn struct {
 		net.Conn
+		link    *cicadaadmission.Link
 		written atomic.Int64
 	}
 )
 
-func newRunnerTransports(m *Metrics) *runnerTransports {
-	return &runnerTransports{metrics: m, byRunner: map[*cicadaplace.Runner]*runnerTransport{}, routers: 1}
+func newRunnerTransports(m *Metrics, link *cicadaadmission.Link) *runnerTransports {
+	return &runnerTransports{metrics: m, link: link, byRunner: map[*cicadaplace.Runner]*runnerTransport{}, routers: 1}
 }
 
 // Write counts all bytes even if the write fails, since some may have been sent.
 func (c *countedConn) Write(p []byte) (int, error) {
 	c.written.Add(int64(len(p)))
+	c.link.RecordSent(len(p), time.Now())
 	return c.Conn.Write(p)
 }
 
+// Read counts the bytes read.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.link.RecordReceived(n, time.Now())
+	return n, err
+}
+
 // setRouters sets the number of routers that share the connections of a runner. Connections opened
 // under another limit finish their requests and are closed.
 func (ts *runnerTransports) setRouters(n int) {
@@ -127,7 +138,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return &countedConn{Conn: conn, link: ts.link}, nil
 		},
 		MaxIdleConnsPerHost:    64,
 		IdleConnTimeout:        idleConnTimeout,
