cicadaupstream: a call with an idempotency key and no body is sent once

Cause: the HTTP transport takes a request without a body for idempotent if it has an Idempotency-Key, and sends it again on a new connection when a reused one breaks after the request was read. Found by reading on 2026-12-04; shown by TestCallsAreSentOnce, which counts three calls of two sent before the change and two after it.

--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -15,6 +15,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -218,9 +219,9 @@
 		return nil, errors.Wrap(err, "make request")
 	}
 	// The transport resends a request with an idempotent method or an Idempotency-Key
-	// header, if it has GetBody or no body. GetBody is removed, and GET, HEAD and
-	// OPTIONS requests without a body get an empty one that the transport does not
-	// recognise as such.
+	// header, if it has GetBody or no body. GetBody is removed, GET, HEAD and OPTIONS
+	// requests without a body get an empty one that the transport does not recognise as
+	// such, and the header is written in lower case, which it does not recognise either.
 	req.GetBody = nil
 	switch {
 	case len(call.Body) > 0:
@@ -230,6 +231,9 @@
 		req.Body = http.NoBody
 	}
 	for k, v := range call.Header {
+		if k == HeaderIdempotencyKey {
+			k = strings.ToLower(k)
+		}
 		req.Header[k] = v
 	}
 	req.Header.Set(HeaderRequestID, call.RequestID)
--- a/internal/cicadaupstream/upstream_test.go
+++ b/internal/cicadaupstream/upstream_test.go
@@ -289,12 +289,21 @@
 		w.WriteHeader(http.StatusOK)
 	}))
 	defer s.Close()
-	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPost} {
+	for _, tt := range []struct{ method, key string }{
+		{http.MethodGet, ""},
+		{http.MethodHead, ""},
+		{http.MethodOptions, ""},
+		{http.MethodPost, ""},
+		{http.MethodPost, "k"}, // the key makes the transport take the call for idempotent
+	} {
 		got.Store(0)
 		c := cicadaupstream.New(cicadaupstream.Config{})
 		for range 2 {
 			call := newCall(s.Listener.Addr().String())
-			call.Method, call.Body = method, nil
+			call.Method, call.Body = tt.method, nil
+			if tt.key != "" {
+				call.Header.Set(cicadaupstream.HeaderIdempotencyKey, tt.key)
+			}
 			resp, err := c.Do(t.Context(), call)
 			if err == nil {
 				if _, err := io.Copy(io.Discard, resp.Body); err != nil {
@@ -305,7 +314,7 @@
 		}
 		c.Close()
 		if diff := cmp.Diff(int64(2), got.Load()); diff != "" {
-			t.Errorf("%s: calls received, of two sent (-want +got):\n%s", method, diff)
+			t.Errorf("%s with key %q: calls received, of two sent (-want +got):\n%s", tt.method, tt.key, diff)
 		}
 	}
 }
