--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -119,6 +119,9 @@
 	x.runnerID, x.estimateMillis, x.cachedTokens = p.Runner().ID(), p.EstimateMillis(), p.CachedTokens()
 	x.runnerRate, x.runnerLimited = x.rt.limits.Rate(p.Runner().Key(), now)
 	x.tried = append(x.tried, x.runnerID)
+	if x.sentAt.IsZero() {
+		x.sentAt = time.Now()
+	}
 	a, err := x.send(ctx, p)
 	if err != nil {
 		return x.handleSendError(p, err)
--- /dev/null
+++ b/internal/cicadaedge/request_record.go
@@ -0,0 +1,83 @@
+package cicadaedge
+
+import (
+	"time"
+
+	"github.com/apex/log"
+)
+
+// requestRecord collects what the log line of a request states beside its outcome.
+type requestRecord struct {
+	bodyWait       time.Duration // until the body had arrived
+	unitsWait      time.Duration // for units of the budget
+	sentAt         time.Time     // when the request was first sent to a runner
+	runnerID       string        // last runner
+	estimateMillis float64
+	cachedTokens   int
+	runnerRate     float64 // rate limit known of the runner, if any
+	runnerLimited  bool
+	firstByteAt    time.Time
+	lastEventAt    time.Time // time of the last event
+	// longestGap is the longest time between two events of a stream.
+	longestGap time.Duration
+	cause      error // of the last failed attempt
+}
+
+// logRequest writes the log line of a request and counts its outcome.
+func (rt *Router) logRequest(q *request, res *result, status int) {
+	now := time.Now()
+	outcome := "answered"
+	switch {
+	case res.refusal != nil:
+		outcome = string(res.refusal.kind)
+	case res.callerGone:
+		outcome = "callerLeft"
+	case res.abortErr != nil:
+		outcome = "cut"
+	}
+	rt.cfg.Metrics.Requests.Add(outcome, 1)
+	rt.cfg.Metrics.Total.Record(now.Sub(q.arrivedAt))
+	if q.attempts > 1 {
+		rt.cfg.Metrics.Retried.Add(int64(q.attempts - 1))
+	}
+	f := log.Fields{
+		"requestId": q.info.ID, "outcome": outcome, "status": status, "millis": now.Sub(q.arrivedAt).Milliseconds(),
+		"attempts": q.attempts, "runner": q.runnerID, "units": int64(q.reserved), "events": q.eventsSent,
+		"estimateMillis": int64(q.estimateMillis), "cachedTokens": q.cachedTokens, "promptTokens": q.info.PromptTokens,
+		"bodyMillis": q.bodyWait.Milliseconds(),
+	}
+	if q.deployment != nil {
+		f["version"] = q.deployment.Version()
+		f["deployAgeMillis"] = rt.deploymentAge(now).Milliseconds()
+	}
+	if q.route != nil {
+		f["route"] = q.route.Name
+	}
+	if q.runnerLimited {
+		f["runnerRate"] = q.runnerRate
+	}
+	if q.org != nil {
+		f["organisation"] = q.org.Name
+	}
+	if q.unitsWait > 0 {
+		f["unitsMillis"] = q.unitsWait.Milliseconds()
+	}
+	if !q.sentAt.IsZero() {
+		f["sentMillis"] = q.sentAt.Sub(q.arrivedAt).Milliseconds()
+	}
+	if !q.firstByteAt.IsZero() {
+		rt.cfg.Metrics.FirstByte.Record(q.firstByteAt.Sub(q.arrivedAt))
+		f["firstMillis"] = q.firstByteAt.Sub(q.arrivedAt).Milliseconds()
+		f["longestPauseMillis"] = q.longestGap.Milliseconds()
+	}
+	if res.refusal != nil {
+		f["detail"] = res.refusal.detail
+	}
+	if res.abortErr != nil {
+		f["cut"] = res.abortErr.Error()
+	}
+	if q.cause != nil {
+		f["cause"] = q.cause.Error()
+	}
+	rt.cfg.Log.WithFields(f).Info("request")
+}
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -52,19 +52,9 @@
 		hasReservation bool
 		eventsSent     int64 // number of events sent to the caller
 		mayHaveRun     bool  // a runner may have worked on the request
+		attempts       int   // number of times that the request was sent to a runner
 
-		// fields of the log line
-		attempts       int
-		runnerID       string
-		estimateMillis float64
-		cachedTokens   int
-		runnerRate     float64 // rate limit known of the runner, if any
-		runnerLimited  bool
-		firstByteAt    time.Time
-		lastEventAt    time.Time // time of the last event
-		// longestGap is the longest time between two events of a stream.
-		longestGap time.Duration
-		cause      error
+		requestRecord
 	}
 
 	// result is the outcome of a request. At most one field is set; none is if the response was
@@ -112,6 +102,7 @@
 	if f := q.readBody(); f != nil {
 		return result{refusal: f}
 	}
+	q.bodyWait = time.Since(q.arrivedAt)
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	q.rt.retries.CountRequest(q.service.Name, q.arrivedAt)
@@ -245,7 +236,10 @@
 	case cicadabudget.Exhausted:
 		return exhaustedRefusal(&shortage)
 	case cicadabudget.Queued:
-		if f := q.awaitUnits(ctx, waiter, &shortage); f != nil {
+		queuedAt := time.Now()
+		f := q.awaitUnits(ctx, waiter, &shortage)
+		q.unitsWait = time.Since(queuedAt)
+		if f != nil {
 			return f
 		}
 	}
