Lenders hold a fifth of a budget, and draw larger parts at once

Cause: with lenders for all routers, what a lender holds is all that a cut or an outage of the store leaves to an organisation.

Fleets without lenders are unchanged.

--- a/internal/cicadabudget/target.go
+++ b/internal/cicadabudget/target.go
@@ -22,8 +22,9 @@
 	lenderHoldSeconds     = 9.0
 	lenderUnlockedSeconds = 0.5
 	// minLenderHoldShare and minLenderUnlockedShare are the lower limits of both, as shares of
-	// the budget: the rate of the last seconds does not predict the first requests of a burst.
-	minLenderHoldShare     = 0.08
+	// the budget: the rate of the last seconds does not predict the first requests of a burst, and
+	// an outage may begin with them.
+	minLenderHoldShare     = 0.2
 	minLenderUnlockedShare = 0.004
 	// lenderScarcityShare replaces scarcityShare for a lender. It is lower because a lender's
 	// successor takes over its holdings.
@@ -50,8 +51,10 @@
 	// returnPeriod is the time routers need to notice that a budget is nearly exhausted and to
 	// return what they hold of it: a read of the pools and a transaction.
 	returnPeriod = 2 * time.Second
-	// maxDrawShare limits one draw to a share of the undrawn units.
-	maxDrawShare = 0.25
+	// maxDrawShare limits one draw to a share of the undrawn units, and maxLenderDrawShare that of
+	// a lender, beside which no other router draws.
+	maxDrawShare       = 0.25
+	maxLenderDrawShare = 0.4
 	// minHoldingShare is the share of the undrawn units that the routers of a small fleet hold
 	// together, whatever their rates. Requests are large and rare at each router, so a rate of
 	// the last seconds does not predict the next ones.
@@ -163,12 +166,12 @@
 	remaining := acc.remaining()
 	target := acc.target(minHolding, meanRequest, now)
 	want := acc.waiterShortfall()
-	refill := refillShare
+	refill, draw := refillShare, maxDrawShare
 	if acc.isLender() {
-		refill = lenderRefillShare
+		refill, draw = lenderRefillShare, maxLenderDrawShare
 	}
 	if float64(acc.free) < refill*float64(target) {
-		want = max(want, min(target-acc.free, Units(maxDrawShare*float64(remaining)), acc.remainingUnseenDraw(now)))
+		want = max(want, min(target-acc.free, Units(draw*float64(remaining)), acc.remainingUnseenDraw(now)))
 	}
 	if want > 0 {
 		return min(want, remaining)
