--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -63,8 +63,6 @@
 		*memoryStore
 		down  atomic.Bool
 		delay atomic.Int64 // delay of each transaction, in nanoseconds
-		// runnerReads is the number of reads of the runners' entries.
-		runnerReads atomic.Int64
 	}
 
 	// dialect implements the headers used in the tests.
@@ -253,9 +251,6 @@
 }
 
 func (v *storeClient) Changes(ctx context.Context, req cicadastore.ChangesRequest) (cicadastore.ChangeBatch, error) {
-	if req.Table == tableRunners {
-		v.runnerReads.Add(1)
-	}
 	timer := time.NewTimer(req.Wait)
 	defer timer.Stop()
 	for {
--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math"
+	"net"
 	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
@@ -143,15 +143,14 @@
 	if err != nil {
 		return errors.Wrap(err, "connect to peer")
 	}
-	client := jrpc2.NewClient(channel.Line(conn, conn), nil)
-	defer rt.peerClients.closeClient(client)
-	return rt.fetchView(ctx, client, addr)
+	return rt.fetchView(ctx, conn, addr)
 }
 
-// fetchView applies the view of another router where it is newer than this router's.
-func (rt *Router) fetchView(ctx context.Context, client *jrpc2.Client, source string) error {
+func (rt *Router) fetchView(ctx context.Context, conn net.Conn, addr string) error {
+	client := jrpc2.NewClient(channel.Line(conn, conn), nil)
+	defer rt.peerClients.closeClient(client)
 	sentAt := time.Now()
-	req := rt.newViewRequest(sentAt)
+	req := viewRequest{RunnersAgeMillis: rt.runnersAge(sentAt).Milliseconds(), RunnersDigest: rt.balancer.Digest(sentAt)}
 	if d := rt.deployment.Load(); d != nil {
 		req.Version = d.Version()
 	}
@@ -160,46 +159,23 @@
 		return errors.Wrap(err, "call peer")
 	}
 	if reply.Deployment != nil {
-		rt.activate(reply.Deployment, "peer "+source)
+		rt.activate(reply.Deployment, "peer "+addr)
 	}
 	freshAt := sentAt.Add(-time.Duration(reply.AgeMillis) * time.Millisecond)
 	if len(reply.Evacuated) > 0 && freshAt.After(rt.viewTime()) {
-		rt.applyPeerEvacuations(reply.Evacuated, source)
+		rt.applyPeerEvacuations(reply.Evacuated, addr)
 	}
 	rt.peerDeploymentAt.advance(freshAt)
-	rt.applyRunnersView(sentAt, &req, &reply)
-	return nil
-}
-
-// fetchRunners applies the runner entries of another router, unless this router's are newer and
-// different.
-func (rt *Router) fetchRunners(ctx context.Context, client *jrpc2.Client) error {
-	sentAt := time.Now()
-	req := rt.newViewRequest(sentAt)
-	// No configuration is newer, and the reply compares the runners whatever the age of this view.
-	req.Version, req.RunnersAgeMillis = math.MaxUint64, math.MaxInt64
-	var reply viewReply
-	if err := client.CallResult(ctx, methodView, req, &reply); err != nil {
-		return errors.Wrap(err, "call peer")
-	}
-	rt.applyRunnersView(sentAt, &req, &reply)
-	return nil
-}
-
-func (rt *Router) newViewRequest(now time.Time) viewRequest {
-	return viewRequest{RunnersAgeMillis: rt.runnersAge(now).Milliseconds(), RunnersDigest: rt.balancer.Digest(now)}
-}
-
-// applyRunnersView applies the runner entries in a reply to a request that was sent at sentAt.
-func (rt *Router) applyRunnersView(sentAt time.Time, req *viewRequest, reply *viewReply) {
 	runnersAt := sentAt.Add(-time.Duration(reply.RunnersAgeMillis) * time.Millisecond)
-	now := time.Now()
-	switch {
-	case reply.RunnersSame && rt.balancer.Digest(now) == req.RunnersDigest:
-		rt.peerRunnersAt.advance(runnersAt)
-	case len(reply.Runners) > 0 && now.Sub(runnersAt) < rt.runnersAge(now):
-		rt.applyPeerRunners(reply.Runners, runnersAt)
+	if now := time.Now(); now.Sub(runnersAt) < rt.runnersAge(now) {
+		switch {
+		case reply.RunnersSame && rt.balancer.Digest(now) == req.RunnersDigest:
+			rt.peerRunnersAt.set(runnersAt)
+		case len(reply.Runners) > 0:
+			rt.applyPeerRunners(reply.Runners, runnersAt)
+		}
 	}
+	return nil
 }
 
 // applyPeerRunners applies the runner entries of a router whose view is newer.
--- a/internal/cicadaedge/peers.go
+++ b/internal/cicadaedge/peers.go
@@ -97,29 +97,6 @@
 	return p.rankings[key]
 }
 
-// runnerReaders returns the routers of this data centre that read the runners' entries from the store
-// for the others; none if each router reads them itself. All routers of a data centre compute the
-// same result.
-func (p *peerSet) runnerReaders() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	key := "runners/" + p.self.dataCentre
-	if names, ok := p.rankings[key]; ok {
-		return names
-	}
-	local := slices.DeleteFunc(p.namesLocked(), func(name string) bool {
-		return name != p.self.name && p.byName[name].dataCentre != p.self.dataCentre
-	})
-	if len(local) < minFollowRouters {
-		return nil
-	}
-	if p.rankings == nil {
-		p.rankings = map[string][]string{}
-	}
-	p.rankings[key] = slices.Clone(cicadaplace.Rank(key, local)[:runnerReaders])
-	return p.rankings[key]
-}
-
 // addr returns the peer address of a router; empty if it is not known.
 func (p *peerSet) addr(name string) string {
 	p.mu.Lock()
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -122,7 +122,6 @@
 	})
 	rt.runnerWatcher = rt.watchTable(ctx, watchConfig{
 		table: rt.cfg.Sources.RunnerTable, maxWait: tableMaxWait, interval: fixedInterval(runnerInterval), apply: rt.applyRunners,
-		skip: rt.skipsRunnerReads, age: rt.runnersAge,
 		onLost: rt.balancer.StoreUnavailable, onRecovered: rt.balancer.StoreRecovered,
 	})
 	rt.watchTable(ctx, watchConfig{table: tablePools, maxWait: tableMaxWait, interval: rt.poolInterval, apply: rt.applyPools})
@@ -132,7 +131,6 @@
 	if rt.cfg.PeerListener != nil {
 		rt.runTask(func() { rt.servePeers(ctx) })
 		rt.runTask(func() { rt.pollPeers(ctx) })
-		rt.runTask(func() { rt.follow(ctx) })
 		rt.runTask(func() { rt.borrower.run(ctx) })
 	}
 	rt.callerServer = rt.newServer(rt)
--- a/internal/cicadaedge/watch.go
+++ b/internal/cicadaedge/watch.go
@@ -33,8 +33,6 @@
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call.
 	minRetryDelay = 60 * time.Millisecond
 	maxRetryDelay = 250 * time.Millisecond
-	// skipCheckInterval is how often a table that is not read is checked for whether it has to be.
-	skipCheckInterval = 100 * time.Millisecond
 	// outageMaxWait is how long a call waits for changes while the store does not answer. It is
 	// short, so that the end of the outage is noticed soon.
 	outageMaxWait = 50 * time.Millisecond
@@ -48,12 +46,6 @@
 		// started.
 		interval func(elapsed time.Duration) time.Duration
 		maxWait  time.Duration // for changes, in one call
-		// skip reports whether the view is kept current by other means, so that the table is not read;
-		// nil for never.
-		skip func() bool
-		// age returns the time since the view was last known to be current; nil for the time since
-		// the last answered call.
-		age func(now time.Time) time.Duration
 		// apply processes all rows of the table, if full is set, or the changed ones.
 		apply func(b cicadastore.ChangeBatch, full bool, now time.Time)
 		// onResponse is called for each response with the time at which the call was sent.
@@ -87,14 +79,6 @@
 	return w.freshAt.age(now)
 }
 
-// viewAge returns the time since the view was last known to be current, by whatever means.
-func (w *tableWatcher) viewAge(now time.Time) time.Duration {
-	if w.cfg.age != nil {
-		return w.cfg.age(now)
-	}
-	return w.age(now)
-}
-
 func (w *tableWatcher) run(ctx context.Context) {
 	defer close(w.done)
 	var since, era uint64
@@ -102,10 +86,6 @@
 	retryDelay := minRetryDelay
 	failing := false
 	for ctx.Err() == nil {
-		if w.cfg.skip != nil && w.cfg.skip() {
-			sleep(ctx, skipCheckInterval)
-			continue
-		}
 		sentAt := time.Now()
 		batch, full, err := w.read(ctx, since, failing)
 		switch {
@@ -117,7 +97,7 @@
 			if !failing && ctx.Err() == nil {
 				w.rt.cfg.Log.WithField("table", w.cfg.table).WithError(err).Warn("store does not answer")
 				if w.cfg.onLost != nil {
-					w.cfg.onLost(sentAt.Add(-w.viewAge(sentAt)))
+					w.cfg.onLost(sentAt.Add(-w.age(sentAt)))
 				}
 			}
 			failing = true
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -81,9 +81,6 @@
 		// evacuated holds the data centres whose runners must get no requests.
 		evacuated map[string]bool
 		warmups   map[string]Warmup // by service
-		// digest is the result of Digest while digestValid is set.
-		digest      uint64
-		digestValid bool
 	}
 
 	// removedEntry is the last entry of a removed runner. It is kept as long as the store may be
@@ -156,8 +153,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.byID[e.ID]
-	// Heartbeats that change nothing in the digest keep it.
-	b.digestValid = b.digestValid && old != nil && old.entry.sameDigest(&e)
 	if b.isStale(&e) {
 		return Change{id: e.ID, stale: true}
 	}
@@ -199,12 +194,6 @@
 	return ok && d.entry.sameRunner(e) && e.Seq <= d.entry.Seq
 }
 
-// sameDigest reports whether two entries of one runner contribute the same to Digest.
-func (e *Entry) sameDigest(other *Entry) bool {
-	return e.sameRunner(other) && e.Slots == other.Slots && e.Draining == other.Draining &&
-		(e.WarmupRemaining > 0) == (other.WarmupRemaining > 0) && e.HoldRemaining == 0 && other.HoldRemaining == 0
-}
-
 func (e *Entry) sameRunner(other *Entry) bool {
 	return e.StartMillis == other.StartMillis && e.Addr == other.Addr && e.Service == other.Service && e.DataCentre == other.DataCentre
 }
@@ -270,7 +259,6 @@
 
 func (b *Balancer) removeLocked(r *Runner, now time.Time) {
 	r.removed = true
-	b.digestValid = false
 	b.removed[r.entry.ID] = removedEntry{entry: r.entry, removedAt: now, draining: r.draining}
 	if b.byID[r.entry.ID] == r {
 		delete(b.byID, r.entry.ID)
@@ -304,19 +292,12 @@
 }
 
 // Digest returns a hash of the entries in use. It leaves out Seq and the remaining durations, so it
-// is equal at two routers that use the same runners, whenever the entries were written. Of a
-// warm-up it includes whether the entry tells of one.
+// is equal at two routers that use the same runners, whenever the entries were written.
 func (b *Balancer) Digest(now time.Time) uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.digestValid {
-		return b.digest
-	}
 	var sum uint64
-	b.digestValid = true
 	for _, r := range b.byID {
-		// The entries of held runners change with the time.
-		b.digestValid = b.digestValid && !r.isHeld()
 		if b.isExpired(r, now) {
 			continue
 		}
@@ -324,9 +305,8 @@
 		// Addition makes the digest independent of the order of the entries.
 		sum += xxhash.Sum64String(strings.Join([]string{
 			e.ID, e.Service, e.Addr, e.DataCentre, strconv.FormatInt(e.StartMillis, 10), strconv.Itoa(e.Slots),
-			strconv.FormatBool(e.Draining), strconv.FormatBool(r.isHeld()), strconv.FormatBool(e.WarmupRemaining > 0),
+			strconv.FormatBool(e.Draining), strconv.FormatBool(r.isHeld()),
 		}, "\x00"))
 	}
-	b.digest = sum
 	return sum
 }
--- a/internal/cicadaplace/hold.go
+++ b/internal/cicadaplace/hold.go
@@ -52,7 +52,7 @@
 	case r.isHeld():
 		return Change{id: id}
 	default:
-		r.heldUntil, b.digestValid = b.holdUntil, false
+		r.heldUntil = b.holdUntil
 		return Change{id: id, changed: true, held: true}
 	}
 }
