A planned stop no longer crashes while other routers call

Cause: the JSON-RPC server of the library panics (send on closed channel) if it is stopped as a call arrives. The peer server was stopped so at the end of each planned stop, before the free units were returned. Seen once in a run of all tests of cicadaedge; by TestStopWhilePeersCall in the first of four runs.

Change: the listener closes the connections of other routers, which ends their servers in the order that the library expects.

Views of routers now differ if a runner has become cold, so that an outage does not hide it.

--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -61,15 +61,22 @@
 	}
 )
 
-// servePeers serves calls of other routers until the listener is closed.
+// servePeers serves calls of other routers until ctx ends.
 func (rt *Router) servePeers(ctx context.Context) {
 	methods := handler.Map{
 		methodView: handler.New(rt.handleView), methodPlace: handler.New(rt.placementServer.handlePlace),
 		methodStarted: handler.New(rt.placementServer.handleStarted), methodEnded: handler.New(rt.placementServer.handleEnded),
 		methodLend: handler.New(rt.handleLend), methodPermit: handler.New(rt.handlePermit),
 	}
-	accepter := server.NetAccepter(rt.cfg.PeerListener, channel.Line)
-	if err := server.Loop(ctx, accepter, server.Static(methods), &server.LoopOptions{
+	ln := newPeerListener(rt.cfg.PeerListener)
+	stop := context.AfterFunc(ctx, func() {
+		if err := ln.Close(); err != nil {
+			rt.cfg.Log.WithError(err).Warn("failed to close the peer listener")
+		}
+	})
+	defer stop()
+	accepter := server.NetAccepter(ln, channel.Line)
+	if err := server.Loop(context.WithoutCancel(ctx), accepter, server.Static(methods), &server.LoopOptions{
 		ServerOptions: &jrpc2.ServerOptions{Concurrency: peerConcurrency},
 	}); err != nil && ctx.Err() == nil {
 		rt.cfg.Log.WithError(err).Error("peer RPC server failed")
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -292,7 +292,8 @@
 }
 
 // Digest returns a hash of the entries in use. It leaves out Seq and the remaining durations, so it
-// is equal at two routers that use the same runners, whenever the entries were written.
+// is equal at two routers that use the same runners, whenever the entries were written. Of a
+// warm-up it includes whether the entry tells of one.
 func (b *Balancer) Digest(now time.Time) uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -305,7 +306,7 @@
 		// Addition makes the digest independent of the order of the entries.
 		sum += xxhash.Sum64String(strings.Join([]string{
 			e.ID, e.Service, e.Addr, e.DataCentre, strconv.FormatInt(e.StartMillis, 10), strconv.Itoa(e.Slots),
-			strconv.FormatBool(e.Draining), strconv.FormatBool(r.isHeld()),
+			strconv.FormatBool(e.Draining), strconv.FormatBool(r.isHeld()), strconv.FormatBool(e.WarmupRemaining > 0),
 		}, "\x00"))
 	}
 	return sum
