--- a/internal/cicadaedge/peer_listener.go
+++ b/internal/cicadaedge/peer_listener.go
@@ -41,7 +41,9 @@
 	}
 	l.mu.Unlock()
 	if closed {
-		conn.Close()
+		if err := conn.Close(); err != nil {
+			return nil, err
+		}
 		return nil, net.ErrClosed
 	}
 	return c, nil
@@ -56,7 +58,9 @@
 	l.conns = nil
 	l.mu.Unlock()
 	for c := range conns {
-		c.Conn.Close()
+		if closeErr := c.Conn.Close(); err == nil {
+			err = closeErr
+		}
 	}
 	return err
 }
