--- a/internal/cicadaadmission/link.go
+++ b/internal/cicadaadmission/link.go
@@ -125,13 +125,17 @@
 	return l.overloaded, l.overloaded != before
 }
 
-// Keeps reports whether a caller's connection with the given number stays open.
-func (l *Link) Keeps(conn uint64, now time.Time) bool {
-	if overloaded, _ := l.Overloaded(now); !overloaded {
+// Keeps reports whether a caller's connection with the given number stays open, as of the last call of
+// Overloaded.
+func (l *Link) Keeps(conn uint64) bool {
+	if l == nil {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.overloaded {
+		return true
+	}
 	var key [16]byte
 	binary.LittleEndian.PutUint64(key[:], conn)
 	binary.LittleEndian.PutUint64(key[8:], l.period)
--- a/internal/cicadaadmission/link_test.go
+++ b/internal/cicadaadmission/link_test.go
@@ -92,7 +92,7 @@
 		z.late++
 	}
 	z.most = max(z.most, took)
-	if !h.link.Keeps(uint64(conn), now) && z.manage {
+	if h.link.Overloaded(now); !h.link.Keeps(uint64(conn)) && z.manage {
 		z.conns[conn] = nil
 	}
 }
--- a/internal/cicadaedge/conn.go
+++ b/internal/cicadaedge/conn.go
@@ -72,7 +72,7 @@
 		return true
 	}
 	conn, ok := r.Context().Value(callerConnKey{}).(*callerConn)
-	return ok && rt.linkOverloaded() && !rt.link.Keeps(conn.number, time.Now())
+	return ok && rt.linkOverloaded() && !rt.link.Keeps(conn.number)
 }
 
 // linkOverloaded reports whether the link of this host is overloaded. It logs each change.
