Soak: doubled answers of a limited runner state its limit

In both logs the first line after the limits had settled is "no longer advertises", for a plain request that was answered whole (1-739, 1-647). The only such answer without the limit's header is the stand-in's doubled one, which is written by hand. A response without the header ends the limit for the routers, so the stand-in counted requests against a limit that it had lifted.

Change: the doubled answers have the header.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -269,7 +269,7 @@
 	}
 	if !failed.sent {
 		res := cicadaplace.ConnectFailed
-		if isUnavailable(err) {
+		if becameUnavailable(err) {
 			res = cicadaplace.NotSent
 		}
 		x.finishAttempt(p, res, err)
--- a/internal/cicadaedge/limit.go
+++ b/internal/cicadaedge/limit.go
@@ -58,9 +58,9 @@
 	}
 }
 
-// isUnavailable reports whether an attempt was cancelled because its runner became unavailable
+// becameUnavailable reports whether an attempt was cancelled because its runner became unavailable
 // while the request waited for a connection.
-func isUnavailable(err error) bool {
+func becameUnavailable(err error) bool {
 	for _, cause := range []error{errRateLimited, cicadaplace.ErrDraining, cicadaplace.ErrEvacuated, cicadaplace.ErrPaused} {
 		if errors.Is(err, cause) {
 			return true
--- a/internal/cicadasoak/runner_test.go
+++ b/internal/cicadasoak/runner_test.go
@@ -192,15 +192,20 @@
 	}
 }
 
-// writeDuplicate sends the runner's previous response again, followed by the right one.
+// writeDuplicate sends the runner's previous response again, followed by the right one. Like all
+// responses they state the runner's limit: one without it tells routers that the limit has ended.
 func (r *runner) writeDuplicate(w http.ResponseWriter, id string) {
+	limitHeader := ""
+	if limit := w.Header().Get("Server-Limit"); limit != "" {
+		limitHeader = "Server-Limit: " + limit + "\r\n"
+	}
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Length: %d\r\n\r\n%s",
-		id, len(responseBody(id)), responseBody(id))
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\n%sContent-Length: %d\r\n\r\n%s",
+		id, limitHeader, len(responseBody(id)), responseBody(id))
 	r.mu.Lock()
 	previous := r.lastResponse
 	r.lastResponse = response
