--- a/internal/cicadarouter/hazard_test.go
+++ b/internal/cicadarouter/hazard_test.go
@@ -448,6 +448,11 @@
 	wg.Wait()
 	if diff := cmp.Diff(40, countComplete(results)); diff != "" {
 		t.Errorf("complete responses (-want +got)\n%s", diff)
+		for i := range results {
+			if countComplete(results[i:i+1]) == 0 {
+				t.Errorf("call %d: %+v", i, results[i])
+			}
+		}
 	}
 	for _, p := range routers[3].State().Homes {
 		for _, h := range p.Holders {
