Log the shared prompt parts of lost requests

Logs could not tell whether requests that are lost in crashes of runners share a part of their prompts, nor whether their answers had begun. The line of a request with a failed attempt now has both.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -119,6 +119,7 @@
 	x.runnerID, x.estimateMillis, x.cachedTokens = p.Runner().ID(), p.EstimateMillis(), p.CachedTokens()
 	x.runnerRate, x.runnerLimited = x.rt.limits.Rate(p.Runner().Key(), now)
 	x.tried = append(x.tried, x.runnerID)
+	x.headerAt = time.Time{}
 	if x.sentAt.IsZero() {
 		x.sentAt = time.Now()
 	}
@@ -190,6 +191,7 @@
 		cancel(nil)
 		return nil, &sendError{cause: err, sent: sent}
 	}
+	x.headerAt = time.Now()
 	a := &attempt{placement: p, resp: resp, cancel: cancel, info: x.rt.cfg.Dialect.ParseResponse(resp)}
 	if a.info.Load != nil {
 		p.ReportLoad(*a.info.Load, time.Now())
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 )
 
 // requestRecord collects what the log line of a request states beside its outcome.
@@ -16,6 +17,7 @@
 	cachedTokens   int
 	runnerRate     float64 // rate limit known of the runner, if any
 	runnerLimited  bool
+	headerAt       time.Time // when the last runner began to answer; zero if it did not
 	firstByteAt    time.Time
 	lastEventAt    time.Time // time of the last event
 	// longestGap is the longest time between two events of a stream.
@@ -23,6 +25,19 @@
 	cause      error // of the last failed attempt
 }
 
+// maxPartsLogged bounds the prompt parts in a log line.
+const maxPartsLogged = 16
+
+// sharedPartIDs returns the ids of the parts that other requests may share, which are all but the
+// last one, up to maxPartsLogged.
+func sharedPartIDs(parts []cicadaplace.Part) []string {
+	ids := []string{}
+	for i := range min(len(parts)-1, maxPartsLogged) {
+		ids = append(ids, parts[i].ID)
+	}
+	return ids
+}
+
 // logRequest writes the log line of a request and counts its outcome.
 func (rt *Router) logRequest(q *request, res *result, status int) {
 	now := time.Now()
@@ -78,6 +93,10 @@
 	}
 	if q.cause != nil {
 		f["cause"] = q.cause.Error()
+		f["parts"] = sharedPartIDs(q.info.PromptParts)
+		if !q.headerAt.IsZero() {
+			f["answerMillis"] = now.Sub(q.headerAt).Milliseconds()
+		}
 	}
 	rt.cfg.Log.WithFields(f).Info("request")
 }
