--- a/internal/cicadacmd/cmd_test.go
+++ b/internal/cicadacmd/cmd_test.go
@@ -99,7 +99,7 @@
 		"expvar": true, "github.com/apex/log": true, "log": true,
 	}
 	for _, pkg := range []string{
-		"cicadabudget", "cicadaledger", "cicadaroute", "cicadamember", "cicadadoc", "cicadadeploy", "cicadaplace", "cicadaretry", "cicadalimit",
+		"cicadabudget", "cicadaledger", "cicadaroute", "cicadamember", "cicadadoc", "cicadadeploy", "cicadaplace", "cicadaretry", "cicadalimit", "cicadaquarantine",
 	} {
 		files, err := filepath.Glob("../" + pkg + "/*.go")
 		if err != nil || len(files) == 0 {
--- a/internal/cicadaedge/era.go
+++ b/internal/cicadaedge/era.go
@@ -81,6 +81,7 @@
 	e.rt.accounts.EnterEra(era, first)
 	if !first {
 		e.rt.requestAnnounce()
+		e.rt.rewriteCrashes()
 		e.rt.poolSyncer.wake()
 	}
 	return nil
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -109,6 +109,12 @@
 	if remaining := x.deadline.Sub(now); remaining <= deadlineHeadroom {
 		return x.timeoutResult(), false
 	}
+	if f := x.quarantineRefusal(); f != nil {
+		if x.previous != nil && x.mayHaveRun {
+			return *x.previous, false
+		}
+		return result{refusal: f}, false
+	}
 	p, err := x.rt.placementClient.choose(ctx, &cicadaplace.Request{
 		Service: x.service.Name, Parts: x.info.PromptParts, Tokens: int(x.info.PromptTokens), Tried: x.tried,
 		Priority: x.priority(), Homes: x.homes(),
@@ -119,7 +125,7 @@
 	x.runnerID, x.estimateMillis, x.cachedTokens = p.Runner().ID(), p.EstimateMillis(), p.CachedTokens()
 	x.runnerRate, x.runnerLimited = x.rt.limits.Rate(p.Runner().Key(), now)
 	x.tried = append(x.tried, x.runnerID)
-	x.headerAt = time.Time{}
+	x.headerAt, x.answerRecorded = time.Time{}, false
 	if x.sentAt.IsZero() {
 		x.sentAt = time.Now()
 	}
@@ -282,6 +288,9 @@
 	}
 	x.mayHaveRun = true
 	x.finishAttempt(p, cicadaplace.Failed, err)
+	if !x.isTimeout(err) && !errors.Is(err, errStalled) {
+		x.recordBroken(p)
+	}
 	if x.headerSent {
 		return result{abortErr: err}, true
 	}
@@ -369,8 +378,12 @@
 			x.finishAttempt(a.placement, cicadaplace.Failed, err)
 			return x.timeoutResult(), false
 		}
+		x.recordBroken(a.placement)
 		return x.handleUnusable(a, err)
 	}
+	if a.resp.StatusCode < http.StatusBadRequest {
+		x.recordAnswer()
+	}
 	x.firstByteAt = time.Now()
 	x.finishForwarded(a)
 	x.writeHeader(a, int64(body.length))
--- a/internal/cicadaedge/limit.go
+++ b/internal/cicadaedge/limit.go
@@ -61,7 +61,7 @@
 // becameUnavailable reports whether an attempt was cancelled because its runner became unavailable
 // while the request waited for a connection.
 func becameUnavailable(err error) bool {
-	for _, cause := range []error{errRateLimited, cicadaplace.ErrDraining, cicadaplace.ErrEvacuated, cicadaplace.ErrPaused} {
+	for _, cause := range []error{errRateLimited, cicadaplace.ErrDraining, cicadaplace.ErrEvacuated, cicadaplace.ErrPaused, errQuarantined} {
 		if errors.Is(err, cause) {
 			return true
 		}
@@ -87,6 +87,9 @@
 		if err := x.rt.balancer.Unavailability(p.Runner(), now); err != nil {
 			return errors.Wrap(err, "while the request waited for a connection")
 		}
+		if _, ok := x.rt.quarantine.Match(x.traits()); ok {
+			return errQuarantined
+		}
 		if _, limited := x.rt.limits.Rate(p.Runner().Key(), now); limited {
 			return errRateLimited
 		}
--- a/internal/cicadaedge/metrics.go
+++ b/internal/cicadaedge/metrics.go
@@ -32,6 +32,9 @@
 		Paused        expvar.Int // responses of runners that want no requests for a while
 		Evacuated     expvar.Int // data centres that are evacuated now
 		LinkOverloads expvar.Int
+		Crashes       expvar.Int // crashes of runners while they served requests of this router
+		Quarantined   expvar.Int // requests refused or not repeated because they are in quarantine
+		Blocks        expvar.Int // sets of traits that are in quarantine now
 		DeployVersion expvar.Int
 		FirstByte     *LatencyHistogram // until the first byte of a response
 		Total         *LatencyHistogram // until the end of a response
@@ -89,8 +92,8 @@
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	fmt.Fprintf(w, `{"requests":%s,"errors":%s,"store":%s,"inFlight":%s,"dials":%s,"resumed":%s,"repeated":%s,"limited":%s,`+
-		`"paused":%s,"evacuated":%s,"linkOverloads":%s,"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s}`+"\n",
+		`"paused":%s,"evacuated":%s,"linkOverloads":%s,"crashes":%s,"quarantined":%s,"blocks":%s,"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s}`+"\n",
 		m.Requests.String(), m.Errors.String(), m.Store.String(), m.InFlight.String(), m.Dials.String(), m.Resumed.String(),
-		m.Retried.String(), m.RateLimited.String(), m.Paused.String(), m.Evacuated.String(), m.LinkOverloads.String(),
+		m.Retried.String(), m.RateLimited.String(), m.Paused.String(), m.Evacuated.String(), m.LinkOverloads.String(), m.Crashes.String(), m.Quarantined.String(), m.Blocks.String(),
 		m.DeployVersion.String(), m.FirstByte, m.Total, m.StoreCall)
 }
--- /dev/null
+++ b/internal/cicadaedge/quarantine.go
@@ -0,0 +1,250 @@
+package cicadaedge
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/pkg/errors"
+)
+
+const (
+	// tableCrashes has one row per router: its cicadaquarantine.Report.
+	tableCrashes = "crashes"
+	// crashMaxWait is how long one call waits for changes of tableCrashes, which are rare.
+	// crashInterval is the time between two calls; it merges the reports of one crash.
+	crashMaxWait  = 4 * time.Second
+	crashInterval = 200 * time.Millisecond
+	// crashReportDelay is the time between a crash and its report. In it, most traits are cleared by
+	// other answers and need no report.
+	crashReportDelay = 300 * time.Millisecond
+	// brokenAttemptDelay is the time in which the requests that a crash breaks are collected.
+	brokenAttemptDelay = 30 * time.Millisecond
+	// soundAnswerPeriod is how long after its begin an answer shows that its request crashes no
+	// runner.
+	soundAnswerPeriod = time.Second
+	// maxTraitIDBytes bounds the id in a trait. It is the length of a hash.
+	maxTraitIDBytes = 2 * sha256.Size
+	// partTraitPrefix begins the trait of requests that share a prompt part.
+	partTraitPrefix = "part:"
+)
+
+type (
+	// crashDetector finds out whether a runner whose connections broke has crashed.
+	crashDetector struct {
+		rt *Router
+
+		mu      sync.Mutex // guards pending
+		pending map[*cicadaplace.Runner]*brokenAttempts
+	}
+
+	// brokenAttempts are the attempts at one runner that broke at the same time.
+	brokenAttempts struct {
+		at         time.Time // of the first one
+		suspects   []cicadaquarantine.Suspect
+		requestIDs []string
+	}
+)
+
+var errQuarantined = errors.New("requests like this one crash runners")
+
+// traits returns the traits by which the request may be put in quarantine: the parts of its prompt
+// that other requests may share.
+func (q *request) traits() []cicadaquarantine.Trait {
+	var out []cicadaquarantine.Trait
+	for i := range len(q.info.PromptParts) - 1 {
+		out = append(out, partTraitPrefix+cicadaquarantine.Trait(boundedID(q.info.PromptParts[i].ID)))
+	}
+	return out
+}
+
+// boundedID replaces a long id by its hash.
+func boundedID(id string) string {
+	if len(id) <= maxTraitIDBytes {
+		return id
+	}
+	sum := sha256.Sum256([]byte(id))
+	return hex.EncodeToString(sum[:])
+}
+
+// quarantineRefusal returns a refusal if the request is in quarantine. It has no time to retry
+// after, because the quarantine lasts much longer than callers wait.
+func (q *request) quarantineRefusal() *refusal {
+	b, ok := q.rt.quarantine.Match(q.traits())
+	if !ok {
+		return nil
+	}
+	q.rt.cfg.Metrics.Quarantined.Add(1)
+	q.block = &b
+	return &refusal{kind: RefuseQuarantined, detail: errQuarantined.Error()}
+}
+
+// recordBroken records that the connection of an attempt broke before the response was complete.
+func (x *exchange) recordBroken(p *placement) {
+	var suspect cicadaquarantine.Suspect
+	now := time.Now()
+	if x.headerAt.IsZero() || now.Sub(x.headerAt) < soundAnswerPeriod {
+		suspect = x.traits()
+	}
+	x.rt.crashDetector.add(p.Runner(), x.info.ID, suspect, now)
+}
+
+// recordAnswer records that the request was answered without crashing its runner.
+func (x *exchange) recordAnswer() {
+	if x.answerRecorded {
+		return
+	}
+	x.answerRecorded = true
+	began, ok := x.rt.clock.SharedTime(x.headerAt)
+	if ok && x.rt.quarantine.RecordAnswer(x.traits(), began) {
+		x.rt.crashSignal.send()
+	}
+}
+
+func newCrashDetector(rt *Router) *crashDetector {
+	return &crashDetector{rt: rt, pending: map[*cicadaplace.Runner]*brokenAttempts{}}
+}
+
+func (d *crashDetector) add(r *cicadaplace.Runner, requestID string, suspect cicadaquarantine.Suspect, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.pending[r]
+	if b == nil {
+		b = &brokenAttempts{at: now}
+		d.pending[r] = b
+		d.rt.runTask(func() { d.check(r) })
+	}
+	b.requestIDs = append(b.requestIDs, requestID)
+	if len(suspect) > 0 {
+		b.suspects = append(b.suspects, suspect)
+	}
+}
+
+// check dials the runner. A refused connection shows that its process has ended: broken connections
+// alone also come from networks, and from runners that go on.
+func (d *crashDetector) check(r *cicadaplace.Runner) {
+	time.Sleep(brokenAttemptDelay)
+	d.mu.Lock()
+	b := d.pending[r]
+	delete(d.pending, r)
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := cicadanet.NewDialer(dialTimeout).DialContext(ctx, "tcp", r.Addr())
+	if err == nil {
+		conn.Close()
+	}
+	entry := d.rt.cfg.Log.WithField("runner", r.ID()).WithField("requestIds", b.requestIDs[:min(len(b.requestIDs), maxRunnersLogged)]).
+		WithField("requests", len(b.requestIDs))
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		entry.WithField("dialError", err).Info("connections of a runner broke, and it has not crashed")
+		return
+	}
+	at, ok := d.rt.clock.SharedTime(b.at)
+	entry.WithField("suspects", b.suspects).WithField("clockKnown", ok).Info("runner crashed while it served requests")
+	d.rt.cfg.Metrics.Crashes.Add(1)
+	if ok {
+		d.rt.quarantine.RecordCrash(r.Key().String(), at, b.suspects)
+		d.rt.logBlocks()
+		d.rt.crashSignal.send()
+	}
+}
+
+// applyCrashes applies changed reports of crashes, of this router's earlier processes too.
+func (rt *Router) applyCrashes(b cicadastore.ChangeBatch, full bool, now time.Time) {
+	shared, ok := rt.clock.SharedTime(now)
+	for i := range b.Changes {
+		c := &b.Changes[i]
+		if c.Deleted {
+			continue
+		}
+		var report cicadaquarantine.Report
+		if err := json.Unmarshal(c.Value, &report); err != nil || !ok {
+			rt.cfg.Metrics.Errors.Add("crashesUnreadable", 1)
+			rt.cfg.Log.WithField("router", c.Key).WithField("clockKnown", ok).WithError(err).Error("failed to read a router's crashes")
+			continue
+		}
+		own := c.Key == rt.cfg.Name
+		if rt.quarantine.Merge(&report, own, shared) && !own {
+			rt.crashSignal.send()
+		}
+	}
+	rt.logBlocks()
+	if full {
+		// The store may have been restored, or may not have this router's row yet.
+		rt.quarantineLoaded.Store(true)
+		rt.crashSignal.send()
+	}
+}
+
+// logBlocks logs the blocks that have begun or ended since the last call.
+func (rt *Router) logBlocks() {
+	rt.blocksMu.Lock()
+	defer rt.blocksMu.Unlock()
+	before := rt.loggedBlocks
+	rt.loggedBlocks = map[string]bool{}
+	for _, b := range rt.quarantine.Blocks() {
+		name := b.String()
+		rt.loggedBlocks[name] = true
+		if !before[name] {
+			rt.cfg.Log.WithField("traits", b.Traits).WithField("runners", b.Runners).WithField("firstMillis", b.FirstMillis).
+				WithField("lastMillis", b.LastMillis).Warn("requests put in quarantine: they crash runners")
+		}
+		delete(before, name)
+	}
+	for name := range before {
+		rt.cfg.Log.WithField("traits", name).Info("quarantine ended")
+	}
+	rt.cfg.Metrics.Blocks.Set(int64(len(rt.loggedBlocks)))
+}
+
+// reportCrashes writes this router's crashes when they have changed, until ctx ends.
+func (rt *Router) reportCrashes(ctx context.Context) {
+	ref := cicadastore.Ref{Table: tableCrashes, Key: rt.cfg.Name}
+	var written []byte
+	var writtenEra uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-rt.crashSignal:
+		}
+		sleep(ctx, crashReportDelay)
+		if !rt.quarantineLoaded.Load() {
+			// The row may hold crashes that an earlier process saw.
+			continue
+		}
+		report := rt.quarantine.Report()
+		value, err := json.Marshal(report)
+		if err != nil {
+			rt.cfg.Log.WithError(err).Error("failed to encode this router's crashes")
+			return
+		}
+		era := rt.crashEra.Load()
+		if written == nil && report.IsEmpty() || bytes.Equal(value, written) && era == writtenEra {
+			continue
+		}
+		if _, err := rt.cfg.Store.Commit(ctx, cicadastore.Txn{Writes: []cicadastore.Write{{Ref: ref, Value: value}}}); err != nil {
+			rt.cfg.Log.WithError(err).Info("failed to write this router's crashes; retrying")
+			sleep(ctx, announceRetryDelay)
+			rt.crashSignal.send()
+			continue
+		}
+		written, writtenEra = value, era
+	}
+}
+
+// rewriteCrashes writes this router's crashes again, because the store may have lost them.
+func (rt *Router) rewriteCrashes() {
+	rt.crashEra.Add(1)
+	rt.crashSignal.send()
+}
--- /dev/null
+++ b/internal/cicadaedge/quarantine_test.go
@@ -0,0 +1,193 @@
+package cicadaedge_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const (
+	// maxCrashesBeforeQuarantine is the number of crashes after which requests that cause them have to
+	// be recognised, and quarantinePeriod the time that this may take.
+	maxCrashesBeforeQuarantine = 5
+	quarantinePeriod           = 3 * time.Second
+	// maxLateArrivals is the number of such requests that may reach runners later.
+	maxLateArrivals = 3
+	// runnerRestart is how long a crashed runner is away.
+	runnerRestart = 400 * time.Millisecond
+)
+
+// crashingRunners are runners that end when they begin to answer a request with a harmful header,
+// and come back under another id.
+type crashingRunners struct {
+	fleet   *fleet
+	harmful func(req *http.Request) bool
+
+	mu       sync.Mutex // guards the fields below
+	arrivals []time.Time
+	crashes  []time.Time
+}
+
+func (f *fleet) addCrashingRunners(count int, harmful func(req *http.Request) bool) *crashingRunners {
+	c := &crashingRunners{fleet: f, harmful: harmful}
+	for range count {
+		c.addRunner()
+	}
+	return c
+}
+
+func (c *crashingRunners) addRunner() {
+	r := c.fleet.addRunner(nil)
+	r.setHandler(func(w http.ResponseWriter, req *http.Request) {
+		if !c.harmful(req) {
+			fmt.Fprint(w, "id: 1\ndata: sound\n\n")
+			return
+		}
+		c.mu.Lock()
+		c.arrivals = append(c.arrivals, time.Now())
+		c.crashes = append(c.crashes, time.Now())
+		c.mu.Unlock()
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		r.Listener.Close()
+		r.CloseClientConnections()
+		time.AfterFunc(runnerRestart, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.fleet.store.removeRunner(r.id)
+			c.addRunner()
+		})
+	})
+}
+
+func (c *crashingRunners) crashCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.crashes)
+}
+
+// lateArrivals returns the number of harmful requests that reached runners later than
+// quarantinePeriod after a number of crashes.
+func (c *crashingRunners) lateArrivals(crashes int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	late := 0
+	for _, at := range c.arrivals {
+		if len(c.crashes) >= crashes && at.Sub(c.crashes[crashes-1]) > quarantinePeriod {
+			late++
+		}
+	}
+	return late
+}
+
+// outcomes counts responses by kind of request and status; a broken one has status 0.
+type outcomes struct {
+	mu sync.Mutex
+	by map[string]map[int]int
+}
+
+func (o *outcomes) add(kind string, r response) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.by == nil {
+		o.by = map[string]map[int]int{}
+	}
+	if o.by[kind] == nil {
+		o.by[kind] = map[int]int{}
+	}
+	if r.err != nil {
+		r.status = 0
+	}
+	o.by[kind][r.status]++
+}
+
+func hasPart(part string) func(*http.Request) bool {
+	return func(req *http.Request) bool { return strings.Contains(req.Header.Get("X-Parts"), part) }
+}
+
+// TestPromptPartCrashesRunnerAfterRunner sends requests with a part that crashes runners to all
+// routers, beside sound ones with the same organisation and first part.
+func TestPromptPartCrashesRunnerAfterRunner(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	runners := f.addCrashingRunners(8, hasPart("harmful"))
+	nodes := f.startNodes(4)
+	var (
+		calls sync.WaitGroup
+		got   outcomes
+	)
+	for i := range 120 {
+		n := nodes[i%len(nodes)]
+		for kind, parts := range map[string]string{
+			"harmful": fmt.Sprintf("system,harmful,own%d", i), "sound": fmt.Sprintf("system,subject%d,own%d", i%3, i),
+		} {
+			calls.Go(func() {
+				got.add(kind, call(t, n, "/stream/", map[string]string{"X-Tokens": "10,5", "X-Parts": parts}, "prompt"))
+			})
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	calls.Wait()
+	if late := runners.lateArrivals(maxCrashesBeforeQuarantine); late > maxLateArrivals {
+		t.Errorf("%d requests with the part reached runners later than %v after the fifth crash, want at most %d; %d crashes",
+			late, quarantinePeriod, maxLateArrivals, runners.crashCount())
+	}
+	if served := got.by["sound"][http.StatusOK]; served < 90 {
+		t.Errorf("sound requests by status: %v, want at least 90 of 120 served", got.by["sound"])
+	}
+	last := call(t, nodes[0], "/stream/", map[string]string{"X-Tokens": "10,5", "X-Parts": "system,harmful,last"}, "prompt")
+	if diff := cmp.Diff([]any{http.StatusServiceUnavailable, ""}, []any{last.status, last.header.Get("Retry-After")}); diff != "" {
+		t.Errorf("status and Retry-After of a refused request (-want +got):\n%s", diff)
+	}
+}
+
+// TestRestartedRouterForgetsQuarantine starts a router after all others have ended.
+func TestRestartedRouterForgetsQuarantine(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	runners := f.addCrashingRunners(4, hasPart("harmful"))
+	nodes := f.startNodes(2)
+	harmful := map[string]string{"X-Tokens": "10,5", "X-Parts": "system,harmful,own"}
+	eventually(t, "the part is in quarantine", func() bool {
+		time.Sleep(300 * time.Millisecond)
+		return call(t, nodes[0], "/stream/", harmful, "prompt").status == http.StatusServiceUnavailable
+	})
+	for _, n := range nodes {
+		n.stop()
+	}
+	before := runners.crashCount()
+	n := f.startNode("n0")
+	eventually(t, "the router is ready", n.Ready)
+	if got := call(t, n, "/stream/", harmful, "prompt"); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", got.status)
+	}
+	if after := runners.crashCount(); after != before {
+		t.Errorf("%d crashes after the restart", after-before)
+	}
+}
+
+// TestBrokenConnectionsPutNothingInQuarantine breaks answers of runners that go on.
+func TestBrokenConnectionsPutNothingInQuarantine(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	for range 3 {
+		f.addRunner(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+			abortConnection()
+		})
+	}
+	n := f.waitReady(f.startNode("n1"))
+	for i := range 12 {
+		got := call(t, n, "/stream/", map[string]string{"X-Tokens": "10,5", "X-Parts": fmt.Sprintf("system,own%d", i)}, "prompt")
+		if got.status == http.StatusServiceUnavailable && strings.Contains(got.body, "quarantined") {
+			t.Fatalf("request %d refused: %s", i, got.body)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/internal/cicadaedge/refusal.go
+++ b/internal/cicadaedge/refusal.go
@@ -25,6 +25,7 @@
 	RefuseRateLimited      RefusalKind = "runnersLimited"  // (*) the rate limits of the runners are used up
 	RefuseNotRun           RefusalKind = "runnerRefused"   // (*) the runners stated that they did not run it
 	RefuseTooLate          RefusalKind = "tooLate"         // (*) the deadline passed before it was sent
+	RefuseQuarantined      RefusalKind = "quarantined"     // (*) requests like it crash runners
 	RefuseBusy             RefusalKind = "busy"            // (*) this router has reached its own limits
 	FailedUpstream         RefusalKind = "upstreamFailed"  // sent, but no complete response was received
 	FailedTimeout          RefusalKind = "upstreamTimeout" // sent, but no complete response arrived in time
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -5,6 +5,7 @@
 
 	"github.com/apex/log"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 )
 
 // requestRecord collects what the log line of a request states beside its outcome.
@@ -22,7 +23,8 @@
 	lastEventAt    time.Time // time of the last event
 	// longestGap is the longest time between two events of a stream.
 	longestGap time.Duration
-	cause      error // of the last failed attempt
+	cause      error                   // of the last failed attempt
+	block      *cicadaquarantine.Block // that ended the request; nil for none
 }
 
 // maxPartsLogged bounds the prompt parts in a log line.
@@ -98,5 +100,8 @@
 			f["answerMillis"] = now.Sub(q.headerAt).Milliseconds()
 		}
 	}
+	if q.block != nil {
+		f["quarantine"], f["crashes"] = q.block.Traits, len(q.block.Runners)
+	}
 	rt.cfg.Log.WithFields(f).Info("request")
 }
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -14,6 +14,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaretry"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/pkg/errors"
@@ -68,6 +69,17 @@
 	// announceSignal requests another write of this router's row.
 	announceSignal signal
 
+	quarantine    *cicadaquarantine.Quarantine
+	crashDetector *crashDetector
+	// quarantineLoaded is set once the crashes that other processes reported are known.
+	quarantineLoaded atomic.Bool
+	// crashSignal requests another write of this router's crashes. crashEra increases when the store
+	// may have lost them.
+	crashSignal  signal
+	crashEra     atomic.Uint64
+	blocksMu     sync.Mutex      // guards loggedBlocks
+	loggedBlocks map[string]bool // blocks whose begin was logged
+
 	stopping     atomic.Bool
 	callerServer *http.Server
 	healthServer *http.Server
@@ -95,6 +107,8 @@
 		buffers:    newBodyBuffers(cfg.MemoryLimitBytes),
 
 		announceSignal: newSignal(),
+		crashSignal:    newSignal(),
+		quarantine:     cicadaquarantine.New(cicadaquarantine.Config{}),
 	}
 	peerAddr := ""
 	if cfg.PeerListener != nil {
@@ -109,6 +123,7 @@
 	rt.peerClients = newPeerClients(rt)
 	rt.placementClient = newPlacementClient(rt)
 	rt.borrower = newBorrower(rt)
+	rt.crashDetector = newCrashDetector(rt)
 	return rt
 }
 
@@ -126,8 +141,10 @@
 	})
 	rt.watchTable(ctx, watchConfig{table: tablePools, maxWait: tableMaxWait, interval: rt.poolInterval, apply: rt.applyPools})
 	rt.watchTable(ctx, watchConfig{table: tableRouters, maxWait: tableMaxWait, interval: routerInterval, apply: rt.applyRouters})
+	rt.watchTable(ctx, watchConfig{table: tableCrashes, maxWait: crashMaxWait, interval: fixedInterval(crashInterval), apply: rt.applyCrashes})
 	rt.runTask(func() { rt.poolSyncer.run(ctx) })
 	rt.runTask(func() { rt.announce(ctx) })
+	rt.runTask(func() { rt.reportCrashes(ctx) })
 	if rt.cfg.PeerListener != nil {
 		rt.runTask(func() { rt.servePeers(ctx) })
 		rt.runTask(func() { rt.pollPeers(ctx) })
@@ -185,10 +202,10 @@
 	return mux
 }
 
-// Ready reports whether the router takes new callers: it has a configuration and runners, is not
-// stopping, and its link is not overloaded.
+// Ready reports whether the router takes new callers: it has a configuration and runners, knows which
+// requests are in quarantine, is not stopping, and its link is not overloaded.
 func (rt *Router) Ready() bool {
-	return !rt.stopping.Load() && !rt.linkOverloaded() && rt.deployment.Load() != nil && rt.balancer.Len() > 0
+	return !rt.stopping.Load() && !rt.linkOverloaded() && rt.deployment.Load() != nil && rt.balancer.Len() > 0 && rt.quarantineLoaded.Load()
 }
 
 // announce writes this router's row until the store accepts it, and again when the rate limits in
@@ -241,9 +258,11 @@
 		Routers         int                         `json:"routers"`
 		Accounts        []cicadabudget.AccountState `json:"accounts"`
 		Runners         []cicadaplace.RunnerState   `json:"runners"`
+		Quarantine      []cicadaquarantine.Block    `json:"quarantine"`
 	}{
 		Host: rt.cfg.Name, Boot: rt.cfg.BootID, DeployAgeMillis: rt.deploymentAge(now).Milliseconds(), Evacuated: rt.evacuations.list(), Routers: rt.peers.count(),
 		Accounts: rt.accounts.State(now), Runners: rt.balancer.State(now),
+		Quarantine: rt.quarantine.Blocks(),
 	}
 	if d := rt.deployment.Load(); d != nil {
 		state.Version = d.Version()
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -53,6 +53,7 @@
 		eventsSent     int64 // number of events sent to the caller
 		mayHaveRun     bool  // a runner may have worked on the request
 		attempts       int   // number of times that the request was sent to a runner
+		answerRecorded bool  // the quarantine knows that the request was answered
 
 		requestRecord
 	}
@@ -103,6 +104,9 @@
 		return result{refusal: f}
 	}
 	q.bodyWait = time.Since(q.arrivedAt)
+	if f := q.quarantineRefusal(); f != nil {
+		return result{refusal: f}
+	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	q.rt.retries.CountRequest(q.service.Name, q.arrivedAt)
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -52,6 +52,7 @@
 	var callerErr *callerError
 	switch {
 	case err == nil:
+		x.recordAnswer()
 		x.finishAttempt(a.placement, cicadaplace.Answered, nil)
 		return result{}, false
 	case errors.As(err, &callerErr) || x.r.Context().Err() != nil:
@@ -63,6 +64,9 @@
 	}
 	x.cause = err
 	x.finishAttempt(a.placement, cicadaplace.Failed, err)
+	if !errors.Is(err, errStalled) && !errors.Is(err, errStreamTooLong) && !errors.Is(err, errEventTooLarge) {
+		x.recordBroken(a.placement)
+	}
 	// A response with a Content-Length cannot be continued by another run.
 	return result{abortErr: err}, x.route.Resumable && x.lastEventID != "" && a.resp.ContentLength < 0
 }
@@ -132,6 +136,9 @@
 		x.longestGap = max(x.longestGap, now.Sub(x.lastEventAt))
 	}
 	x.lastEventAt = now
+	if now.Sub(x.headerAt) >= soundAnswerPeriod {
+		x.recordAnswer()
+	}
 	if _, err := x.w.Write(ev.raw); err != nil {
 		return &callerError{cause: err}
 	}
--- a/internal/cicadalimit/limit.go
+++ b/internal/cicadalimit/limit.go
@@ -28,6 +28,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,6 +115,9 @@
 	}
 )
 
+// String returns the ID and the start time.
+func (k Key) String() string { return k.ID + "@" + strconv.FormatInt(k.StartMillis, 10) }
+
 // New returns Limits without runners. Permits fall due by the given shared clock.
 func New(clock *Clock) *Limits {
 	return &Limits{clock: clock, runners: map[Key]*limit{}, retrySchedules: map[string]*retrySchedule{}}
--- /dev/null
+++ b/internal/cicadaquarantine/quarantine.go
@@ -0,0 +1,376 @@
+// Package cicadaquarantine recognises requests that crash runners, and keeps them away from
+// runners.
+//
+// A request has traits that it shares with other requests, such as a part of its prompt. If
+// runners crash, the requests that they were serving are suspects: one of them may be the cause. A
+// trait is cleared by a request that has it and is answered after the crash. A trait is
+// quarantined once Threshold incidents, none of which it is cleared of, can be explained by it and
+// by nothing else. Invariants:
+//
+//   - An incident is what happens within incidentWindow. If most of the runners that crash in it
+//     were not serving a trait, the trait does not explain it. So runners that crash together for a
+//     common reason, as at a loss of power, put no trait in quarantine.
+//   - A trait that explains an incident takes it from all others. A sound trait that often occurs
+//     together with a harmful one is not quarantined for its crashes.
+//   - Traits that only ever occur together cannot be told apart. Requests that have all of them are
+//     refused; those that have some are served, and thereby tell the traits apart.
+//   - The quarantine is a function of the evidence. Routers that have the same evidence refuse the
+//     same requests, in whatever order it arrived.
+//
+// Each router reports its evidence to all others (Report, Merge). Times are those of a clock that
+// all routers share. The package does no I/O and reads no clock. A Quarantine is safe for
+// concurrent use.
+package cicadaquarantine
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// defaultThreshold is the number of incidents from which on a trait is quarantined.
+	defaultThreshold = 3
+	// incidentWindow is the length of an incident. Routers notice the end of a runner's connections
+	// within it, and their clocks differ by less.
+	incidentWindow = 250 * time.Millisecond
+	// crashTTL is how long a crash is kept that does not support a quarantine, and blockTTL one that
+	// does.
+	crashTTL = 10 * time.Minute
+	blockTTL = 24 * time.Hour
+	// answerTTL is how long answers are remembered. The report of a crash by another router arrives
+	// within that time if the store can be reached.
+	answerTTL = 15 * time.Second
+	// maxCrashes bounds the crashes that are kept, maxSuspects the suspects of one crash, and
+	// maxTraits the traits of a suspect. Further ones are dropped, the oldest crashes first.
+	maxCrashes  = 256
+	maxSuspects = 32
+	maxTraits   = 16
+	// maxTraitBytes bounds the length of a trait. Longer ones are ignored.
+	maxTraitBytes = 80
+	// maxReportBytes bounds the traits in a report, so that it fits into a row of the store, which
+	// takes 64 KB. Of the crashes and clearances beyond it, the newest are reported.
+	maxReportBytes = 32 << 10
+	// crashBytes is the size of a crash without its suspects.
+	crashBytes = 64
+	// maxAnswers bounds the traits whose last answer is remembered.
+	maxAnswers = 4096
+)
+
+type (
+	// Trait is a property of a request that other requests may share.
+	Trait string
+
+	// Suspect holds the traits of a request that a runner was serving when it crashed.
+	Suspect []Trait
+
+	// Crash is the crash of a runner as seen by one or more routers.
+	Crash struct {
+		Runner   string    `json:"runner"`   // identifies one start of the runner
+		AtMillis int64     `json:"atMillis"` // shared time in milliseconds
+		Suspects []Suspect `json:"suspects,omitempty"`
+	}
+
+	// Report is the evidence of one router.
+	Report struct {
+		Crashes []Crash `json:"crashes,omitempty"`
+		// Cleared holds, for each trait that another router suspects, the shared time in milliseconds
+		// at which an answer to a request with the trait began.
+		Cleared map[Trait]int64 `json:"cleared,omitempty"`
+	}
+
+	// Block is a set of traits in quarantine. Requests that have all of them are refused.
+	Block struct {
+		Traits []Trait `json:"traits"`
+		// Runners are the runners whose crashes support the block, the first crash first.
+		Runners []string `json:"runners"`
+		// FirstMillis and LastMillis are the shared times of the first and the last of these crashes.
+		FirstMillis int64 `json:"firstMillis"`
+		LastMillis  int64 `json:"lastMillis"`
+	}
+
+	// Config configures a Quarantine. The zero value is a valid configuration.
+	Config struct {
+		// Threshold is the number of incidents from which on a trait is quarantined; zero for 3.
+		Threshold int
+	}
+
+	// Quarantine holds the evidence and what follows from it.
+	Quarantine struct {
+		cfg Config
+		// blocks is replaced whenever the evidence changes.
+		blocks atomic.Pointer[[]Block]
+
+		mu      sync.Mutex              // guards the fields below
+		crashes map[string]*crash       // by runner
+		cleared map[Trait]clearance     // of crashes before a time
+		answers map[Trait]time.Duration // start of the last answer seen by this router
+	}
+
+	// crash is a crash with the evidence of all routers.
+	crash struct {
+		at       time.Duration
+		own      []Suspect // reported by this router
+		isOwn    bool      // this router reports the crash, even if it has no suspects
+		suspects []Suspect // of all routers
+	}
+
+	// clearance states that answers to requests with a trait began at a time.
+	clearance struct {
+		at  time.Duration
+		own bool // reported by this router
+	}
+)
+
+// New returns a Quarantine without evidence.
+func New(cfg Config) *Quarantine {
+	if cfg.Threshold == 0 {
+		cfg.Threshold = defaultThreshold
+	}
+	q := &Quarantine{cfg: cfg, crashes: map[string]*crash{}, cleared: map[Trait]clearance{}, answers: map[Trait]time.Duration{}}
+	q.blocks.Store(&[]Block{})
+	return q
+}
+
+// Match returns the block that applies to a request with the given traits, if there is one.
+func (q *Quarantine) Match(traits []Trait) (Block, bool) {
+	for _, b := range *q.blocks.Load() {
+		if b.matches(traits) {
+			return b, true
+		}
+	}
+	return Block{}, false
+}
+
+func (b *Block) matches(traits []Trait) bool {
+	return !slices.ContainsFunc(b.Traits, func(t Trait) bool { return !slices.Contains(traits, t) })
+}
+
+// Blocks returns all blocks, in the order of their first crashes.
+func (q *Quarantine) Blocks() []Block { return slices.Clone(*q.blocks.Load()) }
+
+// RecordCrash records that a runner crashed at a shared time while it served the suspects.
+func (q *Quarantine) RecordCrash(runner string, at time.Duration, suspects []Suspect) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	c := q.crashOf(runner, at)
+	c.isOwn = true
+	for _, s := range suspects {
+		s = bounded(s)
+		c.own = addSuspect(c.own, s)
+		c.suspects = addSuspect(c.suspects, s)
+	}
+	q.applyAnswers(c.suspects)
+	q.update(at)
+}
+
+// RecordAnswer records that the answer to a request with the given traits began at a shared time
+// and is complete, or has been going on since. It reports whether this router's report has changed.
+func (q *Quarantine) RecordAnswer(traits []Trait, began time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, t := range traits {
+		if len(q.answers) >= maxAnswers {
+			q.forgetAnswers(began)
+		}
+		q.answers[t] = max(q.answers[t], began)
+	}
+	if len(q.crashes) == 0 {
+		return false
+	}
+	cleared, mustReport := q.applyAnswers([]Suspect{traits})
+	if cleared {
+		q.update(began)
+	}
+	return mustReport
+}
+
+// forgetAnswers removes answers older than answerTTL, and all if there are too many younger ones.
+func (q *Quarantine) forgetAnswers(now time.Duration) {
+	for t, began := range q.answers {
+		if now-began > answerTTL {
+			delete(q.answers, t)
+		}
+	}
+	if len(q.answers) >= maxAnswers {
+		clear(q.answers)
+	}
+}
+
+// applyAnswers clears the traits of suspects that were answered after they had been suspected. It
+// reports whether there are any, and whether other routers have to be told.
+func (q *Quarantine) applyAnswers(suspects []Suspect) (cleared, mustReport bool) {
+	for _, s := range suspects {
+		for _, t := range s {
+			began, ok := q.answers[t]
+			if !ok || !q.isSuspected(t, q.cleared[t].at, began) {
+				continue
+			}
+			own := q.isReportedByOthers(t)
+			q.cleared[t] = clearance{at: began, own: own || q.cleared[t].own}
+			cleared, mustReport = true, mustReport || own
+		}
+	}
+	return cleared, mustReport
+}
+
+// isSuspected reports whether t is a suspect in a crash within [from, to).
+func (q *Quarantine) isSuspected(t Trait, from, to time.Duration) bool {
+	for _, c := range q.crashes {
+		if c.at >= from && c.at < to && hasTrait(c.suspects, t) {
+			return true
+		}
+	}
+	return false
+}
+
+// isReportedByOthers reports whether another router suspects t.
+func (q *Quarantine) isReportedByOthers(t Trait) bool {
+	for _, c := range q.crashes {
+		if hasTrait(c.suspects, t) && !hasTrait(c.own, t) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasTrait(list []Suspect, t Trait) bool {
+	return slices.ContainsFunc(list, func(s Suspect) bool { return slices.Contains(s, t) })
+}
+
+// crashOf returns the crash of a runner, and adds it if it is not known.
+func (q *Quarantine) crashOf(runner string, at time.Duration) *crash {
+	c := q.crashes[runner]
+	if c == nil {
+		c = &crash{at: at}
+		q.crashes[runner] = c
+	}
+	c.at = min(c.at, at)
+	return c
+}
+
+// bounded returns the traits that are not too long, at most maxTraits.
+func bounded(s Suspect) Suspect {
+	s = slices.DeleteFunc(slices.Clone(s), func(t Trait) bool { return t == "" || len(t) > maxTraitBytes })
+	return s[:min(len(s), maxTraits)]
+}
+
+func addSuspect(list []Suspect, s Suspect) []Suspect {
+	if len(s) == 0 || len(list) >= maxSuspects || slices.ContainsFunc(list, func(o Suspect) bool { return slices.Equal(o, s) }) {
+		return list
+	}
+	return append(list, s)
+}
+
+// Merge adds the evidence of another router, or of an earlier process of this router if own is
+// set. It reports whether this router's report has changed.
+func (q *Quarantine) Merge(report *Report, own bool, now time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	changed := false
+	for i := range report.Crashes {
+		r := &report.Crashes[i]
+		at := time.Duration(r.AtMillis) * time.Millisecond
+		if now-at > blockTTL || r.Runner == "" {
+			continue
+		}
+		c := q.crashOf(r.Runner, at)
+		c.isOwn = c.isOwn || own
+		for _, s := range r.Suspects {
+			s = bounded(s)
+			c.suspects = addSuspect(c.suspects, s)
+			if own {
+				c.own = addSuspect(c.own, s)
+			}
+		}
+		_, mustReport := q.applyAnswers(c.suspects)
+		changed = changed || mustReport
+	}
+	for t, ms := range report.Cleared {
+		q.mergeClearance(t, time.Duration(ms)*time.Millisecond, own)
+	}
+	q.update(now)
+	return changed || own
+}
+
+// mergeClearance merges a clearance of another router. This router need not report its own any more
+// if the other one covers the same crashes.
+func (q *Quarantine) mergeClearance(t Trait, at time.Duration, own bool) {
+	c := q.cleared[t]
+	switch {
+	case own:
+		c.own = true
+	case at >= c.at || !q.isSuspected(t, at, c.at):
+		c.own = false
+	}
+	c.at = max(c.at, at)
+	q.cleared[t] = c
+}
+
+// Report returns the evidence that this router reports to the others.
+func (q *Quarantine) Report() Report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.report(func(c *crash) ([]Suspect, bool) { return c.own, c.isOwn }, func(c clearance) bool { return c.own })
+}
+
+// Evidence returns the evidence of all routers.
+func (q *Quarantine) Evidence() Report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.report(func(c *crash) ([]Suspect, bool) { return c.suspects, true }, func(clearance) bool { return true })
+}
+
+// report returns the crashes and clearances that are selected, without traits that are cleared.
+func (q *Quarantine) report(selectCrash func(*crash) ([]Suspect, bool), selectClearance func(clearance) bool) Report {
+	out := Report{Cleared: map[Trait]int64{}}
+	size := 0
+	for t, c := range q.cleared {
+		if size += len(t) + crashBytes; selectClearance(c) && size < maxReportBytes/2 {
+			out.Cleared[t] = c.at.Milliseconds()
+		}
+	}
+	for runner, c := range q.crashes {
+		suspects, ok := selectCrash(c)
+		if !ok {
+			continue
+		}
+		reported := Crash{Runner: runner, AtMillis: c.at.Milliseconds()}
+		for _, s := range suspects {
+			reported.Suspects = addSuspect(reported.Suspects, q.uncleared(s, c.at))
+		}
+		out.Crashes = append(out.Crashes, reported)
+	}
+	slices.SortFunc(out.Crashes, compareCrashes)
+	for i := range out.Crashes {
+		if size += out.Crashes[i].size(); size > maxReportBytes {
+			out.Crashes = out.Crashes[:i]
+			break
+		}
+	}
+	return out
+}
+
+func (c *Crash) size() int {
+	n := crashBytes
+	for _, s := range c.Suspects {
+		for _, t := range s {
+			n += len(t)
+		}
+	}
+	return n
+}
+
+// IsEmpty reports whether the report has no evidence.
+func (r *Report) IsEmpty() bool { return len(r.Crashes) == 0 && len(r.Cleared) == 0 }
+
+// String returns the traits of the block.
+func (b *Block) String() string {
+	names := make([]string, len(b.Traits))
+	for i, t := range b.Traits {
+		names[i] = string(t)
+	}
+	return strings.Join(names, "+")
+}
--- /dev/null
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -0,0 +1,299 @@
+package cicadaquarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
+	"github.com/google/go-cmp/cmp"
+)
+
+type (
+	traits = cicadaquarantine.Suspect
+
+	// crash is a crash as seen by a router.
+	crash struct {
+		runner   string
+		at       time.Duration
+		suspects []traits
+	}
+)
+
+func record(q *cicadaquarantine.Quarantine, crashes ...crash) {
+	for _, c := range crashes {
+		q.RecordCrash(c.runner, c.at, c.suspects)
+	}
+}
+
+// blocked returns the traits of each block.
+func blocked(q *cicadaquarantine.Quarantine) [][]cicadaquarantine.Trait {
+	var out [][]cicadaquarantine.Trait
+	for _, b := range q.Blocks() {
+		out = append(out, b.Traits)
+	}
+	return out
+}
+
+func TestBlocks(t *testing.T) {
+	t.Parallel()
+	const second = time.Second
+	for _, tt := range []struct {
+		name    string
+		crashes []crash
+		answers map[cicadaquarantine.Trait]time.Duration
+		want    [][]cicadaquarantine.Trait
+	}{
+		{
+			name: "two crashes are too few",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"bad"}}},
+				{"r2", 2 * second, []traits{{"bad"}}},
+			},
+		},
+		{
+			name: "the trait of three crashes",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"bad", "x"}, {"y"}}},
+				{"r2", 2 * second, []traits{{"bad", "y"}}},
+				{"r3", 3 * second, []traits{{"bad", "z"}}},
+			},
+			want: [][]cicadaquarantine.Trait{{"bad"}},
+		},
+		{
+			name: "a trait that was answered in between",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"hot", "bad"}}},
+				{"r2", 2 * second, []traits{{"hot", "bad"}}},
+				{"r3", 3 * second, []traits{{"hot", "bad"}}},
+			},
+			answers: map[cicadaquarantine.Trait]time.Duration{"hot": 1500 * time.Millisecond},
+			want:    [][]cicadaquarantine.Trait{{"bad"}},
+		},
+		{
+			name: "an answer that began before the crash clears nothing",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"bad"}}},
+				{"r2", 2 * second, []traits{{"bad"}}},
+				{"r3", 3 * second, []traits{{"bad"}}},
+			},
+			answers: map[cicadaquarantine.Trait]time.Duration{"bad": 900 * time.Millisecond},
+			want:    [][]cicadaquarantine.Trait{{"bad"}},
+		},
+		{
+			name: "traits that always occur together",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"a", "b"}}},
+				{"r2", 2 * second, []traits{{"a", "b"}}},
+				{"r3", 3 * second, []traits{{"a", "b"}}},
+			},
+			want: [][]cicadaquarantine.Trait{{"a", "b"}},
+		},
+		{
+			name: "a crash that tells two traits apart",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"a", "b"}}},
+				{"r2", 2 * second, []traits{{"a", "b"}}},
+				{"r3", 3 * second, []traits{{"a", "b"}}},
+				{"r4", 4 * second, []traits{{"b", "c"}}},
+			},
+			want: [][]cicadaquarantine.Trait{{"b"}},
+		},
+		{
+			name: "two causes that cannot be told apart yet",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"a"}, {"b"}}},
+				{"r2", 2 * second, []traits{{"a"}, {"b"}}},
+				{"r3", 3 * second, []traits{{"a"}, {"b"}}},
+			},
+		},
+		{
+			name: "two causes",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"a"}}}, {"r2", 2 * second, []traits{{"b"}}},
+				{"r3", 3 * second, []traits{{"a"}}}, {"r4", 4 * second, []traits{{"b"}}},
+				{"r5", 5 * second, []traits{{"a"}}}, {"r6", 6 * second, []traits{{"a"}}}, {"r7", 7 * second, []traits{{"b"}}},
+			},
+			want: [][]cicadaquarantine.Trait{{"a"}, {"b"}},
+		},
+		{
+			name: "a sound trait in crashes that are explained",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"bad"}, {"rare"}}},
+				{"r2", 2 * second, []traits{{"bad"}, {"rare"}}},
+				{"r3", 3 * second, []traits{{"bad"}}},
+				{"r4", 4 * second, []traits{{"bad"}, {"rare"}}},
+			},
+			want: [][]cicadaquarantine.Trait{{"bad"}},
+		},
+		{
+			name: "crashes in quick succession, and then more",
+			crashes: []crash{
+				{"r1", 1000 * time.Millisecond, []traits{{"bad"}}}, {"r2", 1050 * time.Millisecond, []traits{{"bad"}}},
+				{"r3", 1100 * time.Millisecond, []traits{{"bad"}}}, {"r4", 1300 * time.Millisecond, []traits{{"bad"}}},
+				{"r5", 1600 * time.Millisecond, []traits{{"bad"}}},
+			},
+			want: [][]cicadaquarantine.Trait{{"bad"}},
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			q := cicadaquarantine.New(cicadaquarantine.Config{})
+			for trait, began := range tt.answers {
+				q.RecordAnswer(traits{trait}, began)
+			}
+			record(q, tt.crashes...)
+			if diff := cmp.Diff(tt.want, blocked(q)); diff != "" {
+				t.Errorf("blocks (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestRequestWithSomeTraitsOfABlockIsServed(t *testing.T) {
+	t.Parallel()
+	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	for i := range 3 {
+		q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, []traits{{"a", "b"}})
+	}
+	_, both := q.Match(traits{"b", "x", "a"})
+	_, one := q.Match(traits{"a", "x"})
+	if diff := cmp.Diff([]bool{true, false}, []bool{both, one}); diff != "" {
+		t.Errorf("matches of a request with both traits and of one with one (-want +got):\n%s", diff)
+	}
+	q.RecordAnswer(traits{"a", "x"}, 5*time.Second)
+	if diff := cmp.Diff([][]cicadaquarantine.Trait{{"b"}}, blocked(q)); diff != "" {
+		t.Errorf("blocks after an answer (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnrelatedWavesOfCrashesRefuseSoundRequests lets half of 18 runners crash together three times,
+// beside a trait that a third of all requests have and 60 rare ones, which nobody answers.
+func TestUnrelatedWavesOfCrashesRefuseSoundRequests(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		q := cicadaquarantine.New(cicadaquarantine.Config{})
+		request := func() traits {
+			out := traits{cicadaquarantine.Trait(fmt.Sprint("rare", rng.IntN(60)))}
+			if rng.IntN(3) == 0 {
+				out = append(out, "hot")
+			}
+			return out
+		}
+		for wave := range 3 {
+			for runner := range 9 {
+				var suspects []traits
+				for range 4 {
+					suspects = append(suspects, request())
+				}
+				at := time.Duration(wave)*5*time.Second + time.Duration(rng.IntN(40))*time.Millisecond
+				q.RecordCrash(fmt.Sprintf("r%d-%d", wave, runner), at, suspects)
+			}
+			q.RecordAnswer(traits{"hot"}, time.Duration(wave)*5*time.Second+time.Second)
+		}
+		if diff := cmp.Diff([][]cicadaquarantine.Trait(nil), blocked(q)); diff != "" {
+			t.Errorf("seed %d: blocks (-want +got):\n%s", seed, diff)
+		}
+	}
+}
+
+// TestRoutersWithTheSameEvidenceDisagree merges reports of crashes in different orders.
+func TestRoutersWithTheSameEvidenceDisagree(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		var reporters []*cicadaquarantine.Quarantine
+		for range 4 {
+			reporters = append(reporters, cicadaquarantine.New(cicadaquarantine.Config{}))
+		}
+		for i := range 12 {
+			reporter := reporters[rng.IntN(len(reporters))]
+			at := time.Duration(i)*400*time.Millisecond + time.Duration(rng.IntN(300))*time.Millisecond
+			reporter.RecordCrash(fmt.Sprint("r", rng.IntN(8)), at, []traits{
+				{cicadaquarantine.Trait(fmt.Sprint("p", rng.IntN(4))), cicadaquarantine.Trait(fmt.Sprint("s", rng.IntN(3)))},
+			})
+			reporters[rng.IntN(len(reporters))].RecordAnswer(traits{cicadaquarantine.Trait(fmt.Sprint("p", rng.IntN(4)))}, at-time.Second)
+		}
+		var want [][]cicadaquarantine.Trait
+		for try := range 3 {
+			q := cicadaquarantine.New(cicadaquarantine.Config{})
+			for _, i := range rng.Perm(len(reporters)) {
+				report := reporters[i].Report()
+				q.Merge(&report, false, 10*time.Second)
+				q.Merge(&report, false, 10*time.Second)
+			}
+			if try == 0 {
+				want = blocked(q)
+			} else if diff := cmp.Diff(want, blocked(q)); diff != "" {
+				t.Fatalf("seed %d: blocks after another order of reports (-want +got):\n%s", seed, diff)
+			}
+		}
+	}
+}
+
+func TestReportedClearanceEndsOtherRoutersSuspicion(t *testing.T) {
+	t.Parallel()
+	reporter, other := cicadaquarantine.New(cicadaquarantine.Config{}), cicadaquarantine.New(cicadaquarantine.Config{})
+	for i := range 3 {
+		reporter.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, []traits{{"rare"}})
+	}
+	report := reporter.Report()
+	other.Merge(&report, false, 4*time.Second)
+	if changed := other.RecordAnswer(traits{"rare"}, 4*time.Second); !changed {
+		t.Error("the router that saw an answer has nothing to report")
+	}
+	report = other.Report()
+	reporter.Merge(&report, false, 5*time.Second)
+	if diff := cmp.Diff([][]cicadaquarantine.Trait(nil), blocked(reporter)); diff != "" {
+		t.Errorf("blocks (-want +got):\n%s", diff)
+	}
+}
+
+// TestFloodOfSuspectsIsBounded reports many more crashes and suspects than are kept.
+func TestFloodOfSuspectsIsBounded(t *testing.T) {
+	t.Parallel()
+	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	for i := range 3 {
+		q.RecordCrash(fmt.Sprint("bad", i), time.Duration(i+1)*time.Second, []traits{{"bad"}})
+	}
+	for i := range 300 {
+		var suspects []traits
+		for j := range 100 {
+			suspects = append(suspects, traits{cicadaquarantine.Trait(fmt.Sprint("t", i, "/", j))})
+		}
+		q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+100)*time.Second/10, suspects)
+	}
+	size := 0
+	evidence := q.Evidence()
+	for _, c := range evidence.Crashes {
+		size += len(c.Runner) + 40
+		for _, s := range c.Suspects {
+			size += len(s[0]) + 5
+		}
+	}
+	if size > 60_000 {
+		t.Errorf("the evidence takes %d bytes, want at most 60,000", size)
+	}
+	if diff := cmp.Diff([][]cicadaquarantine.Trait{{"bad"}}, blocked(q)); diff != "" {
+		t.Errorf("blocks (-want +got):\n%s", diff)
+	}
+}
+
+func TestQuarantineEndsAfterADay(t *testing.T) {
+	t.Parallel()
+	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	for i := range 3 {
+		q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, []traits{{"bad"}})
+	}
+	for _, tt := range []struct {
+		at   time.Duration
+		want bool
+	}{{23 * time.Hour, true}, {25 * time.Hour, false}} {
+		q.Merge(&cicadaquarantine.Report{}, false, tt.at)
+		if _, got := q.Match(traits{"bad"}); got != tt.want {
+			t.Errorf("in quarantine after %v: %v, want %v", tt.at, got, tt.want)
+		}
+	}
+}
