Quarantine: a part that is shared widely is not refused with the harmful one

Cause: requests that were waiting at the runner were suspects like the one whose answer had just begun, and traits that explain the same incidents in different requests were all put in quarantine.

Change: where a crash has suspects whose answers had begun, only these count. Among equals the trait with the fewest suspects is taken, and only that one; if it is wrong, the next crash shows it.

--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -50,7 +50,7 @@
 	// brokenAttempts are the attempts at one runner that broke at the same time.
 	brokenAttempts struct {
 		at         time.Time // of the first one
-		suspects   []cicadaquarantine.Suspect
+		suspects   cicadaquarantine.Suspects
 		requestIDs []string
 	}
 )
@@ -90,12 +90,16 @@
 
 // recordBroken records that the connection of an attempt broke before the response was complete.
 func (x *exchange) recordBroken(p *placement) {
-	var suspect cicadaquarantine.Suspect
 	now := time.Now()
-	if x.headerAt.IsZero() || now.Sub(x.headerAt) < soundAnswerPeriod {
-		suspect = x.traits()
-	}
-	x.rt.crashDetector.add(p.Runner(), x.info.ID, suspect, now)
+	suspect := []cicadaquarantine.Suspect{x.traits()}
+	var suspects cicadaquarantine.Suspects
+	switch {
+	case x.headerAt.IsZero():
+		suspects.Waiting = suspect
+	case now.Sub(x.headerAt) < soundAnswerPeriod:
+		suspects.Begun = suspect
+	}
+	x.rt.crashDetector.add(p.Runner(), x.info.ID, &suspects, now)
 }
 
 // recordAnswer records that the request was answered without crashing its runner.
@@ -114,7 +118,7 @@
 	return &crashDetector{rt: rt, pending: map[*cicadaplace.Runner]*brokenAttempts{}}
 }
 
-func (d *crashDetector) add(r *cicadaplace.Runner, requestID string, suspect cicadaquarantine.Suspect, now time.Time) {
+func (d *crashDetector) add(r *cicadaplace.Runner, requestID string, suspects *cicadaquarantine.Suspects, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.pending[r]
@@ -124,9 +128,8 @@
 		d.rt.runTask(func() { d.check(r) })
 	}
 	b.requestIDs = append(b.requestIDs, requestID)
-	if len(suspect) > 0 {
-		b.suspects = append(b.suspects, suspect)
-	}
+	b.suspects.Begun = append(b.suspects.Begun, suspects.Begun...)
+	b.suspects.Waiting = append(b.suspects.Waiting, suspects.Waiting...)
 }
 
 // check dials the runner. A refused connection shows that its process has ended: broken connections
--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -66,11 +66,19 @@
 	// Suspect holds the traits of a request that a runner was serving when it crashed.
 	Suspect []Trait
 
+	// Suspects are the suspects of one crash. A runner is more likely to crash over a request that it
+	// has just begun to answer than over one that is waiting or whose prompt it is still reading.
+	// Therefore the latter count only if there is none of the former.
+	Suspects struct {
+		Begun   []Suspect `json:"begun,omitempty"`   // the answer had just begun
+		Waiting []Suspect `json:"waiting,omitempty"` // the answer had not begun
+	}
+
 	// Crash is the crash of a runner as seen by one or more routers.
 	Crash struct {
-		Runner   string    `json:"runner"`   // identifies one start of the runner
-		AtMillis int64     `json:"atMillis"` // shared time in milliseconds
-		Suspects []Suspect `json:"suspects,omitempty"`
+		Runner   string `json:"runner"`   // identifies one start of the runner
+		AtMillis int64  `json:"atMillis"` // shared time in milliseconds
+		Suspects
 	}
 
 	// Report is the evidence of one router.
@@ -112,9 +120,9 @@
 	// crash is a crash with the evidence of all routers.
 	crash struct {
 		at       time.Duration
-		own      []Suspect // reported by this router
-		isOwn    bool      // this router reports the crash, even if it has no suspects
-		suspects []Suspect // of all routers
+		own      Suspects // reported by this router
+		isOwn    bool     // this router reports the crash, even if it has no suspects
+		suspects Suspects // of all routers
 	}
 
 	// clearance states that answers to requests with a trait began at a time.
@@ -152,17 +160,14 @@
 func (q *Quarantine) Blocks() []Block { return slices.Clone(*q.blocks.Load()) }
 
 // RecordCrash records that a runner crashed at a shared time while it served the suspects.
-func (q *Quarantine) RecordCrash(runner string, at time.Duration, suspects []Suspect) {
+func (q *Quarantine) RecordCrash(runner string, at time.Duration, suspects Suspects) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	c := q.crashOf(runner, at)
 	c.isOwn = true
-	for _, s := range suspects {
-		s = bounded(s)
-		c.own = addSuspect(c.own, s)
-		c.suspects = addSuspect(c.suspects, s)
-	}
-	q.applyAnswers(c.suspects)
+	c.own.add(&suspects)
+	c.suspects.add(&suspects)
+	q.applyAnswers(c.suspects.all())
 	q.update(at)
 }
 
@@ -219,7 +224,7 @@
 // isSuspected reports whether t is a suspect in a crash within [from, to).
 func (q *Quarantine) isSuspected(t Trait, from, to time.Duration) bool {
 	for _, c := range q.crashes {
-		if c.at >= from && c.at < to && hasTrait(c.suspects, t) {
+		if c.at >= from && c.at < to && c.suspects.has(t) {
 			return true
 		}
 	}
@@ -229,15 +234,35 @@
 // isReportedByOthers reports whether another router suspects t.
 func (q *Quarantine) isReportedByOthers(t Trait) bool {
 	for _, c := range q.crashes {
-		if hasTrait(c.suspects, t) && !hasTrait(c.own, t) {
+		if c.suspects.has(t) && !c.own.has(t) {
 			return true
 		}
 	}
 	return false
 }
 
-func hasTrait(list []Suspect, t Trait) bool {
-	return slices.ContainsFunc(list, func(s Suspect) bool { return slices.Contains(s, t) })
+func (s *Suspects) all() []Suspect { return slices.Concat(s.Begun, s.Waiting) }
+
+func (s *Suspects) has(t Trait) bool {
+	return slices.ContainsFunc(s.all(), func(s Suspect) bool { return slices.Contains(s, t) })
+}
+
+// add adds other suspects within the bounds.
+func (s *Suspects) add(other *Suspects) {
+	for _, o := range other.Begun {
+		s.Begun = addSuspect(s.Begun, bounded(o))
+	}
+	for _, o := range other.Waiting {
+		s.Waiting = addSuspect(s.Waiting, bounded(o))
+	}
+}
+
+// counting returns the suspects that count.
+func (s *Suspects) counting() []Suspect {
+	if len(s.Begun) > 0 {
+		return s.Begun
+	}
+	return s.Waiting
 }
 
 // crashOf returns the crash of a runner, and adds it if it is not known.
@@ -278,14 +303,11 @@
 		}
 		c := q.crashOf(r.Runner, at)
 		c.isOwn = c.isOwn || own
-		for _, s := range r.Suspects {
-			s = bounded(s)
-			c.suspects = addSuspect(c.suspects, s)
-			if own {
-				c.own = addSuspect(c.own, s)
-			}
+		c.suspects.add(&r.Suspects)
+		if own {
+			c.own.add(&r.Suspects)
 		}
-		_, mustReport := q.applyAnswers(c.suspects)
+		_, mustReport := q.applyAnswers(c.suspects.all())
 		changed = changed || mustReport
 	}
 	for t, ms := range report.Cleared {
@@ -313,18 +335,18 @@
 func (q *Quarantine) Report() Report {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.report(func(c *crash) ([]Suspect, bool) { return c.own, c.isOwn }, func(c clearance) bool { return c.own })
+	return q.report(func(c *crash) (Suspects, bool) { return c.own, c.isOwn }, func(c clearance) bool { return c.own })
 }
 
 // Evidence returns the evidence of all routers.
 func (q *Quarantine) Evidence() Report {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.report(func(c *crash) ([]Suspect, bool) { return c.suspects, true }, func(clearance) bool { return true })
+	return q.report(func(c *crash) (Suspects, bool) { return c.suspects, true }, func(clearance) bool { return true })
 }
 
 // report returns the crashes and clearances that are selected, without traits that are cleared.
-func (q *Quarantine) report(selectCrash func(*crash) ([]Suspect, bool), selectClearance func(clearance) bool) Report {
+func (q *Quarantine) report(selectCrash func(*crash) (Suspects, bool), selectClearance func(clearance) bool) Report {
 	out := Report{Cleared: map[Trait]int64{}}
 	size := 0
 	for t, c := range q.cleared {
@@ -337,11 +359,7 @@
 		if !ok {
 			continue
 		}
-		reported := Crash{Runner: runner, AtMillis: c.at.Milliseconds()}
-		for _, s := range suspects {
-			reported.Suspects = addSuspect(reported.Suspects, q.uncleared(s, c.at))
-		}
-		out.Crashes = append(out.Crashes, reported)
+		out.Crashes = append(out.Crashes, Crash{Runner: runner, AtMillis: c.at.Milliseconds(), Suspects: q.uncleared(&suspects, c.at)})
 	}
 	slices.SortFunc(out.Crashes, compareCrashes)
 	for i := range out.Crashes {
@@ -355,7 +373,7 @@
 
 func (c *Crash) size() int {
 	n := crashBytes
-	for _, s := range c.Suspects {
+	for _, s := range c.all() {
 		for _, t := range s {
 			n += len(t)
 		}
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -18,15 +18,20 @@
 		runner   string
 		at       time.Duration
 		suspects []traits
+		waiting  []traits
 	}
 )
 
 func record(q *cicadaquarantine.Quarantine, crashes ...crash) {
 	for _, c := range crashes {
-		q.RecordCrash(c.runner, c.at, c.suspects)
+		q.RecordCrash(c.runner, c.at, cicadaquarantine.Suspects{Begun: c.suspects, Waiting: c.waiting})
 	}
 }
 
+func begun(suspects []traits) cicadaquarantine.Suspects {
+	return cicadaquarantine.Suspects{Begun: suspects}
+}
+
 // blocked returns the traits of each block.
 func blocked(q *cicadaquarantine.Quarantine) [][]cicadaquarantine.Trait {
 	var out [][]cicadaquarantine.Trait
@@ -48,25 +53,25 @@
 		{
 			name: "two crashes are too few",
 			crashes: []crash{
-				{"r1", 1 * second, []traits{{"bad"}}},
-				{"r2", 2 * second, []traits{{"bad"}}},
+				{"r1", 1 * second, []traits{{"bad"}}, nil},
+				{"r2", 2 * second, []traits{{"bad"}}, nil},
 			},
 		},
 		{
 			name: "the trait of three crashes",
 			crashes: []crash{
-				{"r1", 1 * second, []traits{{"bad", "x"}, {"y"}}},
-				{"r2", 2 * second, []traits{{"bad", "y"}}},
-				{"r3", 3 * second, []traits{{"bad", "z"}}},
+				{"r1", 1 * second, []traits{{"bad", "x"}, {"y"}}, nil},
+				{"r2", 2 * second, []traits{{"bad", "y"}}, nil},
+				{"r3", 3 * second, []traits{{"bad", "z"}}, nil},
 			},
 			want: [][]cicadaquarantine.Trait{{"bad"}},
 		},
 		{
 			name: "a trait that was answered in between",
 			crashes: []crash{
-				{"r1", 1 * second, []traits{{"hot", "bad"}}},
-				{"r2", 2 * second, []traits{{"hot", "bad"}}},
-				{"r3", 3 * second, []traits{{"hot", "bad"}}},
+				{"r1", 1 * second, []traits{{"hot", "bad"}}, nil},
+				{"r2", 2 * second, []traits{{"hot", "bad"}}, nil},
+				{"r3", 3 * second, []traits{{"hot", "bad"}}, nil},
 			},
 			answers: map[cicadaquarantine.Trait]time.Duration{"hot": 1500 * time.Millisecond},
 			want:    [][]cicadaquarantine.Trait{{"bad"}},
@@ -74,9 +79,9 @@
 		{
 			name: "an answer that began before the crash clears nothing",
 			crashes: []crash{
-				{"r1", 1 * second, []traits{{"bad"}}},
-				{"r2", 2 * second, []traits{{"bad"}}},
-				{"r3", 3 * second, []traits{{"bad"}}},
+				{"r1", 1 * second, []traits{{"bad"}}, nil},
+				{"r2", 2 * second, []traits{{"bad"}}, nil},
+				{"r3", 3 * second, []traits{{"bad"}}, nil},
 			},
 			answers: map[cicadaquarantine.Trait]time.Duration{"bad": 900 * time.Millisecond},
 			want:    [][]cicadaquarantine.Trait{{"bad"}},
@@ -84,55 +89,80 @@
 		{
 			name: "traits that always occur together",
 			crashes: []crash{
-				{"r1", 1 * second, []traits{{"a", "b"}}},
-				{"r2", 2 * second, []traits{{"a", "b"}}},
-				{"r3", 3 * second, []traits{{"a", "b"}}},
+				{"r1", 1 * second, []traits{{"a", "b"}}, nil},
+				{"r2", 2 * second, []traits{{"a", "b"}}, nil},
+				{"r3", 3 * second, []traits{{"a", "b"}}, nil},
 			},
 			want: [][]cicadaquarantine.Trait{{"a", "b"}},
 		},
 		{
 			name: "a crash that tells two traits apart",
 			crashes: []crash{
-				{"r1", 1 * second, []traits{{"a", "b"}}},
-				{"r2", 2 * second, []traits{{"a", "b"}}},
-				{"r3", 3 * second, []traits{{"a", "b"}}},
-				{"r4", 4 * second, []traits{{"b", "c"}}},
+				{"r1", 1 * second, []traits{{"a", "b"}}, nil},
+				{"r2", 2 * second, []traits{{"a", "b"}}, nil},
+				{"r3", 3 * second, []traits{{"a", "b"}}, nil},
+				{"r4", 4 * second, []traits{{"b", "c"}}, nil},
 			},
 			want: [][]cicadaquarantine.Trait{{"b"}},
 		},
 		{
 			name: "two causes that cannot be told apart yet",
 			crashes: []crash{
-				{"r1", 1 * second, []traits{{"a"}, {"b"}}},
-				{"r2", 2 * second, []traits{{"a"}, {"b"}}},
-				{"r3", 3 * second, []traits{{"a"}, {"b"}}},
+				{"r1", 1 * second, []traits{{"a"}, {"b"}}, nil},
+				{"r2", 2 * second, []traits{{"a"}, {"b"}}, nil},
+				{"r3", 3 * second, []traits{{"a"}, {"b"}}, nil},
 			},
 		},
 		{
 			name: "two causes",
 			crashes: []crash{
-				{"r1", 1 * second, []traits{{"a"}}}, {"r2", 2 * second, []traits{{"b"}}},
-				{"r3", 3 * second, []traits{{"a"}}}, {"r4", 4 * second, []traits{{"b"}}},
-				{"r5", 5 * second, []traits{{"a"}}}, {"r6", 6 * second, []traits{{"a"}}}, {"r7", 7 * second, []traits{{"b"}}},
+				{"r1", 1 * second, []traits{{"a"}}, nil},
+				{"r2", 2 * second, []traits{{"b"}}, nil},
+				{"r3", 3 * second, []traits{{"a"}}, nil},
+				{"r4", 4 * second, []traits{{"b"}}, nil},
+				{"r5", 5 * second, []traits{{"a"}}, nil},
+				{"r6", 6 * second, []traits{{"a"}}, nil},
+				{"r7", 7 * second, []traits{{"b"}}, nil},
 			},
 			want: [][]cicadaquarantine.Trait{{"a"}, {"b"}},
 		},
 		{
 			name: "a sound trait in crashes that are explained",
 			crashes: []crash{
-				{"r1", 1 * second, []traits{{"bad"}, {"rare"}}},
-				{"r2", 2 * second, []traits{{"bad"}, {"rare"}}},
-				{"r3", 3 * second, []traits{{"bad"}}},
-				{"r4", 4 * second, []traits{{"bad"}, {"rare"}}},
+				{"r1", 1 * second, []traits{{"bad"}, {"rare"}}, nil},
+				{"r2", 2 * second, []traits{{"bad"}, {"rare"}}, nil},
+				{"r3", 3 * second, []traits{{"bad"}}, nil},
+				{"r4", 4 * second, []traits{{"bad"}, {"rare"}}, nil},
+			},
+			want: [][]cicadaquarantine.Trait{{"bad"}},
+		},
+		{
+			name: "requests that were waiting beside one that had begun",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"first", "bad"}}, []traits{{"first", "x"}}},
+				{"r2", 2 * second, []traits{{"first", "bad"}}, []traits{{"first", "y"}}},
+				{"r3", 3 * second, []traits{{"first", "bad"}}, []traits{{"first", "x"}}},
+				{"r4", 4 * second, []traits{{"first", "bad"}}, []traits{{"first", "y"}}},
+			},
+			want: [][]cicadaquarantine.Trait{{"bad"}},
+		},
+		{
+			name: "crashes before any answer begins",
+			crashes: []crash{
+				{"r1", 1 * second, nil, []traits{{"bad"}, {"x"}}},
+				{"r2", 2 * second, nil, []traits{{"bad"}, {"y"}}},
+				{"r3", 3 * second, nil, []traits{{"bad"}}},
 			},
 			want: [][]cicadaquarantine.Trait{{"bad"}},
 		},
 		{
 			name: "crashes in quick succession, and then more",
 			crashes: []crash{
-				{"r1", 1000 * time.Millisecond, []traits{{"bad"}}}, {"r2", 1050 * time.Millisecond, []traits{{"bad"}}},
-				{"r3", 1100 * time.Millisecond, []traits{{"bad"}}}, {"r4", 1300 * time.Millisecond, []traits{{"bad"}}},
-				{"r5", 1600 * time.Millisecond, []traits{{"bad"}}},
+				{"r1", 1000 * time.Millisecond, []traits{{"bad"}}, nil},
+				{"r2", 1050 * time.Millisecond, []traits{{"bad"}}, nil},
+				{"r3", 1100 * time.Millisecond, []traits{{"bad"}}, nil},
+				{"r4", 1300 * time.Millisecond, []traits{{"bad"}}, nil},
+				{"r5", 1600 * time.Millisecond, []traits{{"bad"}}, nil},
 			},
 			want: [][]cicadaquarantine.Trait{{"bad"}},
 		},
@@ -155,7 +185,7 @@
 	t.Parallel()
 	q := cicadaquarantine.New(cicadaquarantine.Config{})
 	for i := range 3 {
-		q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, []traits{{"a", "b"}})
+		q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, begun([]traits{{"a", "b"}}))
 	}
 	_, both := q.Match(traits{"b", "x", "a"})
 	_, one := q.Match(traits{"a", "x"})
@@ -189,7 +219,7 @@
 					suspects = append(suspects, request())
 				}
 				at := time.Duration(wave)*5*time.Second + time.Duration(rng.IntN(40))*time.Millisecond
-				q.RecordCrash(fmt.Sprintf("r%d-%d", wave, runner), at, suspects)
+				q.RecordCrash(fmt.Sprintf("r%d-%d", wave, runner), at, begun(suspects))
 			}
 			q.RecordAnswer(traits{"hot"}, time.Duration(wave)*5*time.Second+time.Second)
 		}
@@ -211,9 +241,9 @@
 		for i := range 12 {
 			reporter := reporters[rng.IntN(len(reporters))]
 			at := time.Duration(i)*400*time.Millisecond + time.Duration(rng.IntN(300))*time.Millisecond
-			reporter.RecordCrash(fmt.Sprint("r", rng.IntN(8)), at, []traits{
+			reporter.RecordCrash(fmt.Sprint("r", rng.IntN(8)), at, begun([]traits{
 				{cicadaquarantine.Trait(fmt.Sprint("p", rng.IntN(4))), cicadaquarantine.Trait(fmt.Sprint("s", rng.IntN(3)))},
-			})
+			}))
 			reporters[rng.IntN(len(reporters))].RecordAnswer(traits{cicadaquarantine.Trait(fmt.Sprint("p", rng.IntN(4)))}, at-time.Second)
 		}
 		var want [][]cicadaquarantine.Trait
@@ -237,7 +267,7 @@
 	t.Parallel()
 	reporter, other := cicadaquarantine.New(cicadaquarantine.Config{}), cicadaquarantine.New(cicadaquarantine.Config{})
 	for i := range 3 {
-		reporter.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, []traits{{"rare"}})
+		reporter.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, begun([]traits{{"rare"}}))
 	}
 	report := reporter.Report()
 	other.Merge(&report, false, 4*time.Second)
@@ -256,20 +286,20 @@
 	t.Parallel()
 	q := cicadaquarantine.New(cicadaquarantine.Config{})
 	for i := range 3 {
-		q.RecordCrash(fmt.Sprint("bad", i), time.Duration(i+1)*time.Second, []traits{{"bad"}})
+		q.RecordCrash(fmt.Sprint("bad", i), time.Duration(i+1)*time.Second, begun([]traits{{"bad"}}))
 	}
 	for i := range 300 {
 		var suspects []traits
 		for j := range 100 {
 			suspects = append(suspects, traits{cicadaquarantine.Trait(fmt.Sprint("t", i, "/", j))})
 		}
-		q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+100)*time.Second/10, suspects)
+		q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+100)*time.Second/10, begun(suspects))
 	}
 	size := 0
 	evidence := q.Evidence()
 	for _, c := range evidence.Crashes {
 		size += len(c.Runner) + 40
-		for _, s := range c.Suspects {
+		for _, s := range c.Begun {
 			size += len(s[0]) + 5
 		}
 	}
@@ -285,7 +315,7 @@
 	t.Parallel()
 	q := cicadaquarantine.New(cicadaquarantine.Config{})
 	for i := range 3 {
-		q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, []traits{{"bad"}})
+		q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, begun([]traits{{"bad"}}))
 	}
 	for _, tt := range []struct {
 		at   time.Duration
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -72,13 +72,15 @@
 	return cmp.Or(cmp.Compare(b.AtMillis, a.AtMillis), cmp.Compare(a.Runner, b.Runner))
 }
 
-// uncleared returns the traits of a suspect that are not cleared of a crash at a time.
-func (q *Quarantine) uncleared(s Suspect, at time.Duration) Suspect {
-	var out Suspect
-	for _, t := range s {
-		if q.cleared[t].at <= at {
-			out = append(out, t)
-		}
+// uncleared returns suspects without the traits that are cleared of a crash at a time.
+func (q *Quarantine) uncleared(s *Suspects, at time.Duration) Suspects {
+	return Suspects{Begun: q.unclearedOf(s.Begun, at), Waiting: q.unclearedOf(s.Waiting, at)}
+}
+
+func (q *Quarantine) unclearedOf(list []Suspect, at time.Duration) []Suspect {
+	var out []Suspect
+	for _, s := range list {
+		out = addSuspect(out, slices.DeleteFunc(slices.Clone(s), func(t Trait) bool { return q.cleared[t].at > at }))
 	}
 	return out
 }
@@ -98,19 +100,14 @@
 			break
 		}
 		groups := tl.groups(explained, most)
-		if len(groups) > 1 && most == q.cfg.Threshold {
+		if most == q.cfg.Threshold && !tl.isMostSpecific(groups) {
 			// The next crash tells which group is the cause.
 			break
 		}
-		taken := map[int]bool{}
-		for _, g := range groups {
-			for _, i := range explained[g[0]] {
-				taken[i] = true
-			}
-			blocks = append(blocks, tl.block(g))
-		}
+		taken := explained[groups[0][0]]
+		blocks = append(blocks, tl.block(groups[0]))
 		for t, list := range explained {
-			explained[t] = slices.DeleteFunc(slices.Clone(list), func(i int) bool { return taken[i] })
+			explained[t] = slices.DeleteFunc(slices.Clone(list), func(i int) bool { return slices.Contains(taken, i) })
 		}
 	}
 	slices.SortFunc(blocks, func(a, b Block) int {
@@ -124,11 +121,7 @@
 	tl := &timeline{}
 	for runner, c := range q.crashes {
 		entry := Crash{Runner: runner, AtMillis: c.at.Milliseconds()}
-		for _, s := range c.suspects {
-			if s = q.uncleared(s, c.at); len(s) > 0 {
-				entry.Suspects = append(entry.Suspects, s)
-			}
-		}
+		entry.Suspects = q.uncleared(&c.suspects, c.at)
 		tl.crashes = append(tl.crashes, entry)
 	}
 	slices.SortFunc(tl.crashes, func(a, b Crash) int { return compareCrashes(b, a) })
@@ -164,10 +157,10 @@
 	return out
 }
 
-// traits returns the traits of all suspects.
+// traits returns the traits of the suspects that count.
 func (c *Crash) traits() map[Trait]bool {
 	out := map[Trait]bool{}
-	for _, s := range c.Suspects {
+	for _, s := range c.counting() {
 		for _, t := range s {
 			out[t] = true
 		}
@@ -176,7 +169,9 @@
 }
 
 // groups returns the traits that explain a number of incidents. Traits are in the same group if
-// they explain the same incidents and occurred together in each crash.
+// they explain the same incidents and occurred together in each crash. Groups with fewer suspects
+// come first: if such a group is the wrong one, fewer requests are refused, and the next crash shows
+// it.
 func (tl *timeline) groups(explained map[Trait]incidents, count int) [][]Trait {
 	var groups [][]Trait
 	for _, t := range slices.Sorted(maps.Keys(explained)) {
@@ -192,13 +187,42 @@
 		}
 		groups[i] = append(groups[i], t)
 	}
+	slices.SortStableFunc(groups, func(a, b []Trait) int { return cmp.Compare(tl.suspectCount(a[0]), tl.suspectCount(b[0])) })
 	return groups
 }
 
+// suspectCount returns the number of suspects that have a trait.
+func (tl *timeline) suspectCount(t Trait) int {
+	n := 0
+	for i := range tl.crashes {
+		for _, s := range tl.crashes[i].all() {
+			if slices.Contains(s, t) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// isMostSpecific reports whether each suspect that has the first group's traits also has those of
+// all other groups.
+func (tl *timeline) isMostSpecific(groups [][]Trait) bool {
+	for _, g := range groups[1:] {
+		for i := range tl.crashes {
+			for _, s := range tl.crashes[i].all() {
+				if slices.Contains(s, groups[0][0]) && !slices.Contains(s, g[0]) {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
 // occurTogether reports whether each suspect that has one of the traits has the other one too.
 func (tl *timeline) occurTogether(a, b Trait) bool {
 	for i := range tl.crashes {
-		for _, s := range tl.crashes[i].Suspects {
+		for _, s := range tl.crashes[i].all() {
 			if slices.Contains(s, a) != slices.Contains(s, b) {
 				return false
 			}
