Quarantine: all routers decide on the same evidence, and learn it in a cut

A router that was turned away by the store forwarded requests in quarantine for as long as that lasted (seen in a test).

Cause: reports left out traits that their router had cleared since, so that the same request was a suspect twice with different traits; and a clearance was not reported if only this router had reported the suspect. The view that routers give each other during a cut did not have crashes.

Change: reports keep all traits of a suspect and always have the clearances; routers report with a stagger, and not what another one has reported meanwhile. The view of a router has its known crashes, if they differ.

TestAnswerAfterTheReportIsKeptFromOtherRouters and TestRouterCutFromTheStoreForwardsWhatCrashesRunners failed before.

--- a/internal/cicadaedge/metrics.go
+++ b/internal/cicadaedge/metrics.go
@@ -94,6 +94,6 @@
 	fmt.Fprintf(w, `{"requests":%s,"errors":%s,"store":%s,"inFlight":%s,"dials":%s,"resumed":%s,"repeated":%s,"limited":%s,`+
 		`"paused":%s,"evacuated":%s,"linkOverloads":%s,"crashes":%s,"quarantined":%s,"blocks":%s,"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s}`+"\n",
 		m.Requests.String(), m.Errors.String(), m.Store.String(), m.InFlight.String(), m.Dials.String(), m.Resumed.String(),
-		m.Retried.String(), m.RateLimited.String(), m.Paused.String(), m.Evacuated.String(), m.LinkOverloads.String(), m.Crashes.String(), m.Quarantined.String(), m.Blocks.String(),
-		m.DeployVersion.String(), m.FirstByte, m.Total, m.StoreCall)
+		m.Retried.String(), m.RateLimited.String(), m.Paused.String(), m.Evacuated.String(), m.LinkOverloads.String(),
+		m.Crashes.String(), m.Quarantined.String(), m.Blocks.String(), m.DeployVersion.String(), m.FirstByte, m.Total, m.StoreCall)
 }
--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -8,6 +8,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
 	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/creachadair/jrpc2"
 	"github.com/creachadair/jrpc2/channel"
 	"github.com/creachadair/jrpc2/handler"
@@ -45,6 +46,7 @@
 		// RunnersDigest is their digest; see Balancer.Digest.
 		RunnersAgeMillis int64  `json:"runnersAgeMillis"`
 		RunnersDigest    uint64 `json:"runnersDigest"`
+		CrashesDigest    uint64 `json:"crashesDigest"` // of the known crashes of runners
 	}
 
 	// viewReply is the view of a router.
@@ -58,6 +60,8 @@
 		RunnersAgeMillis int64               `json:"runnersAgeMillis"`
 		RunnersSame      bool                `json:"runnersSame,omitempty"`
 		Runners          []cicadaplace.Entry `json:"runners,omitempty"`
+		// Crashes is set if the crashes that the router knows differ from those of the requesting router.
+		Crashes *cicadaquarantine.Report `json:"crashes,omitempty"`
 	}
 )
 
@@ -99,6 +103,9 @@
 			reply.Runners = rt.balancer.Entries(now)
 		}
 	}
+	if crashes, digest := rt.knownCrashes(); digest != req.CrashesDigest {
+		reply.Crashes = &crashes
+	}
 	return reply
 }
 
@@ -158,6 +165,7 @@
 	defer rt.peerClients.closeClient(client)
 	sentAt := time.Now()
 	req := viewRequest{RunnersAgeMillis: rt.runnersAge(sentAt).Milliseconds(), RunnersDigest: rt.balancer.Digest(sentAt)}
+	_, req.CrashesDigest = rt.knownCrashes()
 	if d := rt.deployment.Load(); d != nil {
 		req.Version = d.Version()
 	}
@@ -165,6 +173,7 @@
 	if err := client.CallResult(ctx, methodView, req, &reply); err != nil {
 		return errors.Wrap(err, "call peer")
 	}
+	rt.applyPeerCrashes(reply.Crashes)
 	if reply.Deployment != nil {
 		rt.activate(reply.Deployment, "peer "+addr)
 	}
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -6,10 +6,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
@@ -27,6 +29,9 @@
 	// crashReportDelay is the time between a crash and its report. In it, most traits are cleared by
 	// other answers and need no report.
 	crashReportDelay = 300 * time.Millisecond
+	// crashReportStagger is the delay from one router's report to the next one's, on average. Routers
+	// do not repeat what they learn from others in the meantime.
+	crashReportStagger = 4 * time.Millisecond
 	// brokenAttemptDelay is the time in which the requests that a crash breaks are collected.
 	brokenAttemptDelay = 30 * time.Millisecond
 	// soundAnswerPeriod is how long after its begin an answer shows that its request crashes no
@@ -144,7 +149,7 @@
 	defer cancel()
 	conn, err := cicadanet.NewDialer(dialTimeout).DialContext(ctx, "tcp", r.Addr())
 	if err == nil {
-		conn.Close()
+		err = conn.Close()
 	}
 	entry := d.rt.cfg.Log.WithField("runner", r.ID()).WithField("requestIds", b.requestIDs[:min(len(b.requestIDs), maxRunnersLogged)]).
 		WithField("requests", len(b.requestIDs))
@@ -189,6 +194,32 @@
 	}
 }
 
+// knownCrashes returns the evidence of all routers and its digest.
+func (rt *Router) knownCrashes() (cicadaquarantine.Report, uint64) {
+	evidence := rt.quarantine.Evidence()
+	data, err := json.Marshal(evidence)
+	if err != nil {
+		rt.cfg.Log.WithError(err).Error("failed to encode the known crashes")
+	}
+	return evidence, xxhash.Sum64(data)
+}
+
+// applyPeerCrashes merges the crashes that another router knows; nil if they are the same as those
+// that are known here.
+func (rt *Router) applyPeerCrashes(crashes *cicadaquarantine.Report) {
+	if crashes != nil {
+		now, ok := rt.clock.SharedTime(time.Now())
+		if !ok {
+			now = time.Duration(crashes.LatestMillis()) * time.Millisecond
+		}
+		if rt.quarantine.Merge(crashes, false, now) {
+			rt.crashSignal.send()
+		}
+		rt.logBlocks()
+	}
+	rt.quarantineLoaded.Store(true)
+}
+
 // logBlocks logs the blocks that have begun or ended since the last call.
 func (rt *Router) logBlocks() {
 	rt.blocksMu.Lock()
@@ -221,7 +252,7 @@
 			return
 		case <-rt.crashSignal:
 		}
-		sleep(ctx, crashReportDelay)
+		sleep(ctx, crashReportDelay+rand.N(time.Duration(rt.peers.count())*crashReportStagger))
 		if !rt.quarantineLoaded.Load() {
 			// The row may hold crashes that an earlier process saw.
 			continue
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -45,7 +45,7 @@
 	r := c.fleet.addRunner(nil)
 	r.setHandler(func(w http.ResponseWriter, req *http.Request) {
 		if !c.harmful(req) {
-			fmt.Fprint(w, "id: 1\ndata: sound\n\n")
+			fmt.Fprintf(w, "id: 1\ndata: sound\n\n")
 			return
 		}
 		c.mu.Lock()
@@ -54,7 +54,9 @@
 		c.mu.Unlock()
 		w.WriteHeader(http.StatusOK)
 		w.(http.Flusher).Flush()
-		r.Listener.Close()
+		if err := r.Listener.Close(); err != nil {
+			c.fleet.t.Error(err)
+		}
 		r.CloseClientConnections()
 		time.AfterFunc(runnerRestart, func() {
 			c.mu.Lock()
@@ -171,6 +173,29 @@
 	}
 }
 
+func TestRouterCutFromTheStoreForwardsWhatCrashesRunners(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	runners := f.addCrashingRunners(4, hasPart("harmful"))
+	nodes := f.startNodes(2)
+	nodes[1].store.down.Store(true)
+	harmful := map[string]string{"X-Tokens": "10,5", "X-Parts": "system,harmful,own"}
+	eventually(t, "the part is in quarantine", func() bool {
+		time.Sleep(300 * time.Millisecond)
+		return call(t, nodes[0], "/stream/", harmful, "prompt").status == http.StatusServiceUnavailable
+	})
+	time.Sleep(quarantinePeriod)
+	before := runners.crashCount()
+	for range 3 {
+		if got := call(t, nodes[1], "/stream/", harmful, "prompt"); !strings.Contains(got.body, "quarantined") {
+			t.Errorf("status %d, body %q, want a refusal", got.status, got.body)
+		}
+	}
+	if after := runners.crashCount(); after != before {
+		t.Errorf("%d crashes by requests to the router that is cut off", after-before)
+	}
+}
+
 // TestBrokenConnectionsPutNothingInQuarantine breaks answers of runners that go on.
 func TestBrokenConnectionsPutNothingInQuarantine(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -93,6 +93,12 @@
 	if res.abortErr != nil {
 		f["cut"] = res.abortErr.Error()
 	}
+	q.addFailure(f, now)
+	rt.cfg.Log.WithFields(f).Info("request")
+}
+
+// addFailure adds why the last attempt failed, and why the request is in quarantine.
+func (q *request) addFailure(f log.Fields, now time.Time) {
 	if q.cause != nil {
 		f["cause"] = q.cause.Error()
 		f["parts"] = sharedPartIDs(q.info.PromptParts)
@@ -103,5 +109,4 @@
 	if q.block != nil {
 		f["quarantine"], f["crashes"] = q.block.Traits, len(q.block.Runners)
 	}
-	rt.cfg.Log.WithFields(f).Info("request")
 }
--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -119,10 +119,12 @@
 
 	// crash is a crash with the evidence of all routers.
 	crash struct {
-		at       time.Duration
-		own      Suspects // reported by this router
-		isOwn    bool     // this router reports the crash, even if it has no suspects
-		suspects Suspects // of all routers
+		at    time.Duration
+		own   Suspects // reported by this router
+		isOwn bool     // this router reports the crash, even if it has no suspects
+		// ownReported is set once a report of this router had the crash.
+		ownReported bool
+		suspects    Suspects // of all routers
 	}
 
 	// clearance states that answers to requests with a trait began at a time.
@@ -213,9 +215,8 @@
 			if !ok || !q.isSuspected(t, q.cleared[t].at, began) {
 				continue
 			}
-			own := q.isReportedByOthers(t)
-			q.cleared[t] = clearance{at: began, own: own || q.cleared[t].own}
-			cleared, mustReport = true, mustReport || own
+			q.cleared[t] = clearance{at: began, own: true}
+			cleared, mustReport = true, mustReport || q.isReported(t)
 		}
 	}
 	return cleared, mustReport
@@ -231,10 +232,10 @@
 	return false
 }
 
-// isReportedByOthers reports whether another router suspects t.
-func (q *Quarantine) isReportedByOthers(t Trait) bool {
+// isReported reports whether a router has reported t as a suspect.
+func (q *Quarantine) isReported(t Trait) bool {
 	for _, c := range q.crashes {
-		if c.suspects.has(t) && !c.own.has(t) {
+		if c.suspects.has(t) && (c.ownReported || !c.own.has(t)) {
 			return true
 		}
 	}
@@ -335,6 +336,9 @@
 func (q *Quarantine) Report() Report {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for _, c := range q.crashes {
+		c.ownReported = c.isOwn
+	}
 	return q.report(func(c *crash) (Suspects, bool) { return c.own, c.isOwn }, func(c clearance) bool { return c.own })
 }
 
@@ -345,7 +349,8 @@
 	return q.report(func(c *crash) (Suspects, bool) { return c.suspects, true }, func(clearance) bool { return true })
 }
 
-// report returns the crashes and clearances that are selected, without traits that are cleared.
+// report returns the crashes and clearances that are selected, without suspects that are cleared
+// of all their traits. The others keep all traits: routers may know different clearances.
 func (q *Quarantine) report(selectCrash func(*crash) (Suspects, bool), selectClearance func(clearance) bool) Report {
 	out := Report{Cleared: map[Trait]int64{}}
 	size := 0
@@ -359,9 +364,15 @@
 		if !ok {
 			continue
 		}
-		out.Crashes = append(out.Crashes, Crash{Runner: runner, AtMillis: c.at.Milliseconds(), Suspects: q.uncleared(&suspects, c.at)})
+		out.Crashes = append(out.Crashes, Crash{Runner: runner, AtMillis: c.at.Milliseconds(), Suspects: q.suspected(&suspects, c.at)})
 	}
+	// The order does not depend on that in which the evidence arrived, so that equal evidence can be
+	// recognised by a hash.
 	slices.SortFunc(out.Crashes, compareCrashes)
+	for i := range out.Crashes {
+		slices.SortFunc(out.Crashes[i].Begun, slices.Compare)
+		slices.SortFunc(out.Crashes[i].Waiting, slices.Compare)
+	}
 	for i := range out.Crashes {
 		if size += out.Crashes[i].size(); size > maxReportBytes {
 			out.Crashes = out.Crashes[:i]
@@ -381,6 +392,16 @@
 	return n
 }
 
+// LatestMillis returns the shared time of the last crash in the report, in milliseconds; zero if
+// there is none.
+func (r *Report) LatestMillis() int64 {
+	var latest int64
+	for i := range r.Crashes {
+		latest = max(latest, r.Crashes[i].AtMillis)
+	}
+	return latest
+}
+
 // IsEmpty reports whether the report has no evidence.
 func (r *Report) IsEmpty() bool { return len(r.Crashes) == 0 && len(r.Cleared) == 0 }
 
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -146,6 +146,16 @@
 			},
 			want: [][]cicadaquarantine.Trait{{"bad"}},
 		},
+		{
+			name: "a sound request with the first part that had begun",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"first", "bad"}, {"x"}}, []traits{{"y"}}},
+				{"r2", 2 * second, []traits{{"first"}, {"first", "bad"}, {"x", "y"}}, nil},
+				{"r3", 3 * second, []traits{{"y"}, {"first", "bad"}}, []traits{{"z"}}},
+				{"r4", 4 * second, []traits{{"v"}, {"first", "bad"}}, nil},
+			},
+			want: [][]cicadaquarantine.Trait{{"bad"}},
+		},
 		{
 			name: "crashes before any answer begins",
 			crashes: []crash{
@@ -281,6 +291,28 @@
 	}
 }
 
+// TestAnswerAfterTheReportIsKeptFromOtherRouters has a router report a suspect and see it answered
+// later.
+func TestAnswerAfterTheReportIsKeptFromOtherRouters(t *testing.T) {
+	t.Parallel()
+	reporter, other := cicadaquarantine.New(cicadaquarantine.Config{}), cicadaquarantine.New(cicadaquarantine.Config{})
+	for i := range 3 {
+		reporter.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, begun([]traits{{"first", "bad"}, {"first"}}))
+	}
+	report := reporter.Report()
+	other.Merge(&report, false, 4*time.Second)
+	if changed := reporter.RecordAnswer(traits{"first"}, 4*time.Second); !changed {
+		t.Error("the router that reported the suspect has nothing to report after its answer")
+	}
+	report = reporter.Report()
+	other.Merge(&report, false, 5*time.Second)
+	for name, q := range map[string]*cicadaquarantine.Quarantine{"reporter": reporter, "other router": other} {
+		if diff := cmp.Diff([][]cicadaquarantine.Trait{{"bad"}}, blocked(q)); diff != "" {
+			t.Errorf("blocks of the %s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
 // TestFloodOfSuspectsIsBounded reports many more crashes and suspects than are kept.
 func TestFloodOfSuspectsIsBounded(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -85,6 +85,17 @@
 	return out
 }
 
+// suspected returns the suspects that are not cleared of a crash at a time in all their traits.
+func (q *Quarantine) suspected(s *Suspects, at time.Duration) Suspects {
+	isCleared := func(s Suspect) bool {
+		return !slices.ContainsFunc(s, func(t Trait) bool { return q.cleared[t].at <= at })
+	}
+	return Suspects{
+		Begun:   slices.DeleteFunc(slices.Clone(s.Begun), isCleared),
+		Waiting: slices.DeleteFunc(slices.Clone(s.Waiting), isCleared),
+	}
+}
+
 // deriveBlocks repeatedly takes the traits that explain the most incidents. What they explain no
 // longer counts against other traits.
 func (q *Quarantine) deriveBlocks() []Block {
