Quarantine: a new tie does not end an older block; rivals only over incidents

A first part that was in one unrelated crash more than the harmful one would have been refused in its place.

Cause: traits that explain as many incidents were compared even if they explain different ones, and a tie ended the derivation of all blocks. And the most incidents won, whatever occurred together.

Change: groups of traits are rivals only if they share incidents. Where each suspect with one trait has the other too, the more special one is taken, unless the wider one explains two incidents more.

--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -7,10 +7,21 @@
 	"time"
 )
 
+// wideMargin is the number of incidents that a trait has to explain beyond those of a more special
+// one to be the likelier cause.
+const wideMargin = 2
+
 type (
 	// incidents are the numbers of the incidents that a trait explains, ascending.
 	incidents []int
 
+	// group is a set of traits that cannot be told apart.
+	group struct {
+		traits    []Trait
+		incidents incidents
+		suspects  int // number of suspects that have the traits
+	}
+
 	// timeline holds the crashes in their order, with the incident that each belongs to.
 	timeline struct {
 		crashes  []Crash
@@ -96,29 +107,20 @@
 	}
 }
 
-// deriveBlocks repeatedly takes the traits that explain the most incidents. What they explain no
+// deriveBlocks repeatedly takes the group of traits that explains incidents best. What it explains no
 // longer counts against other traits.
 func (q *Quarantine) deriveBlocks() []Block {
 	tl := q.timeline()
 	explained := tl.explainedIncidents()
 	var blocks []Block
 	for {
-		most := 0
-		for _, list := range explained {
-			most = max(most, len(list))
-		}
-		if most < q.cfg.Threshold {
+		best := q.bestGroup(tl, tl.groups(explained, q.cfg.Threshold))
+		if best == nil {
 			break
 		}
-		groups := tl.groups(explained, most)
-		if most == q.cfg.Threshold && !tl.isMostSpecific(groups) {
-			// The next crash tells which group is the cause.
-			break
-		}
-		taken := explained[groups[0][0]]
-		blocks = append(blocks, tl.block(groups[0]))
+		blocks = append(blocks, tl.block(best.traits))
 		for t, list := range explained {
-			explained[t] = slices.DeleteFunc(slices.Clone(list), func(i int) bool { return slices.Contains(taken, i) })
+			explained[t] = slices.DeleteFunc(list, func(i int) bool { return slices.Contains(best.incidents, i) })
 		}
 	}
 	slices.SortFunc(blocks, func(a, b Block) int {
@@ -127,6 +129,51 @@
 	return blocks
 }
 
+// bestGroup returns the group that is the likely cause of its incidents, or nil. Groups that share
+// incidents are rivals. If there is no clear one among rivals, the next crash tells them apart; from
+// then on the one with the most incidents is taken.
+func (q *Quarantine) bestGroup(tl *timeline, groups []group) *group {
+	for i := range groups {
+		g := &groups[i]
+		if !slices.ContainsFunc(groups, func(o group) bool { return tl.rivals(g, &o) && !tl.isLikelier(g, &o) }) {
+			return g
+		}
+	}
+	if len(groups) > 0 && len(groups[0].incidents) > q.cfg.Threshold {
+		return &groups[0]
+	}
+	return nil
+}
+
+// rivals reports whether two groups explain the same incident.
+func (tl *timeline) rivals(a, b *group) bool {
+	return a.traits[0] != b.traits[0] && slices.ContainsFunc(a.incidents, func(i int) bool { return slices.Contains(b.incidents, i) })
+}
+
+// isLikelier reports whether a is more likely to be the cause than b. If each suspect with the one has
+// the other too, it is the more special one, unless the other one explains wideMargin incidents
+// more: a widely shared trait is in some crashes by chance.
+func (tl *timeline) isLikelier(a, b *group) bool {
+	margin := len(a.incidents) - len(b.incidents)
+	switch {
+	case tl.includes(a.traits[0], b.traits[0]):
+		return margin > -wideMargin
+	case tl.includes(b.traits[0], a.traits[0]):
+		return margin >= wideMargin
+	default:
+		return margin > 0
+	}
+}
+
+// includes reports whether each suspect that has the special trait has the wide one too.
+func (tl *timeline) includes(special, wide Trait) bool {
+	return !tl.anySuspect(func(s Suspect) bool { return slices.Contains(s, special) && !slices.Contains(s, wide) })
+}
+
+func (tl *timeline) anySuspect(ok func(Suspect) bool) bool {
+	return slices.ContainsFunc(tl.crashes, func(c Crash) bool { return slices.ContainsFunc(c.all(), ok) })
+}
+
 // timeline returns the crashes with their suspects that are not cleared.
 func (q *Quarantine) timeline() *timeline {
 	tl := &timeline{}
@@ -179,26 +226,28 @@
 	return out
 }
 
-// groups returns the traits that explain a number of incidents. Traits are in the same group if
-// they explain the same incidents and occurred together in each crash. Groups with fewer suspects
-// come first: if such a group is the wrong one, fewer requests are refused, and the next crash shows
-// it.
-func (tl *timeline) groups(explained map[Trait]incidents, count int) [][]Trait {
-	var groups [][]Trait
+// groups returns the traits that explain at least a number of incidents. Traits are in the same
+// group if they explain the same incidents and occurred together in each crash. Groups with more
+// incidents come first, and among equals those with fewer suspects: if such a group is the wrong
+// one, fewer requests are refused, and the next crash shows it.
+func (tl *timeline) groups(explained map[Trait]incidents, atLeast int) []group {
+	var groups []group
 	for _, t := range slices.Sorted(maps.Keys(explained)) {
-		if len(explained[t]) != count {
+		if len(explained[t]) < atLeast {
 			continue
 		}
-		i := slices.IndexFunc(groups, func(g []Trait) bool {
-			return slices.Equal(explained[g[0]], explained[t]) && tl.occurTogether(g[0], t)
+		i := slices.IndexFunc(groups, func(g group) bool {
+			return slices.Equal(g.incidents, explained[t]) && tl.includes(t, g.traits[0]) && tl.includes(g.traits[0], t)
 		})
 		if i < 0 {
-			groups = append(groups, []Trait{t})
+			groups = append(groups, group{traits: []Trait{t}, incidents: slices.Clone(explained[t]), suspects: tl.suspectCount(t)})
 			continue
 		}
-		groups[i] = append(groups[i], t)
+		groups[i].traits = append(groups[i].traits, t)
 	}
-	slices.SortStableFunc(groups, func(a, b []Trait) int { return cmp.Compare(tl.suspectCount(a[0]), tl.suspectCount(b[0])) })
+	slices.SortStableFunc(groups, func(a, b group) int {
+		return cmp.Or(cmp.Compare(len(b.incidents), len(a.incidents)), cmp.Compare(a.suspects, b.suspects))
+	})
 	return groups
 }
 
@@ -215,33 +264,6 @@
 	return n
 }
 
-// isMostSpecific reports whether each suspect that has the first group's traits also has those of
-// all other groups.
-func (tl *timeline) isMostSpecific(groups [][]Trait) bool {
-	for _, g := range groups[1:] {
-		for i := range tl.crashes {
-			for _, s := range tl.crashes[i].all() {
-				if slices.Contains(s, groups[0][0]) && !slices.Contains(s, g[0]) {
-					return false
-				}
-			}
-		}
-	}
-	return true
-}
-
-// occurTogether reports whether each suspect that has one of the traits has the other one too.
-func (tl *timeline) occurTogether(a, b Trait) bool {
-	for i := range tl.crashes {
-		for _, s := range tl.crashes[i].all() {
-			if slices.Contains(s, a) != slices.Contains(s, b) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // block returns the block of a group of traits.
 func (tl *timeline) block(traits []Trait) Block {
 	b := Block{Traits: traits}
