A request no longer crashes runner after runner

Cause: each attempt of a caller has another id, and nothing of a request was kept by which the next one could be recognised.

Ruled out: own retries (one attempt each in the routers' logs); a part of the prompt (sound requests with the same parts were answered).

It is computed only while a crash is known, and for requests that a crash breaks.

TestRequestCrashesRunnerAfterRunner on the code before: 27 requests later than 3 s after the third crash (3 are allowed), 61 to 64 crashes, for streams, calls that run once, and idempotent calls.

--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -41,6 +42,10 @@
 	maxTraitIDBytes = 2 * sha256.Size
 	// partTraitPrefix begins the trait of requests that share a prompt part.
 	partTraitPrefix = "part:"
+	// requestTraitPrefix begins the trait of equal requests. The first requestHashBytes of their hash
+	// follow.
+	requestTraitPrefix = "request:"
+	requestHashBytes   = 16
 )
 
 type (
@@ -63,8 +68,15 @@
 var errQuarantined = errors.New("requests like this one crash runners")
 
 // traits returns the traits by which the request may be put in quarantine: the parts of its prompt
-// that other requests may share.
+// that other requests may share and, while crashes are known, the request itself.
 func (q *request) traits() []cicadaquarantine.Trait {
+	if !q.rt.quarantine.HasEvidence() {
+		return q.partTraits()
+	}
+	return q.allTraits()
+}
+
+func (q *request) partTraits() []cicadaquarantine.Trait {
 	var out []cicadaquarantine.Trait
 	for i := range len(q.info.PromptParts) - 1 {
 		out = append(out, partTraitPrefix+cicadaquarantine.Trait(boundedID(q.info.PromptParts[i].ID)))
@@ -72,6 +84,27 @@
 	return out
 }
 
+func (q *request) allTraits() []cicadaquarantine.Trait {
+	if q.requestTrait == "" {
+		q.requestTrait = q.hash()
+	}
+	return append(q.partTraits(), q.requestTrait)
+}
+
+// hash returns the trait of requests that equal this one: with the same organisation, method, host,
+// path and body. Hashing takes some microseconds, so it is not computed for each request.
+func (q *request) hash() cicadaquarantine.Trait {
+	h := sha256.New()
+	org := ""
+	if q.org != nil {
+		org = q.org.Name
+	}
+	for _, field := range []string{org, q.r.Method, q.r.Host, q.r.RequestURI, string(q.body)} {
+		fmt.Fprintf(h, "%d %s", len(field), field)
+	}
+	return requestTraitPrefix + cicadaquarantine.Trait(hex.EncodeToString(h.Sum(nil)[:requestHashBytes]))
+}
+
 // boundedID replaces a long id by its hash.
 func boundedID(id string) string {
 	if len(id) <= maxTraitIDBytes {
@@ -96,7 +129,7 @@
 // recordBroken records that the connection of an attempt broke before the response was complete.
 func (x *exchange) recordBroken(p *placement) {
 	now := time.Now()
-	suspect := []cicadaquarantine.Suspect{x.traits()}
+	suspect := []cicadaquarantine.Suspect{x.allTraits()}
 	var suspects cicadaquarantine.Suspects
 	switch {
 	case x.headerAt.IsZero():
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 	// maxCrashesBeforeQuarantine is the number of crashes after which requests that cause them have to
 	// be recognised, and quarantinePeriod the time that this may take.
 	maxCrashesBeforeQuarantine = 5
+	maxCrashesOfARequest       = 3
 	quarantinePeriod           = 3 * time.Second
 	// maxLateArrivals is the number of such requests that may reach runners later.
 	maxLateArrivals = 3
@@ -148,6 +150,42 @@
 	}
 }
 
+// TestRequestCrashesRunnerAfterRunner repeats a request that crashes runners at all routers, beside
+// sound ones of the same organisation and path.
+func TestRequestCrashesRunnerAfterRunner(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/stream/", "/once/", "/again/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			runners := f.addCrashingRunners(8, func(req *http.Request) bool {
+				body, _ := io.ReadAll(req.Body)
+				return string(body) == "harmful"
+			})
+			nodes := f.startNodes(4)
+			var (
+				calls sync.WaitGroup
+				got   outcomes
+			)
+			for i := range 100 {
+				n := nodes[i%len(nodes)]
+				for kind, body := range map[string]string{"harmful": "harmful", "sound": fmt.Sprint("sound", i)} {
+					calls.Go(func() { got.add(kind, call(t, n, path, nil, body)) })
+				}
+				time.Sleep(60 * time.Millisecond)
+			}
+			calls.Wait()
+			if late := runners.lateArrivals(maxCrashesOfARequest); late > maxLateArrivals {
+				t.Errorf("the request reached runners %d times later than %v after the third crash, want at most %d; %d crashes",
+					late, quarantinePeriod, maxLateArrivals, runners.crashCount())
+			}
+			if served := got.by["sound"][http.StatusOK]; served < 75 {
+				t.Errorf("sound requests by status: %v, want at least 75 of 100 served", got.by["sound"])
+			}
+		})
+	}
+}
+
 // TestRestartedRouterForgetsQuarantine starts a router after all others have ended.
 func TestRestartedRouterForgetsQuarantine(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/pkg/errors"
 )
 
@@ -50,10 +51,11 @@
 
 		reserved       cicadabudget.Units
 		hasReservation bool
-		eventsSent     int64 // number of events sent to the caller
-		mayHaveRun     bool  // a runner may have worked on the request
-		attempts       int   // number of times that the request was sent to a runner
-		answerRecorded bool  // the quarantine knows that the request was answered
+		eventsSent     int64                  // number of events sent to the caller
+		mayHaveRun     bool                   // a runner may have worked on the request
+		attempts       int                    // number of times that the request was sent to a runner
+		answerRecorded bool                   // the quarantine knows that the request was answered
+		requestTrait   cicadaquarantine.Trait // see hash; empty until it is needed
 
 		requestRecord
 	}
--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -56,7 +56,7 @@
 	// crashBytes is the size of a crash without its suspects.
 	crashBytes = 64
 	// maxAnswers bounds the traits whose last answer is remembered.
-	maxAnswers = 4096
+	maxAnswers = 8192
 )
 
 type (
@@ -144,6 +144,13 @@
 	return q
 }
 
+// HasEvidence reports whether any crash is known.
+func (q *Quarantine) HasEvidence() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.crashes) > 0
+}
+
 // Match returns the block that applies to a request with the given traits, if there is one.
 func (q *Quarantine) Match(traits []Trait) (Block, bool) {
 	for _, b := range *q.blocks.Load() {
