A repeated refusal on a kept connection no longer denies a run

What callers saw: a runner that writes an earlier refusal once more when it gets the next request on a kept connection made the router answer 503 ('not run') for a request that ran, or send it to a second runner, where it ran again.

Cause: a refusal was taken without a look at the id that it bears. A refusal of the older core's runners has no id at all.

Change: a refusal counts if it has the request's id or none. A connection whose response does not have the id of its request is not used again: the response to that request may still come, and a copy of a refusal without an id could not be told from the next one. The older core closes a connection after each refusal.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -184,10 +184,9 @@
 		return nil, &sendError{cause: err}
 	}
 	stall := x.startStallTimer(x.firstByteTimeout(), x.attempts+1, cancel)
-	resp, sent, err := x.rt.transports.roundTrip( //nolint:bodyclose // attempt.close closes it
-		p.Runner(), x.service, req, x.body)
+	sent, err := x.rt.transports.roundTrip(p.Runner(), x.service, req, x.body) //nolint:bodyclose // attempt.close closes it
 	stall.stop()
-	if sent {
+	if sent.sent {
 		x.attempts++
 	}
 	if err != nil {
@@ -195,10 +194,11 @@
 			err = cause
 		}
 		cancel(nil)
-		return nil, &sendError{cause: err, sent: sent}
+		return nil, &sendError{cause: err, sent: sent.sent}
 	}
 	x.headerAt = time.Now()
-	a := &attempt{placement: p, resp: resp, cancel: cancel, info: x.rt.cfg.Dialect.ParseResponse(resp)}
+	a := &attempt{placement: p, resp: sent.resp, cancel: cancel, info: x.rt.cfg.Dialect.ParseResponse(sent.resp)}
+	x.retireUncertain(a, sent.conn)
 	if a.info.Load != nil {
 		p.ReportLoad(*a.info.Load, time.Now())
 	}
@@ -207,6 +207,18 @@
 	return a, nil
 }
 
+// retireUncertain retires the connection of a response that does not have the id of the request. If
+// the response belongs to an earlier request, the one to this request is still to come. If it is a
+// refusal without an id, a copy of it could not be told from the refusal of the next request.
+func (x *exchange) retireUncertain(a *attempt, conn *countedConn) {
+	if a.info.RequestID == x.info.ID || conn == nil {
+		return
+	}
+	if err := conn.retire(); err != nil {
+		x.rt.cfg.Log.WithField("requestId", x.info.ID).WithError(err).Debug("failed to close a connection to a runner")
+	}
+}
+
 // firstByteTimeout returns how long to wait for the response header before another runner is
 // tried, if that is allowed.
 func (x *exchange) firstByteTimeout() time.Duration {
@@ -311,7 +323,8 @@
 // handleResponse checks a response header and forwards the response if it is valid.
 func (x *exchange) handleResponse(a *attempt) (result, bool) {
 	status := a.resp.StatusCode
-	if a.info.NotRun {
+	// A refusal that belongs to another request says nothing about this one.
+	if a.info.NotRun && (a.info.RequestID == "" || a.info.RequestID == x.info.ID) {
 		return x.handleNotRun(a)
 	}
 	x.mayHaveRun = true
--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -58,6 +58,14 @@
 		net.Conn
 		link    *cicadaadmission.Link
 		written atomic.Int64
+		retired atomic.Bool
+	}
+
+	// sentRequest is a request that was passed to a transport. Its user closes the response's body.
+	sentRequest struct {
+		resp *http.Response
+		sent bool // some bytes of the request may have reached the runner
+		conn *countedConn
 	}
 )
 
@@ -65,8 +73,17 @@
 	return &runnerTransports{metrics: m, link: link, byRunner: map[*cicadaplace.Runner]*runnerTransport{}, routers: 1}
 }
 
+// retire closes the connection. A request that the transport assigns to it meanwhile is not sent on it.
+func (c *countedConn) retire() error {
+	c.retired.Store(true)
+	return c.Close()
+}
+
 // Write counts all bytes even if the write fails, since some may have been sent.
 func (c *countedConn) Write(p []byte) (int, error) {
+	if c.retired.Load() {
+		return 0, net.ErrClosed
+	}
 	c.written.Add(int64(len(p)))
 	c.link.RecordSent(len(p), time.Now())
 	return c.Conn.Write(p)
@@ -152,16 +169,15 @@
 	return t
 }
 
-// roundTrip sends a request with a body and reports whether any byte of it was written. If a
-// reused connection turns out to be closed before the first byte, the request is sent on another
-// one.
+// roundTrip sends a request with a body. If a reused connection turns out to be closed before the
+// first byte, the request is sent on another one.
 //
 // The transport must not resend requests by itself. For this reason the body has no GetBody,
 // requests with one of bodilessMethods have a body even if it is empty, and the headers by which
 // the transport recognises idempotent requests are written in lower case.
 func (ts *runnerTransports) roundTrip(
 	r *cicadaplace.Runner, s *cicadadeploy.Service, req *http.Request, body []byte,
-) (*http.Response, bool, error) {
+) (sentRequest, error) {
 	t := ts.transport(r, s)
 	for _, name := range autoRetryHeaders {
 		if list, ok := req.Header[name]; ok {
@@ -182,13 +198,13 @@
 		if len(body) > 0 || slices.Contains(bodilessMethods, req.Method) {
 			req.Body = io.NopCloser(bytes.NewReader(body))
 		}
-		resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+		resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace))) //nolint:bodyclose // see sentRequest
 		if err == nil {
-			return resp, true, nil
+			return sentRequest{resp: resp, sent: true, conn: conn}, nil
 		}
 		sent := conn != nil && conn.written.Load() > writtenBefore
 		if sent || !reused || try == maxStaleConns || req.Context().Err() != nil {
-			return nil, sent, err
+			return sentRequest{sent: sent}, err
 		}
 	}
 }
--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -11,6 +11,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -179,8 +180,12 @@
 // must close the body. Cancelling ctx closes the connection.
 func (c *Client) Do(ctx context.Context, call *Call) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	var sent atomic.Bool
+	var (
+		sent atomic.Bool
+		conn net.Conn
+	)
 	trace := &httptrace.ClientTrace{
+		GotConn:          func(info httptrace.GotConnInfo) { conn = info.Conn },
 		WroteHeaderField: func(string, []string) { sent.Store(true) },
 		WroteHeaders:     func() { sent.Store(true) },
 	}
@@ -203,6 +208,11 @@
 		return nil, &NotSentError{cause: err}
 	}
 	c.reportLoad(call.Addr, resp.Header)
+	if resp.Header.Get(HeaderNotRun) != "" && conn != nil {
+		// A copy of the refusal would be taken for the response to the next request. The header says
+		// all; the error of a connection that is closed already does not matter.
+		_ = conn.Close()
+	}
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
 	return resp, nil
 }
