A stream is not continued with something that is no stream

What callers saw: if a resumable stream broke off and the next runner answered 200 with other content (an error in JSON, or nothing), its text came in the middle of the stream, or the stream ended as if it were complete.

Cause: of the answer that continues a stream only the status was checked.

Change: its media type has to be that of the answer that began the stream. Answers with another status, refusals, half a head and no answer are ruled out by the same test, which passed for them before: the stream is aborted. An empty stream with a proper end is taken as the runner's word that nothing is left.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -41,7 +41,8 @@
 		*request
 		tried []string
 		// state of a stream
-		headerSent   bool // the response header was sent to the caller
+		headerSent   bool   // the response header was sent to the caller
+		mediaType    string // of the response header that was sent
 		lastEventID  string
 		previous     *result // result of the previous attempt
 		retryCounted bool    // the next attempt is already counted in the retry budget
@@ -333,8 +334,8 @@
 		return x.handleUnusable(a, errOtherRequest)
 	case !a.info.Sealed && status < http.StatusBadRequest:
 		return x.handleUnusable(a, errNotSealed)
-	case x.headerSent && status != http.StatusOK:
-		return x.handleUnusable(a, errors.Errorf("the runner did not resume: status %d", status))
+	case x.headerSent && (status != http.StatusOK || mediaType(a.resp) != x.mediaType):
+		return x.handleUnusable(a, errors.Errorf("the runner did not resume: status %d, type %q", status, mediaType(a.resp)))
 	case status >= http.StatusInternalServerError && x.route.CanRunAgain() && x.allowRetry():
 		x.retryCounted = true
 		x.cause = errors.Errorf("the runner failed with status %d", status)
@@ -436,10 +437,16 @@
 	if length >= 0 {
 		h.Set("Content-Length", itoa(length))
 	}
-	x.headerSent = true
+	x.headerSent, x.mediaType = true, mediaType(a.resp)
 	x.w.WriteHeader(a.resp.StatusCode)
 }
 
+// mediaType returns the type of a response's content without its parameters.
+func mediaType(resp *http.Response) string {
+	t, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 func (a *attempt) close() {
 	a.cancel(nil)
 	a.resp.Body.Close()
