A stream that ends inside an event, or before one, is broken off

What callers saw: a runner that stopped inside an event and ended its chunks or its length properly made the caller's stream end as complete, with half an event. A stream without a length and chunks whose runner crashed before the first event ended as an empty success. In the quarantine such an end cleared the request.

Cause: only responses that end with their connection were checked for half an event, and none for a stream without events.

Change: half an event at the end is an early end, whatever the framing; so is the end of the connection before any event. A response that ends with its connection clears no traits: the runner is dialled, as it may have crashed.

TestStreamThatEndsInsideAnEventIsBrokenOff (chunks, length), TestErrorOfTheNextRunnerInAStream ('no stream, then closed') and TestAnswerCutAtEachByteIsNoSuccess (one of the cuts, a stream without length) failed before. The latter rules out the report of a head that stops halfway: of all cuts of head and body in five framings, none becomes a success; so does TestResetAfterAnAnswerWithoutLengthIsNoSuccess for resets.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -396,7 +396,7 @@
 		return x.handleUnusable(a, err)
 	}
 	if a.resp.StatusCode < http.StatusBadRequest {
-		x.recordAnswer()
+		x.recordEnd(a)
 	}
 	x.firstByteAt = time.Now()
 	x.finishForwarded(a)
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -140,6 +140,16 @@
 	x.rt.crashDetector.add(p.Runner(), x.info.ID, &suspects, now)
 }
 
+// recordEnd records the end of a response. If it is the end of the connection, it may also be that of
+// the runner.
+func (x *exchange) recordEnd(a *attempt) {
+	if endsAtClose(a.resp) {
+		x.recordBroken(a.placement)
+		return
+	}
+	x.recordAnswer()
+}
+
 // recordAnswer records that the request was answered without crashing its runner.
 func (x *exchange) recordAnswer() {
 	if x.answerRecorded {
@@ -187,7 +197,7 @@
 	entry := d.rt.cfg.Log.WithField("runner", r.ID()).WithField("requestIds", b.requestIDs[:min(len(b.requestIDs), maxRunnersLogged)]).
 		WithField("requests", len(b.requestIDs))
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		entry.WithField("dialError", err).Info("connections of a runner broke, and it has not crashed")
+		entry.WithField("dialError", err).Info("connections of a runner ended, and it has not crashed")
 		return
 	}
 	at, ok := d.rt.clock.SharedTime(b.at)
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -44,15 +44,19 @@
 // forwardStream forwards events as they arrive. It forwards complete events only, so that another
 // runner can continue after the last one if the route allows it.
 func (x *exchange) forwardStream(a *attempt) (result, bool) {
-	resumed := x.headerSent
+	resumed, eventsBefore := x.headerSent, x.eventsSent
 	if !resumed {
 		x.writeHeader(a, a.resp.ContentLength)
 	}
 	err := x.forwardEvents(a, resumed)
+	if err == nil && endsAtClose(a.resp) && x.eventsSent == eventsBefore {
+		// Each stream has an event, and a runner that ends sends none.
+		err = io.ErrUnexpectedEOF
+	}
 	var callerErr *callerError
 	switch {
 	case err == nil:
-		x.recordAnswer()
+		x.recordEnd(a)
 		x.finishAttempt(a.placement, cicadaplace.Answered, nil)
 		return result{}, false
 	case errors.As(err, &callerErr) || x.r.Context().Err() != nil:
@@ -95,10 +99,11 @@
 		switch {
 		case errors.Is(err, io.EOF) && len(ev.raw) == 0:
 			return nil
-		case err != nil && !errors.Is(err, io.EOF):
-			return x.abortCause(a, err)
-		case err != nil && endsAtClose(a.resp):
+		case errors.Is(err, io.EOF):
+			// The runner has stopped inside an event, however the response is framed.
 			return io.ErrUnexpectedEOF
+		case err != nil:
+			return x.abortCause(a, err)
 		}
 		if remaining -= int64(len(ev.raw)); remaining < 0 {
 			return errStreamTooLong
@@ -114,7 +119,7 @@
 }
 
 // endsAtClose reports whether a response ends only when its connection closes, which also happens
-// if the runner dies in the middle of an event.
+// if the runner ends.
 func endsAtClose(resp *http.Response) bool {
 	return resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked")
 }
