Quarantine: a clearance that is read before its crash counts

What callers saw: nothing yet; found by reading. A router that starts reads the reports of all routers in any order. The clearance of a sound part that came before the report of its crashes was dropped, and the part put in quarantine.

Cause: clearances without a suspect were removed after each report.

TestClearanceThatArrivesFirstIsForgotten failed before.

--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -55,6 +55,8 @@
 	maxReportBytes = 32 << 10
 	// crashBytes is the size of a crash without its suspects.
 	crashBytes = 64
+	// maxClearances bounds the clearances that are kept. The oldest are dropped.
+	maxClearances = 2048
 	// maxAnswers bounds the traits whose last answer is remembered.
 	maxAnswers = 8192
 )
@@ -361,10 +363,13 @@
 func (q *Quarantine) report(selectCrash func(*crash) (Suspects, bool), selectClearance func(clearance) bool) Report {
 	out := Report{Cleared: map[Trait]int64{}}
 	size := 0
-	for t, c := range q.cleared {
-		if size += len(t) + crashBytes; selectClearance(c) && size < maxReportBytes/2 {
-			out.Cleared[t] = c.at.Milliseconds()
+	for t, first := range q.firstSuspicions() {
+		c := q.cleared[t]
+		if c.at <= first || !selectClearance(c) || size > maxReportBytes/2 {
+			continue
 		}
+		size += len(t) + crashBytes
+		out.Cleared[t] = c.at.Milliseconds()
 	}
 	for runner, c := range q.crashes {
 		suspects, ok := selectCrash(c)
@@ -389,6 +394,21 @@
 	return out
 }
 
+// firstSuspicions returns the time of the first crash in which each trait was a suspect.
+func (q *Quarantine) firstSuspicions() map[Trait]time.Duration {
+	out := map[Trait]time.Duration{}
+	for _, c := range q.crashes {
+		for _, s := range c.suspects.all() {
+			for _, t := range s {
+				if first, ok := out[t]; !ok || c.at < first {
+					out[t] = c.at
+				}
+			}
+		}
+	}
+	return out
+}
+
 func (c *Crash) size() int {
 	n := crashBytes
 	for _, s := range c.all() {
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -345,6 +345,25 @@
 	}
 }
 
+// TestClearanceThatArrivesFirstIsForgotten merges the report of the router that saw an answer before
+// that of the router that saw the crashes, as after a restart.
+func TestClearanceThatArrivesFirstIsForgotten(t *testing.T) {
+	t.Parallel()
+	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	cleared := cicadaquarantine.Report{Cleared: map[cicadaquarantine.Trait]int64{"rare": 10_000}}
+	q.Merge(&cleared, false, 20*time.Second)
+	var crashes cicadaquarantine.Report
+	for i := range 3 {
+		crashes.Crashes = append(crashes.Crashes, cicadaquarantine.Crash{
+			Runner: fmt.Sprint("r", i), AtMillis: int64(i+1) * 1000, Suspects: begun([]traits{{"rare"}}),
+		})
+	}
+	q.Merge(&crashes, false, 20*time.Second)
+	if diff := cmp.Diff([][]cicadaquarantine.Trait(nil), blocked(q)); diff != "" {
+		t.Errorf("blocks (-want +got):\n%s", diff)
+	}
+}
+
 // TestFloodOfSuspectsIsBounded reports many more crashes and suspects than are kept.
 func TestFloodOfSuspectsIsBounded(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -54,12 +54,23 @@
 	if len(q.crashes) < count {
 		blocks = q.deriveBlocks()
 	}
-	for t := range q.cleared {
-		if !q.isSuspected(t, 0, q.cleared[t].at) {
+	q.forgetClearances(now)
+	q.blocks.Store(&blocks)
+}
+
+// forgetClearances removes the clearances that are older than any crash. The report of the crashes
+// that a clearance is for may arrive after it.
+func (q *Quarantine) forgetClearances(now time.Duration) {
+	for t, c := range q.cleared {
+		if now-c.at > blockTTL {
 			delete(q.cleared, t)
 		}
 	}
-	q.blocks.Store(&blocks)
+	for len(q.cleared) > maxClearances {
+		delete(q.cleared, slices.MinFunc(slices.Collect(maps.Keys(q.cleared)), func(a, b Trait) int {
+			return cmp.Or(cmp.Compare(q.cleared[a].at, q.cleared[b].at), cmp.Compare(a, b))
+		}))
+	}
 }
 
 // oldestCrash returns the runner of the oldest crash, preferably of one that supports no block.
