cicadadyke quarantine: list and lift what is in quarantine

The verb reads the routers' reports in the platform's store, and writes a row by which the suspects of the trait's crashes are cleared. Clearing only the trait itself would leave these crashes to the other traits of the same requests (seen in TestQuarantineThatAnOperatorLifts).

--- a/internal/cicadacmd/cmd_test.go
+++ b/internal/cicadacmd/cmd_test.go
@@ -51,6 +51,7 @@
 		{"load elsewhere", []string{"load", "--target", "http://10.0.0.1:80", "--api-key", "k", "--model", "m"}, cicadacmd.ExitUsage, "loopback"},
 		{"load without anything", []string{"load"}, cicadacmd.ExitUsage, "--model is missing"},
 		{"standin without anything", []string{"standin"}, cicadacmd.ExitUsage, "--platform, a FILE"},
+		{"quarantine without settings", []string{"quarantine", "--settings", "missing.yaml"}, cicadacmd.ExitUsage, "missing.yaml"},
 		{"report on nothing", []string{"report"}, cicadacmd.ExitUsage, "name the logs"},
 		{"report on a missing log", []string{"report", "missing.log"}, cicadacmd.ExitUsage, "no such file"},
 		{"report on no log", []string{"report", good}, cicadacmd.ExitFailed, "no request in 1 files"},
--- a/internal/cicadacmd/command.go
+++ b/internal/cicadacmd/command.go
@@ -101,7 +101,7 @@
 	}
 	for _, v := range []verb{
 		&routerVerb{}, &nodeVerb{}, &checkVerb{}, &diffVerb{}, &applyVerb{}, &explainVerb{}, &stateVerb{}, &topVerb{},
-		&reportVerb{}, &standinVerb{}, &loadVerb{}, &demoVerb{}, &refusalsVerb{}, &keyVerb{}, &versionVerb{},
+		&reportVerb{}, &quarantineVerb{}, &standinVerb{}, &loadVerb{}, &demoVerb{}, &refusalsVerb{}, &keyVerb{}, &versionVerb{},
 	} {
 		root.Subcommands = append(root.Subcommands, v.command(env))
 	}
--- a/internal/cicadacmd/node.go
+++ b/internal/cicadacmd/node.go
@@ -51,8 +51,10 @@
 	}
 }
 
-func (v *nodeVerb) settingsPath() string {
-	for _, p := range []string{v.settings, os.Getenv(cicadaplatform.SettingsPathEnv)} {
+// settingsPath returns the path of the settings file: that of the flag, if it is set, that of the
+// platform, or the default.
+func settingsPath(flag string) string {
+	for _, p := range []string{flag, os.Getenv(cicadaplatform.SettingsPathEnv)} {
 		if p != "" {
 			return p
 		}
@@ -69,7 +71,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	path := v.settingsPath()
+	path := settingsPath(v.settings)
 	settings, err := cicadaplatform.LoadSettings(path)
 	if err != nil {
 		return withExitCode(ExitUsage, err)
--- /dev/null
+++ b/internal/cicadaedge/quarantine_operator.go
@@ -0,0 +1,102 @@
+package cicadaedge
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/pkg/errors"
+)
+
+// liftedKey is the key of the row of tableCrashes in which operators clear traits.
+const liftedKey = "operator/lifted"
+
+// ReadQuarantine returns what routers have put in quarantine, by the reports in the store.
+func ReadQuarantine(ctx context.Context, store Store) ([]cicadaquarantine.Block, error) {
+	q, _, err := readCrashes(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	return q.Blocks(), nil
+}
+
+// LiftQuarantine ends the quarantine of a trait: all suspects of its crashes are cleared until now.
+// Routers apply it within seconds. It returns an error if the trait is not in quarantine.
+func LiftQuarantine(ctx context.Context, store Store, trait cicadaquarantine.Trait) error {
+	q, batch, err := readCrashes(ctx, store)
+	if err != nil {
+		return err
+	}
+	block, ok := blockOf(q, trait)
+	if !ok {
+		return errors.Errorf("trait %q is not in quarantine", trait)
+	}
+	ref := cicadastore.Ref{Table: tableCrashes, Key: liftedKey}
+	lifted := cicadaquarantine.Report{Cleared: map[cicadaquarantine.Trait]int64{}}
+	var version uint64
+	for i := range batch.Changes {
+		if c := &batch.Changes[i]; c.Key == liftedKey {
+			version = c.Version
+			if err := json.Unmarshal(c.Value, &lifted); err != nil {
+				return errors.Wrap(err, "decode the traits that operators cleared")
+			}
+		}
+	}
+	for _, t := range suspectsOf(q, block) {
+		lifted.Cleared[t] = batch.NowMillis
+	}
+	value, err := json.Marshal(lifted)
+	if err != nil {
+		return errors.Wrap(err, "encode the traits that operators cleared")
+	}
+	_, err = store.Commit(ctx, cicadastore.Txn{
+		Conditions: []cicadastore.Condition{{Ref: ref, Version: version}},
+		Writes:     []cicadastore.Write{{Ref: ref, Value: value}},
+	})
+	return errors.Wrap(err, "write the traits that operators cleared")
+}
+
+func blockOf(q *cicadaquarantine.Quarantine, trait cicadaquarantine.Trait) (cicadaquarantine.Block, bool) {
+	for _, b := range q.Blocks() {
+		if slices.Contains(b.Traits, trait) {
+			return b, true
+		}
+	}
+	return cicadaquarantine.Block{}, false
+}
+
+// suspectsOf returns the traits of all suspects in the crashes that support a block. If only the
+// block's own were cleared, these crashes would count against the others.
+func suspectsOf(q *cicadaquarantine.Quarantine, b cicadaquarantine.Block) []cicadaquarantine.Trait {
+	var out []cicadaquarantine.Trait
+	for _, c := range q.Evidence().Crashes {
+		if !slices.Contains(b.Runners, c.Runner) {
+			continue
+		}
+		for _, s := range slices.Concat(c.Begun, c.Waiting) {
+			out = append(out, s...)
+		}
+	}
+	return out
+}
+
+// readCrashes returns the evidence of all routers and the rows that it was read from.
+func readCrashes(ctx context.Context, store Store) (*cicadaquarantine.Quarantine, cicadastore.ChangeBatch, error) {
+	batch, err := store.Snapshot(ctx, tableCrashes)
+	if err != nil {
+		return nil, batch, errors.Wrap(err, "read the routers' crashes")
+	}
+	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	for i := range batch.Changes {
+		c := &batch.Changes[i]
+		var report cicadaquarantine.Report
+		if err := json.Unmarshal(c.Value, &report); err != nil {
+			return nil, batch, errors.Wrapf(err, "decode the crashes of router %s", c.Key)
+		}
+		q.Merge(&report, false, time.Duration(batch.NowMillis)*time.Millisecond)
+	}
+	return q, batch, nil
+}
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -6,9 +6,12 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -110,8 +113,12 @@
 	o.by[kind][r.status]++
 }
 
-func hasPart(part string) func(*http.Request) bool {
-	return func(req *http.Request) bool { return strings.Contains(req.Header.Get("X-Parts"), part) }
+func isQuarantined(r response) bool {
+	return r.status == http.StatusServiceUnavailable && strings.Contains(r.body, string(cicadaedge.RefuseQuarantined))
+}
+
+func hasHarmfulPart(req *http.Request) bool {
+	return strings.Contains(req.Header.Get("X-Parts"), "harmful")
 }
 
 // TestPromptPartCrashesRunnerAfterRunner sends requests with a part that crashes runners to all
@@ -119,7 +126,7 @@
 func TestPromptPartCrashesRunnerAfterRunner(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
-	runners := f.addCrashingRunners(8, hasPart("harmful"))
+	runners := f.addCrashingRunners(8, hasHarmfulPart)
 	nodes := f.startNodes(4)
 	var (
 		calls sync.WaitGroup
@@ -190,12 +197,12 @@
 func TestRestartedRouterForgetsQuarantine(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
-	runners := f.addCrashingRunners(4, hasPart("harmful"))
+	runners := f.addCrashingRunners(4, hasHarmfulPart)
 	nodes := f.startNodes(2)
 	harmful := map[string]string{"X-Tokens": "10,5", "X-Parts": "system,harmful,own"}
 	eventually(t, "the part is in quarantine", func() bool {
 		time.Sleep(300 * time.Millisecond)
-		return call(t, nodes[0], "/stream/", harmful, "prompt").status == http.StatusServiceUnavailable
+		return isQuarantined(call(t, nodes[0], "/stream/", harmful, "prompt"))
 	})
 	for _, n := range nodes {
 		n.stop()
@@ -203,8 +210,8 @@
 	before := runners.crashCount()
 	n := f.startNode("n0")
 	eventually(t, "the router is ready", n.Ready)
-	if got := call(t, n, "/stream/", harmful, "prompt"); got.status != http.StatusServiceUnavailable {
-		t.Errorf("status %d, want 503", got.status)
+	if got := call(t, n, "/stream/", harmful, "prompt"); !isQuarantined(got) {
+		t.Errorf("status %d, body %q, want a refusal", got.status, got.body)
 	}
 	if after := runners.crashCount(); after != before {
 		t.Errorf("%d crashes after the restart", after-before)
@@ -214,18 +221,18 @@
 func TestRouterCutFromTheStoreForwardsWhatCrashesRunners(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
-	runners := f.addCrashingRunners(4, hasPart("harmful"))
+	runners := f.addCrashingRunners(4, hasHarmfulPart)
 	nodes := f.startNodes(2)
 	nodes[1].store.down.Store(true)
 	harmful := map[string]string{"X-Tokens": "10,5", "X-Parts": "system,harmful,own"}
 	eventually(t, "the part is in quarantine", func() bool {
 		time.Sleep(300 * time.Millisecond)
-		return call(t, nodes[0], "/stream/", harmful, "prompt").status == http.StatusServiceUnavailable
+		return isQuarantined(call(t, nodes[0], "/stream/", harmful, "prompt"))
 	})
 	time.Sleep(quarantinePeriod)
 	before := runners.crashCount()
 	for range 3 {
-		if got := call(t, nodes[1], "/stream/", harmful, "prompt"); !strings.Contains(got.body, "quarantined") {
+		if got := call(t, nodes[1], "/stream/", harmful, "prompt"); !isQuarantined(got) {
 			t.Errorf("status %d, body %q, want a refusal", got.status, got.body)
 		}
 	}
@@ -234,6 +241,38 @@
 	}
 }
 
+func TestQuarantineThatAnOperatorLifts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	var repaired atomic.Bool
+	f.addCrashingRunners(4, func(req *http.Request) bool { return !repaired.Load() && hasHarmfulPart(req) })
+	nodes := f.startNodes(2)
+	harmful := map[string]string{"X-Tokens": "10,5", "X-Parts": "system,harmful,own"}
+	eventually(t, "the request is in quarantine", func() bool {
+		time.Sleep(300 * time.Millisecond)
+		return isQuarantined(call(t, nodes[0], "/stream/", harmful, "prompt"))
+	})
+	repaired.Store(true)
+	var blocks []cicadaquarantine.Block
+	eventually(t, "the quarantine is in the store", func() bool {
+		var err error
+		if blocks, err = cicadaedge.ReadQuarantine(t.Context(), nodes[0].store); err != nil {
+			t.Fatal(err)
+		}
+		return len(blocks) > 0
+	})
+	if err := cicadaedge.LiftQuarantine(t.Context(), nodes[0].store, blocks[0].Traits[0]); err != nil {
+		t.Error(err)
+	}
+	eventually(t, "the request is served", func() bool {
+		time.Sleep(100 * time.Millisecond)
+		return call(t, nodes[0], "/stream/", harmful, "prompt").status == http.StatusOK
+	})
+	if err := cicadaedge.LiftQuarantine(t.Context(), nodes[0].store, "part:system"); err == nil {
+		t.Error("a trait that is not in quarantine was lifted")
+	}
+}
+
 // TestBrokenConnectionsPutNothingInQuarantine breaks answers of runners that go on.
 func TestBrokenConnectionsPutNothingInQuarantine(t *testing.T) {
 	t.Parallel()
@@ -248,7 +287,7 @@
 	n := f.waitReady(f.startNode("n1"))
 	for i := range 12 {
 		got := call(t, n, "/stream/", map[string]string{"X-Tokens": "10,5", "X-Parts": fmt.Sprintf("system,own%d", i)}, "prompt")
-		if got.status == http.StatusServiceUnavailable && strings.Contains(got.body, "quarantined") {
+		if isQuarantined(got) {
 			t.Fatalf("request %d refused: %s", i, got.body)
 		}
 		time.Sleep(100 * time.Millisecond)
