Quarantine: two incidents suffice, on probation for a minute

Cause of what is left: each crash costs about nine requests of others, and three incidents take three crashes or more.

A sound trait that was blamed by chance is answered after the minute.

TestBlocks keeps its cases with a threshold of 3; the default has TestTwoIncidentsPutATraitOnProbation.

--- a/internal/cicadacmd/quarantine.go
+++ b/internal/cicadacmd/quarantine.go
@@ -25,7 +25,7 @@
 		Name: "quarantine", Usage: "cicadadyke quarantine [FLAGS]", ShortHelp: "list or lift the quarantine of requests that crash runners",
 		LongHelp: "Reads the crashes that routers have reported in the platform's store, and prints the traits of the requests\n" +
 			"that they refuse: parts of prompts, and hashes of single requests. --lift clears a trait, once runners no longer\n" +
-			"crash over it. Routers follow within seconds; three further crashes put it in quarantine again.\n\n" +
+			"crash over it. Routers follow within seconds; further crashes put it in quarantine again.\n\n" +
 			"Example:\n  cicadadyke quarantine --settings node.yaml --lift part:5c1e07a2",
 		Flags: fs,
 		Exec:  func(ctx context.Context, args []string) error { return v.run(ctx, env, args) },
@@ -51,9 +51,9 @@
 		return withExitCode(ExitUnavailable, err)
 	}
 	w := tabwriter.NewWriter(env.io.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "TRAITS\tCRASHES\tFIRST\tLAST\tRUNNERS\n")
+	fmt.Fprintf(w, "TRAITS\tCRASHES\tFIRST\tLAST\tUNTIL\tRUNNERS\n")
 	for _, b := range blocks {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%v\n", b.String(), len(b.Runners), b.FirstMillis, b.LastMillis, b.Runners)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%v\n", b.String(), len(b.Runners), b.FirstMillis, b.LastMillis, b.UntilMillis, b.Runners)
 	}
 	return w.Flush()
 }
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -131,7 +131,13 @@
 	if !q.rt.quarantine.HasBlocks() {
 		return cicadaquarantine.Block{}, false
 	}
-	return q.rt.quarantine.Match(q.allTraits())
+	return q.rt.quarantine.Match(q.allTraits(), q.rt.sharedTime())
+}
+
+// sharedTime returns the time of the store's clock, or zero if it is not known.
+func (rt *Router) sharedTime() time.Duration {
+	now, _ := rt.clock.SharedTime(time.Now())
+	return now
 }
 
 // recordBroken records that the connection of an attempt broke before the response was complete.
@@ -259,11 +265,8 @@
 // that are known here.
 func (rt *Router) applyPeerCrashes(crashes *cicadaquarantine.Report) {
 	if crashes != nil {
-		now, ok := rt.clock.SharedTime(time.Now())
-		if !ok {
-			now = time.Duration(crashes.LatestMillis()) * time.Millisecond
-		}
-		if rt.quarantine.Merge(crashes, false, now) {
+		latest := time.Duration(crashes.LatestMillis()) * time.Millisecond
+		if rt.quarantine.Merge(crashes, false, max(rt.sharedTime(), latest)) {
 			rt.crashSignal.send()
 		}
 		rt.logBlocks()
@@ -271,18 +274,19 @@
 	rt.quarantineLoaded.Store(true)
 }
 
-// logBlocks logs the blocks that have begun or ended since the last call.
+// logBlocks logs the blocks that have begun or ended since the last call. It is called when the
+// evidence changes and when the store has answered, so at least every crashMaxWait.
 func (rt *Router) logBlocks() {
 	rt.blocksMu.Lock()
 	defer rt.blocksMu.Unlock()
 	before := rt.loggedBlocks
 	rt.loggedBlocks = map[string]bool{}
-	for _, b := range rt.quarantine.Blocks() {
+	for _, b := range rt.quarantine.Blocks(rt.sharedTime()) {
 		name := b.String()
 		rt.loggedBlocks[name] = true
 		if !before[name] {
 			rt.cfg.Log.WithField("traits", b.Traits).WithField("runners", b.Runners).WithField("firstMillis", b.FirstMillis).
-				WithField("lastMillis", b.LastMillis).Warn("requests put in quarantine: they crash runners")
+				WithField("lastMillis", b.LastMillis).WithField("untilMillis", b.UntilMillis).Warn("requests put in quarantine: they crash runners")
 		}
 		delete(before, name)
 	}
--- a/internal/cicadaedge/quarantine_operator.go
+++ b/internal/cicadaedge/quarantine_operator.go
@@ -16,11 +16,11 @@
 
 // ReadQuarantine returns what routers have put in quarantine, by the reports in the store.
 func ReadQuarantine(ctx context.Context, store Store) ([]cicadaquarantine.Block, error) {
-	q, _, err := readCrashes(ctx, store)
+	q, batch, err := readCrashes(ctx, store)
 	if err != nil {
 		return nil, err
 	}
-	return q.Blocks(), nil
+	return q.Blocks(time.Duration(batch.NowMillis) * time.Millisecond), nil
 }
 
 // LiftQuarantine ends the quarantine of a trait: all suspects of its crashes are cleared until now.
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	block, ok := blockOf(q, trait)
+	block, ok := blockOf(q.Blocks(time.Duration(batch.NowMillis)*time.Millisecond), trait)
 	if !ok {
 		return errors.Errorf("trait %q is not in quarantine", trait)
 	}
@@ -59,8 +59,8 @@
 	return errors.Wrap(err, "write the traits that operators cleared")
 }
 
-func blockOf(q *cicadaquarantine.Quarantine, trait cicadaquarantine.Trait) (cicadaquarantine.Block, bool) {
-	for _, b := range q.Blocks() {
+func blockOf(blocks []cicadaquarantine.Block, trait cicadaquarantine.Trait) (cicadaquarantine.Block, bool) {
+	for _, b := range blocks {
 		if slices.Contains(b.Traits, trait) {
 			return b, true
 		}
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -262,7 +262,7 @@
 	}{
 		Host: rt.cfg.Name, Boot: rt.cfg.BootID, DeployAgeMillis: rt.deploymentAge(now).Milliseconds(), Evacuated: rt.evacuations.list(), Routers: rt.peers.count(),
 		Accounts: rt.accounts.State(now), Runners: rt.balancer.State(now),
-		Quarantine: rt.quarantine.Blocks(),
+		Quarantine: rt.quarantine.Blocks(rt.sharedTime()),
 	}
 	if d := rt.deployment.Load(); d != nil {
 		state.Version = d.Version()
--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -5,7 +5,7 @@
 // runners crash, the requests that they were serving are suspects: one of them may be the cause. A
 // trait is cleared by a request that has it and is answered after the crash. A trait is
 // quarantined once Threshold incidents, none of which it is cleared of, can be explained by it and
-// by nothing else. Invariants:
+// by nothing else: for probationPeriod, and with more incidents for blockTTL. Invariants:
 //
 //   - An incident is what happens within incidentWindow. If most of the runners that crash in it
 //     were not serving a trait, the trait does not explain it. So runners that crash together for a
@@ -31,8 +31,11 @@
 )
 
 const (
-	// defaultThreshold is the number of incidents from which on a trait is quarantined.
-	defaultThreshold = 3
+	// defaultThreshold is the number of incidents from which on a trait is quarantined. With that many
+	// it is so for probationPeriod only: two crashes may be chance. A request that crashes a runner
+	// afterwards adds a third incident.
+	defaultThreshold = 2
+	probationPeriod  = time.Minute
 	// incidentWindow is the length of an incident. Routers notice the end of a runner's connections
 	// within it, and their clocks differ by less.
 	incidentWindow = 250 * time.Millisecond
@@ -99,11 +102,13 @@
 		// FirstMillis and LastMillis are the shared times of the first and the last of these crashes.
 		FirstMillis int64 `json:"firstMillis"`
 		LastMillis  int64 `json:"lastMillis"`
+		// UntilMillis is the shared time at which the block ends.
+		UntilMillis int64 `json:"untilMillis"`
 	}
 
 	// Config configures a Quarantine. The zero value is a valid configuration.
 	Config struct {
-		// Threshold is the number of incidents from which on a trait is quarantined; zero for 3.
+		// Threshold is the number of incidents from which on a trait is quarantined; zero for 2.
 		Threshold int
 	}
 
@@ -153,26 +158,31 @@
 	return len(q.crashes) > 0
 }
 
-// HasBlocks reports whether anything is in quarantine.
+// HasBlocks reports whether anything has been put in quarantine.
 func (q *Quarantine) HasBlocks() bool { return len(*q.blocks.Load()) > 0 }
 
-// Match returns the block that applies to a request with the given traits, if there is one.
-func (q *Quarantine) Match(traits []Trait) (Block, bool) {
+// Match returns the block that applies to a request with the given traits at a shared time, if
+// there is one.
+func (q *Quarantine) Match(traits []Trait, now time.Duration) (Block, bool) {
 	for _, b := range *q.blocks.Load() {
-		if b.matches(traits) {
+		if b.appliesAt(now) && b.matches(traits) {
 			return b, true
 		}
 	}
 	return Block{}, false
 }
 
+// Blocks returns the blocks that apply at a shared time, in the order of their first crashes.
+func (q *Quarantine) Blocks(now time.Duration) []Block {
+	return slices.DeleteFunc(slices.Clone(*q.blocks.Load()), func(b Block) bool { return !b.appliesAt(now) })
+}
+
+func (b *Block) appliesAt(now time.Duration) bool { return now.Milliseconds() < b.UntilMillis }
+
 func (b *Block) matches(traits []Trait) bool {
 	return !slices.ContainsFunc(b.Traits, func(t Trait) bool { return !slices.Contains(traits, t) })
 }
 
-// Blocks returns all blocks, in the order of their first crashes.
-func (q *Quarantine) Blocks() []Block { return slices.Clone(*q.blocks.Load()) }
-
 // RecordCrash records that a runner crashed at a shared time while it served the suspects.
 func (q *Quarantine) RecordCrash(runner string, at time.Duration, suspects Suspects) {
 	q.mu.Lock()
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -35,7 +35,7 @@
 // blocked returns the traits of each block.
 func blocked(q *cicadaquarantine.Quarantine) [][]cicadaquarantine.Trait {
 	var out [][]cicadaquarantine.Trait
-	for _, b := range q.Blocks() {
+	for _, b := range q.Blocks(time.Minute / 2) {
 		out = append(out, b.Traits)
 	}
 	return out
@@ -211,7 +211,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			q := cicadaquarantine.New(cicadaquarantine.Config{})
+			q := cicadaquarantine.New(cicadaquarantine.Config{Threshold: 3})
 			for trait, began := range tt.answers {
 				q.RecordAnswer(traits{trait}, began)
 			}
@@ -229,8 +229,8 @@
 	for i := range 3 {
 		q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, begun([]traits{{"a", "b"}}))
 	}
-	_, both := q.Match(traits{"b", "x", "a"})
-	_, one := q.Match(traits{"a", "x"})
+	_, both := q.Match(traits{"b", "x", "a"}, 4*time.Second)
+	_, one := q.Match(traits{"a", "x"}, 4*time.Second)
 	if diff := cmp.Diff([]bool{true, false}, []bool{both, one}); diff != "" {
 		t.Errorf("matches of a request with both traits and of one with one (-want +got):\n%s", diff)
 	}
@@ -394,6 +394,25 @@
 	}
 }
 
+func TestTwoIncidentsPutATraitOnProbation(t *testing.T) {
+	t.Parallel()
+	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	matches := func(at time.Duration) bool {
+		_, ok := q.Match(traits{"bad"}, at)
+		return ok
+	}
+	crashAt := func(runner string, at time.Duration) { q.RecordCrash(runner, at, begun([]traits{{"bad"}})) }
+	crashAt("r1", time.Second)
+	got := []bool{matches(time.Second)}
+	crashAt("r2", 2*time.Second)
+	got = append(got, matches(3*time.Second), matches(61*time.Second), matches(63*time.Second))
+	crashAt("r3", 64*time.Second)
+	got = append(got, matches(65*time.Second), matches(23*time.Hour))
+	if diff := cmp.Diff([]bool{false, true, true, false, true, true}, got); diff != "" {
+		t.Errorf("in quarantine after the first crash, the second one, 61 s, 63 s, the third one, 23 h (-want +got):\n%s", diff)
+	}
+}
+
 func TestQuarantineEndsAfterADay(t *testing.T) {
 	t.Parallel()
 	q := cicadaquarantine.New(cicadaquarantine.Config{})
@@ -405,7 +424,7 @@
 		want bool
 	}{{23 * time.Hour, true}, {25 * time.Hour, false}} {
 		q.Merge(&cicadaquarantine.Report{}, false, tt.at)
-		if _, got := q.Match(traits{"bad"}); got != tt.want {
+		if _, got := q.Match(traits{"bad"}, tt.at); got != tt.want {
 			t.Errorf("in quarantine after %v: %v, want %v", tt.at, got, tt.want)
 		}
 	}
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -129,7 +129,11 @@
 		if best == nil {
 			break
 		}
-		blocks = append(blocks, tl.block(best.traits))
+		ttl := blockTTL
+		if len(best.incidents) == q.cfg.Threshold {
+			ttl = probationPeriod
+		}
+		blocks = append(blocks, tl.block(best.traits, ttl))
 		for t, list := range explained {
 			explained[t] = slices.DeleteFunc(list, func(i int) bool { return slices.Contains(best.incidents, i) })
 		}
@@ -275,8 +279,8 @@
 	return n
 }
 
-// block returns the block of a group of traits.
-func (tl *timeline) block(traits []Trait) Block {
+// block returns the block of a group of traits, which ends some time after the last crash.
+func (tl *timeline) block(traits []Trait, ttl time.Duration) Block {
 	b := Block{Traits: traits}
 	for i := range tl.crashes {
 		c := &tl.crashes[i]
@@ -288,5 +292,6 @@
 		}
 		b.Runners, b.LastMillis = append(b.Runners, c.Runner), c.AtMillis
 	}
+	b.UntilMillis = b.LastMillis + ttl.Milliseconds()
 	return b
 }
