Quarantine: a flood of crashes does not push a quarantine out of the store

What callers saw: nothing yet; found by reading. A router's report is bounded, and had its newest crashes. After a flood of them a restarted fleet would not have known an earlier quarantine any more.

Change: crashes that support a quarantine are reported first. The package's reports and suspects are in files of their own (moved without change).

TestFloodOfSuspectsIsBounded, with a restarted router, fails without the order.

--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -183,6 +183,15 @@
 	return !slices.ContainsFunc(b.Traits, func(t Trait) bool { return !slices.Contains(traits, t) })
 }
 
+// String returns the traits of the block.
+func (b *Block) String() string {
+	names := make([]string, len(b.Traits))
+	for i, t := range b.Traits {
+		names[i] = string(t)
+	}
+	return strings.Join(names, "+")
+}
+
 // RecordCrash records that a runner crashed at a shared time while it served the suspects.
 func (q *Quarantine) RecordCrash(runner string, at time.Duration, suspects Suspects) {
 	q.mu.Lock()
@@ -264,30 +273,6 @@
 	return false
 }
 
-func (s *Suspects) all() []Suspect { return slices.Concat(s.Begun, s.Waiting) }
-
-func (s *Suspects) has(t Trait) bool {
-	return slices.ContainsFunc(s.all(), func(s Suspect) bool { return slices.Contains(s, t) })
-}
-
-// add adds other suspects within the bounds.
-func (s *Suspects) add(other *Suspects) {
-	for _, o := range other.Begun {
-		s.Begun = addSuspect(s.Begun, bounded(o))
-	}
-	for _, o := range other.Waiting {
-		s.Waiting = addSuspect(s.Waiting, bounded(o))
-	}
-}
-
-// counting returns the suspects that count.
-func (s *Suspects) counting() []Suspect {
-	if len(s.Begun) > 0 {
-		return s.Begun
-	}
-	return s.Waiting
-}
-
 // crashOf returns the crash of a runner, and adds it if it is not known.
 func (q *Quarantine) crashOf(runner string, at time.Duration) *crash {
 	c := q.crashes[runner]
@@ -298,158 +283,3 @@
 	c.at = min(c.at, at)
 	return c
 }
-
-// bounded returns the traits that are not too long, at most maxTraits.
-func bounded(s Suspect) Suspect {
-	s = slices.DeleteFunc(slices.Clone(s), func(t Trait) bool { return t == "" || len(t) > maxTraitBytes })
-	return s[:min(len(s), maxTraits)]
-}
-
-func addSuspect(list []Suspect, s Suspect) []Suspect {
-	if len(s) == 0 || len(list) >= maxSuspects || slices.ContainsFunc(list, func(o Suspect) bool { return slices.Equal(o, s) }) {
-		return list
-	}
-	return append(list, s)
-}
-
-// Merge adds the evidence of another router, or of an earlier process of this router if own is
-// set. It reports whether this router's report has changed.
-func (q *Quarantine) Merge(report *Report, own bool, now time.Duration) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	changed := false
-	for i := range report.Crashes {
-		r := &report.Crashes[i]
-		at := time.Duration(r.AtMillis) * time.Millisecond
-		if now-at > blockTTL || r.Runner == "" {
-			continue
-		}
-		c := q.crashOf(r.Runner, at)
-		c.isOwn = c.isOwn || own
-		c.suspects.add(&r.Suspects)
-		if own {
-			c.own.add(&r.Suspects)
-		}
-		_, mustReport := q.applyAnswers(c.suspects.all())
-		changed = changed || mustReport
-	}
-	for t, ms := range report.Cleared {
-		q.mergeClearance(t, time.Duration(ms)*time.Millisecond, own)
-	}
-	q.update(now)
-	return changed || own
-}
-
-// mergeClearance merges a clearance of another router. This router need not report its own any more
-// if the other one covers the same crashes.
-func (q *Quarantine) mergeClearance(t Trait, at time.Duration, own bool) {
-	c := q.cleared[t]
-	switch {
-	case own:
-		c.own = true
-	case at >= c.at || !q.isSuspected(t, at, c.at):
-		c.own = false
-	}
-	c.at = max(c.at, at)
-	q.cleared[t] = c
-}
-
-// Report returns the evidence that this router reports to the others.
-func (q *Quarantine) Report() Report {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for _, c := range q.crashes {
-		c.ownReported = c.isOwn
-	}
-	return q.report(func(c *crash) (Suspects, bool) { return c.own, c.isOwn }, func(c clearance) bool { return c.own })
-}
-
-// Evidence returns the evidence of all routers.
-func (q *Quarantine) Evidence() Report {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.report(func(c *crash) (Suspects, bool) { return c.suspects, true }, func(clearance) bool { return true })
-}
-
-// report returns the crashes and clearances that are selected, without suspects that are cleared
-// of all their traits. The others keep all traits: routers may know different clearances.
-func (q *Quarantine) report(selectCrash func(*crash) (Suspects, bool), selectClearance func(clearance) bool) Report {
-	out := Report{Cleared: map[Trait]int64{}}
-	size := 0
-	for t, first := range q.firstSuspicions() {
-		c := q.cleared[t]
-		if c.at <= first || !selectClearance(c) || size > maxReportBytes/2 {
-			continue
-		}
-		size += len(t) + crashBytes
-		out.Cleared[t] = c.at.Milliseconds()
-	}
-	for runner, c := range q.crashes {
-		suspects, ok := selectCrash(c)
-		if !ok {
-			continue
-		}
-		out.Crashes = append(out.Crashes, Crash{Runner: runner, AtMillis: c.at.Milliseconds(), Suspects: q.suspected(&suspects, c.at)})
-	}
-	// The order does not depend on that in which the evidence arrived, so that equal evidence can be
-	// recognised by a hash.
-	slices.SortFunc(out.Crashes, compareCrashes)
-	for i := range out.Crashes {
-		slices.SortFunc(out.Crashes[i].Begun, slices.Compare)
-		slices.SortFunc(out.Crashes[i].Waiting, slices.Compare)
-	}
-	for i := range out.Crashes {
-		if size += out.Crashes[i].size(); size > maxReportBytes {
-			out.Crashes = out.Crashes[:i]
-			break
-		}
-	}
-	return out
-}
-
-// firstSuspicions returns the time of the first crash in which each trait was a suspect.
-func (q *Quarantine) firstSuspicions() map[Trait]time.Duration {
-	out := map[Trait]time.Duration{}
-	for _, c := range q.crashes {
-		for _, s := range c.suspects.all() {
-			for _, t := range s {
-				if first, ok := out[t]; !ok || c.at < first {
-					out[t] = c.at
-				}
-			}
-		}
-	}
-	return out
-}
-
-func (c *Crash) size() int {
-	n := crashBytes
-	for _, s := range c.all() {
-		for _, t := range s {
-			n += len(t)
-		}
-	}
-	return n
-}
-
-// LatestMillis returns the shared time of the last crash in the report, in milliseconds; zero if
-// there is none.
-func (r *Report) LatestMillis() int64 {
-	var latest int64
-	for i := range r.Crashes {
-		latest = max(latest, r.Crashes[i].AtMillis)
-	}
-	return latest
-}
-
-// IsEmpty reports whether the report has no evidence.
-func (r *Report) IsEmpty() bool { return len(r.Crashes) == 0 && len(r.Cleared) == 0 }
-
-// String returns the traits of the block.
-func (b *Block) String() string {
-	names := make([]string, len(b.Traits))
-	for i, t := range b.Traits {
-		names[i] = string(t)
-	}
-	return strings.Join(names, "+")
-}
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -389,8 +389,13 @@
 	if size > 60_000 {
 		t.Errorf("the evidence takes %d bytes, want at most 60,000", size)
 	}
-	if diff := cmp.Diff([][]cicadaquarantine.Trait{{"bad"}}, blocked(q)); diff != "" {
-		t.Errorf("blocks (-want +got):\n%s", diff)
+	restarted := cicadaquarantine.New(cicadaquarantine.Config{})
+	report := q.Report()
+	restarted.Merge(&report, true, time.Minute/2)
+	for name, q := range map[string]*cicadaquarantine.Quarantine{"router": q, "restarted router": restarted} {
+		if diff := cmp.Diff([][]cicadaquarantine.Trait{{"bad"}}, blocked(q)); diff != "" {
+			t.Errorf("blocks of the %s (-want +got):\n%s", name, diff)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/cicadaquarantine/report.go
@@ -0,0 +1,143 @@
+package cicadaquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Merge adds the evidence of another router, or of an earlier process of this router if own is
+// set. It reports whether this router's report has changed.
+func (q *Quarantine) Merge(report *Report, own bool, now time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	changed := false
+	for i := range report.Crashes {
+		r := &report.Crashes[i]
+		at := time.Duration(r.AtMillis) * time.Millisecond
+		if now-at > blockTTL || r.Runner == "" {
+			continue
+		}
+		c := q.crashOf(r.Runner, at)
+		c.isOwn = c.isOwn || own
+		c.suspects.add(&r.Suspects)
+		if own {
+			c.own.add(&r.Suspects)
+		}
+		_, mustReport := q.applyAnswers(c.suspects.all())
+		changed = changed || mustReport
+	}
+	for t, ms := range report.Cleared {
+		q.mergeClearance(t, time.Duration(ms)*time.Millisecond, own)
+	}
+	q.update(now)
+	return changed || own
+}
+
+// mergeClearance merges a clearance of another router. This router need not report its own any more
+// if the other one covers the same crashes.
+func (q *Quarantine) mergeClearance(t Trait, at time.Duration, own bool) {
+	c := q.cleared[t]
+	switch {
+	case own:
+		c.own = true
+	case at >= c.at || !q.isSuspected(t, at, c.at):
+		c.own = false
+	}
+	c.at = max(c.at, at)
+	q.cleared[t] = c
+}
+
+// Report returns the evidence that this router reports to the others.
+func (q *Quarantine) Report() Report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, c := range q.crashes {
+		c.ownReported = c.isOwn
+	}
+	return q.report(func(c *crash) (Suspects, bool) { return c.own, c.isOwn }, func(c clearance) bool { return c.own })
+}
+
+// Evidence returns the evidence of all routers.
+func (q *Quarantine) Evidence() Report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.report(func(c *crash) (Suspects, bool) { return c.suspects, true }, func(clearance) bool { return true })
+}
+
+// report returns the crashes and clearances that are selected, without suspects that are cleared
+// of all their traits. The others keep all traits: routers may know different clearances.
+func (q *Quarantine) report(selectCrash func(*crash) (Suspects, bool), selectClearance func(clearance) bool) Report {
+	out := Report{Cleared: map[Trait]int64{}}
+	size := 0
+	for t, first := range q.firstSuspicions() {
+		c := q.cleared[t]
+		if c.at <= first || !selectClearance(c) || size > maxReportBytes/2 {
+			continue
+		}
+		size += len(t) + crashBytes
+		out.Cleared[t] = c.at.Milliseconds()
+	}
+	for runner, c := range q.crashes {
+		suspects, ok := selectCrash(c)
+		if !ok {
+			continue
+		}
+		out.Crashes = append(out.Crashes, Crash{Runner: runner, AtMillis: c.at.Milliseconds(), Suspects: q.suspected(&suspects, c.at)})
+	}
+	// Crashes that support a block come first, and last crashes before earlier ones. The order does not
+	// depend on that in which the evidence arrived, so that equal evidence can be recognised by a hash.
+	supporting := supportingRunners(*q.blocks.Load())
+	slices.SortFunc(out.Crashes, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(supporting[b.Runner], supporting[a.Runner]), cmp.Compare(b.AtMillis, a.AtMillis), cmp.Compare(a.Runner, b.Runner))
+	})
+	for i := range out.Crashes {
+		slices.SortFunc(out.Crashes[i].Begun, slices.Compare)
+		slices.SortFunc(out.Crashes[i].Waiting, slices.Compare)
+	}
+	for i := range out.Crashes {
+		if size += out.Crashes[i].size(); size > maxReportBytes {
+			out.Crashes = out.Crashes[:i]
+			break
+		}
+	}
+	return out
+}
+
+// firstSuspicions returns the time of the first crash in which each trait was a suspect.
+func (q *Quarantine) firstSuspicions() map[Trait]time.Duration {
+	out := map[Trait]time.Duration{}
+	for _, c := range q.crashes {
+		for _, s := range c.suspects.all() {
+			for _, t := range s {
+				if first, ok := out[t]; !ok || c.at < first {
+					out[t] = c.at
+				}
+			}
+		}
+	}
+	return out
+}
+
+func (c *Crash) size() int {
+	n := crashBytes
+	for _, s := range c.all() {
+		for _, t := range s {
+			n += len(t)
+		}
+	}
+	return n
+}
+
+// LatestMillis returns the shared time of the last crash in the report, in milliseconds; zero if
+// there is none.
+func (r *Report) LatestMillis() int64 {
+	var latest int64
+	for i := range r.Crashes {
+		latest = max(latest, r.Crashes[i].AtMillis)
+	}
+	return latest
+}
+
+// IsEmpty reports whether the report has no evidence.
+func (r *Report) IsEmpty() bool { return len(r.Crashes) == 0 && len(r.Cleared) == 0 }
--- /dev/null
+++ b/internal/cicadaquarantine/suspects.go
@@ -0,0 +1,40 @@
+package cicadaquarantine
+
+import "slices"
+
+func (s *Suspects) all() []Suspect { return slices.Concat(s.Begun, s.Waiting) }
+
+func (s *Suspects) has(t Trait) bool {
+	return slices.ContainsFunc(s.all(), func(s Suspect) bool { return slices.Contains(s, t) })
+}
+
+// add adds other suspects within the bounds.
+func (s *Suspects) add(other *Suspects) {
+	for _, o := range other.Begun {
+		s.Begun = addSuspect(s.Begun, bounded(o))
+	}
+	for _, o := range other.Waiting {
+		s.Waiting = addSuspect(s.Waiting, bounded(o))
+	}
+}
+
+// counting returns the suspects that count.
+func (s *Suspects) counting() []Suspect {
+	if len(s.Begun) > 0 {
+		return s.Begun
+	}
+	return s.Waiting
+}
+
+// bounded returns the traits that are not too long, at most maxTraits.
+func bounded(s Suspect) Suspect {
+	s = slices.DeleteFunc(slices.Clone(s), func(t Trait) bool { return t == "" || len(t) > maxTraitBytes })
+	return s[:min(len(s), maxTraits)]
+}
+
+func addSuspect(list []Suspect, s Suspect) []Suspect {
+	if len(s) == 0 || len(list) >= maxSuspects || slices.ContainsFunc(list, func(o Suspect) bool { return slices.Equal(o, s) }) {
+		return list
+	}
+	return append(list, s)
+}
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -32,16 +32,11 @@
 // update removes evidence that is too old or too much, and derives the blocks from the rest.
 func (q *Quarantine) update(now time.Duration) {
 	blocks := q.deriveBlocks()
-	supporting := map[string]bool{}
-	for i := range blocks {
-		for _, runner := range blocks[i].Runners {
-			supporting[runner] = true
-		}
-	}
+	supporting := supportingRunners(blocks)
 	count := len(q.crashes)
 	for runner, c := range q.crashes {
 		ttl := crashTTL
-		if supporting[runner] {
+		if supporting[runner] > 0 {
 			ttl = blockTTL
 		}
 		if now-c.at > ttl {
@@ -73,25 +68,22 @@
 	}
 }
 
-// oldestCrash returns the runner of the oldest crash, preferably of one that supports no block.
-func (q *Quarantine) oldestCrash(supporting map[string]bool) string {
-	return slices.MinFunc(slices.Collect(maps.Keys(q.crashes)), func(a, b string) int {
-		if supporting[a] != supporting[b] {
-			return cmp.Compare(btoi(supporting[a]), btoi(supporting[b]))
+// supportingRunners returns 1 for each runner whose crash supports a block.
+func supportingRunners(blocks []Block) map[string]int {
+	out := map[string]int{}
+	for i := range blocks {
+		for _, runner := range blocks[i].Runners {
+			out[runner] = 1
 		}
-		return cmp.Or(cmp.Compare(q.crashes[a].at, q.crashes[b].at), cmp.Compare(a, b))
-	})
-}
-
-func btoi(b bool) int {
-	if b {
-		return 1
 	}
-	return 0
+	return out
 }
 
-func compareCrashes(a, b Crash) int {
-	return cmp.Or(cmp.Compare(b.AtMillis, a.AtMillis), cmp.Compare(a.Runner, b.Runner))
+// oldestCrash returns the runner of the oldest crash, preferably of one that supports no block.
+func (q *Quarantine) oldestCrash(supporting map[string]int) string {
+	return slices.MinFunc(slices.Collect(maps.Keys(q.crashes)), func(a, b string) int {
+		return cmp.Or(cmp.Compare(supporting[a], supporting[b]), cmp.Compare(q.crashes[a].at, q.crashes[b].at), cmp.Compare(a, b))
+	})
 }
 
 // uncleared returns suspects without the traits that are cleared of a crash at a time.
@@ -197,7 +189,9 @@
 		entry.Suspects = q.uncleared(&c.suspects, c.at)
 		tl.crashes = append(tl.crashes, entry)
 	}
-	slices.SortFunc(tl.crashes, func(a, b Crash) int { return compareCrashes(b, a) })
+	slices.SortFunc(tl.crashes, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(a.AtMillis, b.AtMillis), cmp.Compare(a.Runner, b.Runner))
+	})
 	number, began := -1, int64(0)
 	for i := range tl.crashes {
 		if at := tl.crashes[i].AtMillis; number < 0 || at-began >= incidentWindow.Milliseconds() {
