Quarantine: the end of a draining runner is no crash

What callers saw: nothing yet; found by reading. A runner that drains and ends while requests are in progress closes their connections and refuses new ones, as a crash does. What it was serving became a suspect: two such ends could put a sound request on probation.

Change: an attempt that breaks at a runner that is known to drain is no evidence.

TestEndOfADrainingRunnerCountsAsACrash failed before.

--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -143,6 +143,10 @@
 // recordBroken records that the connection of an attempt broke before the response was complete.
 func (x *exchange) recordBroken(p *placement) {
 	now := time.Now()
+	if errors.Is(x.rt.balancer.Unavailability(p.Runner(), now), cicadaplace.ErrDraining) {
+		// It was about to end, whatever it served.
+		return
+	}
 	suspect := []cicadaquarantine.Suspect{x.allTraits()}
 	var suspects cicadaquarantine.Suspects
 	switch {
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -273,6 +273,42 @@
 	}
 }
 
+func TestEndOfADrainingRunnerCountsAsACrash(t *testing.T) {
+	t.Parallel()
+	for draining, want := range map[bool]string{false: "1", true: "0"} {
+		f := newFleet(t)
+		var metrics *cicadaedge.Metrics
+		began := make(chan struct{})
+		r := f.addRunner(nil)
+		r.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+			close(began)
+			time.Sleep(time.Second)
+		})
+		n := f.waitReady(f.startNode("n1", func(cfg *cicadaedge.Config) { metrics = cfg.Metrics }))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			call(t, n, "/stream/", map[string]string{"X-Tokens": "10,5", "X-Parts": "system,own"}, "prompt")
+		}()
+		<-began
+		if draining {
+			f.putEntry(r, true)
+			eventually(t, "the router knows that the runner drains", func() bool { return n.Runners()[0].Draining })
+		}
+		if err := r.Listener.Close(); err != nil {
+			t.Error(err)
+		}
+		r.CloseClientConnections()
+		<-done
+		time.Sleep(300 * time.Millisecond) // until the runner was dialled
+		if diff := cmp.Diff(want, metrics.Crashes.String()); diff != "" {
+			t.Errorf("crashes, draining %v (-want +got):\n%s", draining, diff)
+		}
+	}
+}
+
 // TestBrokenConnectionsPutNothingInQuarantine breaks answers of runners that go on.
 func TestBrokenConnectionsPutNothingInQuarantine(t *testing.T) {
 	t.Parallel()
