Quarantine: answers without length and chunks clear what they share

What callers saw: nothing yet; found by reading. Where a runner's answers end with their connections, no answer shorter than a second cleared anything: its end may be that of the runner. A first part shared by harmful and sound requests would have been refused after two crashes.

Change: the runner is dialled after such an answer, as before; if it accepts the connection, the answer counts.

TestAnswersThatEndWithTheirConnectionClearNothing failed before, for each sound request from the second crash on.

--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -62,6 +62,7 @@
 		at         time.Time // of the first one
 		suspects   cicadaquarantine.Suspects
 		requestIDs []string
+		ifAlive    []func() // called if the runner has not crashed; nil for nothing to do
 	}
 )
 
@@ -141,7 +142,11 @@
 }
 
 // recordBroken records that the connection of an attempt broke before the response was complete.
-func (x *exchange) recordBroken(p *placement) {
+func (x *exchange) recordBroken(p *placement) { x.checkRunner(p, nil) }
+
+// checkRunner has the runner of an attempt checked, whose connection ended. It calls ifAlive, if set,
+// if the runner has not crashed.
+func (x *exchange) checkRunner(p *placement, ifAlive func()) {
 	now := time.Now()
 	if errors.Is(x.rt.balancer.Unavailability(p.Runner(), now), cicadaplace.ErrDraining) {
 		// It was about to end, whatever it served.
@@ -155,17 +160,18 @@
 	case now.Sub(x.headerAt) < soundAnswerPeriod:
 		suspects.Begun = suspect
 	}
-	x.rt.crashDetector.add(p.Runner(), x.info.ID, &suspects, now)
+	x.rt.crashDetector.add(p.Runner(), &brokenAttempts{at: now, suspects: suspects, requestIDs: []string{x.info.ID}, ifAlive: []func(){ifAlive}})
 }
 
 // recordEnd records the end of a response. If it is the end of the connection, it may also be that of
 // the runner.
 func (x *exchange) recordEnd(a *attempt) {
-	if endsAtClose(a.resp) {
-		x.recordBroken(a.placement)
+	if !endsAtClose(a.resp) {
+		x.recordAnswer()
 		return
 	}
-	x.recordAnswer()
+	traits, began := x.traits(), x.headerAt
+	x.checkRunner(a.placement, func() { x.rt.recordAnswer(traits, began) })
 }
 
 // recordAnswer records that the request was answered without crashing its runner.
@@ -174,9 +180,13 @@
 		return
 	}
 	x.answerRecorded = true
-	began, ok := x.rt.clock.SharedTime(x.headerAt)
-	if ok && x.rt.quarantine.RecordAnswer(x.traits(), began) {
-		x.rt.crashSignal.send()
+	x.rt.recordAnswer(x.traits(), x.headerAt)
+}
+
+func (rt *Router) recordAnswer(traits []cicadaquarantine.Trait, began time.Time) {
+	at, ok := rt.clock.SharedTime(began)
+	if ok && rt.quarantine.RecordAnswer(traits, at) {
+		rt.crashSignal.send()
 	}
 }
 
@@ -184,18 +194,20 @@
 	return &crashDetector{rt: rt, pending: map[*cicadaplace.Runner]*brokenAttempts{}}
 }
 
-func (d *crashDetector) add(r *cicadaplace.Runner, requestID string, suspects *cicadaquarantine.Suspects, now time.Time) {
+// add adds attempts at a runner that ended, and has the runner checked.
+func (d *crashDetector) add(r *cicadaplace.Runner, ended *brokenAttempts) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.pending[r]
 	if b == nil {
-		b = &brokenAttempts{at: now}
-		d.pending[r] = b
+		d.pending[r] = ended
 		d.rt.runTask(func() { d.check(r) })
+		return
 	}
-	b.requestIDs = append(b.requestIDs, requestID)
-	b.suspects.Begun = append(b.suspects.Begun, suspects.Begun...)
-	b.suspects.Waiting = append(b.suspects.Waiting, suspects.Waiting...)
+	b.requestIDs = append(b.requestIDs, ended.requestIDs...)
+	b.suspects.Begun = append(b.suspects.Begun, ended.suspects.Begun...)
+	b.suspects.Waiting = append(b.suspects.Waiting, ended.suspects.Waiting...)
+	b.ifAlive = append(b.ifAlive, ended.ifAlive...)
 }
 
 // check dials the runner. A refused connection shows that its process has ended: broken connections
@@ -215,7 +227,12 @@
 	entry := d.rt.cfg.Log.WithField("runner", r.ID()).WithField("requestIds", b.requestIDs[:min(len(b.requestIDs), maxRunnersLogged)]).
 		WithField("requests", len(b.requestIDs))
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		entry.WithField("dialError", err).Info("connections of a runner ended, and it has not crashed")
+		entry.WithError(err).Info("connections of a runner ended, and it has not crashed")
+		for _, f := range b.ifAlive {
+			if f != nil && err == nil {
+				f()
+			}
+		}
 		return
 	}
 	at, ok := d.rt.clock.SharedTime(b.at)
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -32,6 +32,7 @@
 type crashingRunners struct {
 	fleet   *fleet
 	harmful func(req *http.Request) bool
+	answer  http.HandlerFunc // to sound requests
 
 	mu       sync.Mutex // guards the fields below
 	arrivals []time.Time
@@ -39,7 +40,9 @@
 }
 
 func (f *fleet) addCrashingRunners(count int, harmful func(req *http.Request) bool) *crashingRunners {
-	c := &crashingRunners{fleet: f, harmful: harmful}
+	c := &crashingRunners{fleet: f, harmful: harmful, answer: func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, "id: 1\ndata: sound\n\n")
+	}}
 	for range count {
 		c.addRunner()
 	}
@@ -50,7 +53,7 @@
 	r := c.fleet.addRunner(nil)
 	r.setHandler(func(w http.ResponseWriter, req *http.Request) {
 		if !c.harmful(req) {
-			fmt.Fprintf(w, "id: 1\ndata: sound\n\n")
+			c.answer(w, req)
 			return
 		}
 		c.mu.Lock()
@@ -309,6 +312,35 @@
 	}
 }
 
+// TestAnswersThatEndWithTheirConnectionClearNothing sends harmful requests with one first part and
+// different other parts, beside sound ones whose answers have neither a length nor chunks.
+func TestAnswersThatEndWithTheirConnectionClearNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	runners := f.addCrashingRunners(6, hasHarmfulPart)
+	runners.answer = func(w http.ResponseWriter, req *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sealed: yes\r\n\r\nid: 1\ndata: sound\n\n", req.Header.Get("X-Id"))
+		if err := conn.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+	n := f.waitReady(f.startNode("n1"))
+	for i := range 4 {
+		call(t, n, "/stream/", map[string]string{"X-Tokens": "10,5", "X-Parts": fmt.Sprintf("system,harmful%d,own", i)}, fmt.Sprint("harmful", i))
+		time.Sleep(runnerRestart)
+		sound := map[string]string{"X-Tokens": "10,5", "X-Parts": "system,subject,own"}
+		if got := call(t, n, "/stream/", sound, fmt.Sprint("sound", i)); isQuarantined(got) {
+			t.Errorf("sound request after %d crashes refused: %s", i+1, got.body)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // TestBrokenConnectionsPutNothingInQuarantine breaks answers of runners that go on.
 func TestBrokenConnectionsPutNothingInQuarantine(t *testing.T) {
 	t.Parallel()
