--- a/internal/cicadaedge/broken_answer_test.go
+++ b/internal/cicadaedge/broken_answer_test.go
@@ -12,8 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// TestErrorOfTheNextRunnerInAStream breaks a resumable stream off. The next runner answers with
-// something that does not continue it.
+// A resumable stream breaks off, and the next runner answers with something that does not continue it.
 func TestErrorOfTheNextRunnerInAStream(t *testing.T) {
 	t.Parallel()
 	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -124,8 +124,7 @@
 	return strings.Contains(req.Header.Get("X-Parts"), "harmful")
 }
 
-// TestPromptPartCrashesRunnerAfterRunner sends requests with a part that crashes runners to all
-// routers, beside sound ones with the same organisation and first part.
+// The sound requests have the same organisation and first part as those that crash runners.
 func TestPromptPartCrashesRunnerAfterRunner(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
@@ -160,8 +159,7 @@
 	}
 }
 
-// TestRequestCrashesRunnerAfterRunner repeats a request that crashes runners at all routers, beside
-// sound ones of the same organisation and path.
+// The sound requests have the same organisation and path as the one that crashes runners.
 func TestRequestCrashesRunnerAfterRunner(t *testing.T) {
 	t.Parallel()
 	for _, path := range []string{"/stream/", "/once/", "/again/"} {
@@ -312,8 +310,7 @@
 	}
 }
 
-// TestAnswersThatEndWithTheirConnectionClearNothing sends harmful requests with one first part and
-// different other parts, beside sound ones whose answers have neither a length nor chunks.
+// The harmful requests share only their first part, which the sound ones have too.
 func TestAnswersThatEndWithTheirConnectionClearNothing(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/internal/cicadaedge/raw_runner_test.go
+++ b/internal/cicadaedge/raw_runner_test.go
@@ -88,8 +88,7 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sealed: yes\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
-// TestRepeatedRefusalDeniesARun has a runner refuse a request, and write that refusal once more when
-// it gets the next one on the same connection, which it runs.
+// The runner repeats its last refusal on the same connection before it answers the next request.
 func TestRepeatedRefusalDeniesARun(t *testing.T) {
 	t.Parallel()
 	for name, withID := range map[string]bool{"with the earlier id": true, "without an id": false} {
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -240,8 +240,7 @@
 	}
 }
 
-// TestUnrelatedWavesOfCrashesRefuseSoundRequests lets half of 18 runners crash together three times,
-// beside a trait that a third of all requests have and 60 rare ones, which nobody answers.
+// Half of 18 runners crash together three times; requests with one of 60 rare traits are not answered.
 func TestUnrelatedWavesOfCrashesRefuseSoundRequests(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(200) {
@@ -323,8 +322,7 @@
 	}
 }
 
-// TestAnswerAfterTheReportIsKeptFromOtherRouters has a router report a suspect and see it answered
-// later.
+// The router that reported a suspect sees it answered later.
 func TestAnswerAfterTheReportIsKeptFromOtherRouters(t *testing.T) {
 	t.Parallel()
 	reporter, other := cicadaquarantine.New(cicadaquarantine.Config{}), cicadaquarantine.New(cicadaquarantine.Config{})
@@ -345,8 +343,7 @@
 	}
 }
 
-// TestClearanceThatArrivesFirstIsForgotten merges the report of the router that saw an answer before
-// that of the router that saw the crashes, as after a restart.
+// A router that starts reads the reports of the others in any order.
 func TestClearanceThatArrivesFirstIsForgotten(t *testing.T) {
 	t.Parallel()
 	q := cicadaquarantine.New(cicadaquarantine.Config{})
--- a/internal/cicadaupstream/refusal_test.go
+++ b/internal/cicadaupstream/refusal_test.go
@@ -13,8 +13,7 @@
 	"github.com/pkg/errors"
 )
 
-// TestRepeatedRefusalDeniesARun has a runner refuse a request, and write that refusal once more when
-// it gets the next one on the same connection, which it runs.
+// The runner repeats its last refusal on the same connection before it answers the next request.
 func TestRepeatedRefusalDeniesARun(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\n" + cicadaupstream.HeaderNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
 	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
