Quarantine: a router that starts in an outage keeps its earlier crashes

Found by reading. Cause: a router that learned of crashes from another router took that for having read its own row, and overwrote it when the store came back. A restart of all routers would then have forgotten a quarantine that only this row told of.

Change: the row is written once it was read from the store.

TestRouterThatCannotReadItsCrashesOverwritesThem failed before.

--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -61,8 +61,10 @@
 	// storeClient is the store as seen by one router.
 	storeClient struct {
 		*memoryStore
-		down  atomic.Bool
-		delay atomic.Int64 // delay of each transaction, in nanoseconds
+		down atomic.Bool
+		// crashesDown makes reads of the table of crashes fail.
+		crashesDown atomic.Bool
+		delay       atomic.Int64 // delay of each transaction, in nanoseconds
 	}
 
 	// dialect implements the headers used in the tests.
@@ -239,6 +241,9 @@
 	if err := v.unavailableErr(); err != nil {
 		return cicadastore.ChangeBatch{}, err
 	}
+	if table == "crashes" && v.crashesDown.Load() {
+		return cicadastore.ChangeBatch{}, cicadastore.ErrUnavailable
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	b := cicadastore.ChangeBatch{Version: max(v.version, 1), Era: v.era, NowMillis: time.Now().UnixMilli()}
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -190,6 +190,7 @@
 	if full {
 		// The store may have been restored, or may not have this router's row yet.
 		rt.quarantineLoaded.Store(true)
+		rt.crashRowRead.Store(true)
 		rt.crashSignal.send()
 	}
 }
@@ -251,7 +252,7 @@
 		case <-rt.crashSignal:
 		}
 		sleep(ctx, crashReportDelay+rand.N(time.Duration(rt.peers.count())*crashReportStagger))
-		if !rt.quarantineLoaded.Load() {
+		if !rt.crashRowRead.Load() {
 			// The row may hold crashes that an earlier process saw.
 			continue
 		}
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -338,6 +339,32 @@
 	}
 }
 
+// The router starts in an outage, and the table of crashes is the last one that it can read.
+func TestRouterThatCannotReadItsCrashesOverwritesThem(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.addCrashingRunners(4, hasHarmfulPart)
+	nodes := f.startNodes(2)
+	row := cicadastore.Ref{Table: "crashes", Key: "n0"}
+	f.store.put(row.Table, row.Key, cicadaquarantine.Report{Crashes: []cicadaquarantine.Crash{{Runner: "earlier", AtMillis: time.Now().UnixMilli()}}})
+	nodes[0].stop()
+	n := f.startNode("n0", func(cfg *cicadaedge.Config) {
+		cfg.Runtime.Seeds = []string{nodes[1].peerAddr}
+		cfg.Store.(*storeClient).crashesDown.Store(true)
+		cfg.Store.(*storeClient).down.Store(true)
+	})
+	eventually(t, "the router has its view from another one", n.Ready)
+	n.store.down.Store(false)
+	time.Sleep(time.Second) // until the time of the store is known
+	for i := range 3 {
+		call(t, n, "/stream/", map[string]string{"X-Tokens": "10,5", "X-Parts": fmt.Sprintf("system,harmful,own%d", i)}, "prompt")
+		time.Sleep(500 * time.Millisecond)
+	}
+	if value := string(f.store.get(row).Value); !strings.Contains(value, "earlier") {
+		t.Errorf("the row lacks the crash of the earlier process: %s", value)
+	}
+}
+
 // TestBrokenConnectionsPutNothingInQuarantine breaks answers of runners that go on.
 func TestBrokenConnectionsPutNothingInQuarantine(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -73,6 +73,8 @@
 	crashDetector *crashDetector
 	// quarantineLoaded is set once the crashes that other processes reported are known.
 	quarantineLoaded atomic.Bool
+	// crashRowRead is set once this router's own row of crashes was read, which it may then overwrite.
+	crashRowRead atomic.Bool
 	// crashSignal requests another write of this router's crashes. crashEra increases when the store
 	// may have lost them.
 	crashSignal  signal
