Quarantine: a restored store does not forget what ended routers reported

Found by reading. Cause: after a restore from an older backup each router wrote its own crashes again, and nobody those of routers that had ended. A router that started later forwarded requests that all others refused.

Change: in a new era of the store each router reports the crashes behind all blocks, and all clearances, operators' too. The stagger of the reports stays.

TestRestoredStoreForgetsQuarantine failed before.

--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -276,8 +276,10 @@
 	}
 }
 
-// rewriteCrashes writes this router's crashes again, because the store may have lost them.
+// rewriteCrashes writes this router's crashes again, because the store may have lost them, and what
+// others reported, because they may have ended since.
 func (rt *Router) rewriteCrashes() {
+	rt.quarantine.Adopt()
 	rt.crashEra.Add(1)
 	rt.crashSignal.send()
 }
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -117,6 +117,19 @@
 	o.by[kind][r.status]++
 }
 
+func harmfulHeader() map[string]string {
+	return map[string]string{"X-Tokens": "10,5", "X-Parts": "system,harmful,own"}
+}
+
+// sendUntilQuarantined sends a harmful request until the router refuses it.
+func sendUntilQuarantined(t *testing.T, n *node, header map[string]string) {
+	t.Helper()
+	eventually(t, "the request is in quarantine", func() bool {
+		time.Sleep(300 * time.Millisecond)
+		return isQuarantined(call(t, n, "/stream/", header, "prompt"))
+	})
+}
+
 func isQuarantined(r response) bool {
 	return r.status == http.StatusServiceUnavailable && strings.Contains(r.body, string(cicadaedge.RefuseQuarantined))
 }
@@ -201,11 +214,8 @@
 	f := newFleet(t)
 	runners := f.addCrashingRunners(4, hasHarmfulPart)
 	nodes := f.startNodes(2)
-	harmful := map[string]string{"X-Tokens": "10,5", "X-Parts": "system,harmful,own"}
-	eventually(t, "the part is in quarantine", func() bool {
-		time.Sleep(300 * time.Millisecond)
-		return isQuarantined(call(t, nodes[0], "/stream/", harmful, "prompt"))
-	})
+	harmful := harmfulHeader()
+	sendUntilQuarantined(t, nodes[0], harmful)
 	for _, n := range nodes {
 		n.stop()
 	}
@@ -226,11 +236,8 @@
 	runners := f.addCrashingRunners(4, hasHarmfulPart)
 	nodes := f.startNodes(2)
 	nodes[1].store.down.Store(true)
-	harmful := map[string]string{"X-Tokens": "10,5", "X-Parts": "system,harmful,own"}
-	eventually(t, "the part is in quarantine", func() bool {
-		time.Sleep(300 * time.Millisecond)
-		return isQuarantined(call(t, nodes[0], "/stream/", harmful, "prompt"))
-	})
+	harmful := harmfulHeader()
+	sendUntilQuarantined(t, nodes[0], harmful)
 	time.Sleep(quarantinePeriod)
 	before := runners.crashCount()
 	for range 3 {
@@ -249,11 +256,8 @@
 	var repaired atomic.Bool
 	f.addCrashingRunners(4, func(req *http.Request) bool { return !repaired.Load() && hasHarmfulPart(req) })
 	nodes := f.startNodes(2)
-	harmful := map[string]string{"X-Tokens": "10,5", "X-Parts": "system,harmful,own"}
-	eventually(t, "the request is in quarantine", func() bool {
-		time.Sleep(300 * time.Millisecond)
-		return isQuarantined(call(t, nodes[0], "/stream/", harmful, "prompt"))
-	})
+	harmful := harmfulHeader()
+	sendUntilQuarantined(t, nodes[0], harmful)
 	repaired.Store(true)
 	var blocks []cicadaquarantine.Block
 	eventually(t, "the quarantine is in the store", func() bool {
@@ -339,6 +343,25 @@
 	}
 }
 
+// The only router that saw the crashes has ended when the store is restored from an older backup.
+func TestRestoredStoreForgetsQuarantine(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.addCrashingRunners(4, hasHarmfulPart)
+	nodes := f.startNodes(2)
+	f.store.takeBackup()
+	sendUntilQuarantined(t, nodes[0], harmfulHeader())
+	sendUntilQuarantined(t, nodes[1], harmfulHeader())
+	nodes[0].stop()
+	f.store.restore()
+	time.Sleep(2 * time.Second) // until the other router has written what it knows
+	n := f.startNode("n2")
+	eventually(t, "the router is ready", n.Ready)
+	if got := call(t, n, "/stream/", harmfulHeader(), "prompt"); !isQuarantined(got) {
+		t.Errorf("status %d, body %q, want a refusal", got.status, got.body)
+	}
+}
+
 // The router starts in an outage, and the table of crashes is the last one that it can read.
 func TestRouterThatCannotReadItsCrashesOverwritesThem(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaquarantine/report.go
+++ b/internal/cicadaquarantine/report.go
@@ -48,6 +48,24 @@
 	q.cleared[t] = c
 }
 
+// Adopt makes this router report what others reported of the blocks, and all clearances. Routers do so
+// when the reports of those that have ended may be lost.
+func (q *Quarantine) Adopt() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	supporting := supportingRunners(*q.blocks.Load())
+	for runner, c := range q.crashes {
+		if supporting[runner] > 0 {
+			c.isOwn = true
+			c.own.add(&c.suspects)
+		}
+	}
+	for t, c := range q.cleared {
+		c.own = true
+		q.cleared[t] = c
+	}
+}
+
 // Report returns the evidence that this router reports to the others.
 func (q *Quarantine) Report() Report {
 	q.mu.Lock()
