Quarantine: a harmful part late in a long prompt is recognised

Found by reading. Cause: of a suspect the first 16 traits were kept, and its own hash came last. A harmful part behind more shared parts, or a harmful request with that many, crashed runner after runner.

Change: 64 traits are kept, those that were not answered lately first, and the hash is the first.

TestLatePartOfALongPromptCrashesRunnerAfterRunner failed before (40 parts); TestTraitAfterManyAnsweredOnesIsDropped has 100, and fails without the order.

--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -66,7 +66,8 @@
 	if q.requestTrait == "" {
 		q.requestTrait = q.hash()
 	}
-	return append(q.partTraits(), q.requestTrait)
+	// The first traits are kept if there are many.
+	return append([]cicadaquarantine.Trait{q.requestTrait}, q.partTraits()...)
 }
 
 // hash returns the trait of requests that equal this one: with the same organisation, method, host,
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -343,6 +343,26 @@
 	}
 }
 
+// The harmful part comes after more shared parts than most prompts have.
+func TestLatePartOfALongPromptCrashesRunnerAfterRunner(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.addCrashingRunners(4, hasHarmfulPart)
+	n := f.waitReady(f.startNode("n1"))
+	for i := range 6 {
+		parts := []string{}
+		for j := range 40 {
+			parts = append(parts, fmt.Sprintf("shared%d-%d", i, j))
+		}
+		header := map[string]string{"X-Tokens": "10,5", "X-Parts": strings.Join(append(parts, "harmful", "own"), ",")}
+		got := call(t, n, "/stream/", header, fmt.Sprint("body", i))
+		if i >= maxCrashesBeforeQuarantine && !isQuarantined(got) {
+			t.Errorf("request %d: status %d, body %q, want a refusal", i, got.status, got.body)
+		}
+		time.Sleep(2 * runnerRestart)
+	}
+}
+
 // The only router that saw the crashes has ended when the store is restored from an older backup.
 func TestRestoredStoreForgetsQuarantine(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -23,6 +23,7 @@
 package cicadaquarantine
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -50,9 +51,11 @@
 	// maxTraits the traits of a suspect. Further ones are dropped, the oldest crashes first.
 	maxCrashes  = 256
 	maxSuspects = 32
-	maxTraits   = 16
+	maxTraits   = 64
 	// maxTraitBytes bounds the length of a trait. Longer ones are ignored.
 	maxTraitBytes = 80
+	// maxSuspectBytes bounds the traits of one crash, of each kind of suspects.
+	maxSuspectBytes = 8 << 10
 	// maxReportBytes bounds the traits in a report, so that it fits into a row of the store, which
 	// takes 64 KB. Of the crashes and clearances beyond it, the newest are reported.
 	maxReportBytes = 32 << 10
@@ -196,6 +199,7 @@
 func (q *Quarantine) RecordCrash(runner string, at time.Duration, suspects Suspects) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	suspects = Suspects{Begun: q.likeliestFirst(suspects.Begun), Waiting: q.likeliestFirst(suspects.Waiting)}
 	c := q.crashOf(runner, at)
 	c.isOwn = true
 	c.own.add(&suspects)
@@ -204,6 +208,17 @@
 	q.update(at)
 }
 
+// likeliestFirst moves the traits that were answered lately to the end of each suspect, of which the
+// first maxTraits are kept.
+func (q *Quarantine) likeliestFirst(list []Suspect) []Suspect {
+	out := make([]Suspect, len(list))
+	for i, s := range list {
+		out[i] = slices.Clone(s)
+		slices.SortStableFunc(out[i], func(a, b Trait) int { return cmp.Compare(q.answers[a], q.answers[b]) })
+	}
+	return out
+}
+
 // RecordAnswer records that the answer to a request with the given traits began at a shared time
 // and is complete, or has been going on since. It reports whether this router's report has changed.
 func (q *Quarantine) RecordAnswer(traits []Trait, began time.Duration) bool {
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -361,6 +361,23 @@
 	}
 }
 
+func TestTraitAfterManyAnsweredOnesIsDropped(t *testing.T) {
+	t.Parallel()
+	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	for i := range 3 {
+		at := time.Duration(i+1) * time.Second
+		var suspect traits
+		for j := range 100 {
+			suspect = append(suspect, cicadaquarantine.Trait(fmt.Sprint("shared", i, "-", j)))
+		}
+		q.RecordAnswer(suspect, at-time.Millisecond)
+		q.RecordCrash(fmt.Sprint("r", i), at, begun([]traits{append(suspect, "bad")}))
+	}
+	if diff := cmp.Diff([][]cicadaquarantine.Trait{{"bad"}}, blocked(q)); diff != "" {
+		t.Errorf("blocks (-want +got):\n%s", diff)
+	}
+}
+
 // TestFloodOfSuspectsIsBounded reports many more crashes and suspects than are kept.
 func TestFloodOfSuspectsIsBounded(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaquarantine/report.go
+++ b/internal/cicadaquarantine/report.go
@@ -114,7 +114,7 @@
 		slices.SortFunc(out.Crashes[i].Waiting, slices.Compare)
 	}
 	for i := range out.Crashes {
-		if size += out.Crashes[i].size(); size > maxReportBytes {
+		if size += crashBytes + out.Crashes[i].size(); size > maxReportBytes {
 			out.Crashes = out.Crashes[:i]
 			break
 		}
@@ -137,16 +137,6 @@
 	return out
 }
 
-func (c *Crash) size() int {
-	n := crashBytes
-	for _, s := range c.all() {
-		for _, t := range s {
-			n += len(t)
-		}
-	}
-	return n
-}
-
 // LatestMillis returns the shared time of the last crash in the report, in milliseconds; zero if
 // there is none.
 func (r *Report) LatestMillis() int64 {
--- a/internal/cicadaquarantine/suspects.go
+++ b/internal/cicadaquarantine/suspects.go
@@ -8,7 +8,7 @@
 	return slices.ContainsFunc(s.all(), func(s Suspect) bool { return slices.Contains(s, t) })
 }
 
-// add adds other suspects within the bounds.
+// add adds other suspects within the bounds, which hold for each of the two kinds.
 func (s *Suspects) add(other *Suspects) {
 	for _, o := range other.Begun {
 		s.Begun = addSuspect(s.Begun, bounded(o))
@@ -18,6 +18,25 @@
 	}
 }
 
+// size returns the bytes of all traits.
+func (s *Suspects) size() int { return sizeOf(s.Begun) + sizeOf(s.Waiting) }
+
+func sizeOf(list []Suspect) int {
+	n := 0
+	for _, s := range list {
+		n += s.size()
+	}
+	return n
+}
+
+func (s Suspect) size() int {
+	n := 0
+	for _, t := range s {
+		n += len(t)
+	}
+	return n
+}
+
 // counting returns the suspects that count.
 func (s *Suspects) counting() []Suspect {
 	if len(s.Begun) > 0 {
@@ -33,7 +52,7 @@
 }
 
 func addSuspect(list []Suspect, s Suspect) []Suspect {
-	if len(s) == 0 || len(list) >= maxSuspects || slices.ContainsFunc(list, func(o Suspect) bool { return slices.Equal(o, s) }) {
+	if len(s) == 0 || len(list) >= maxSuspects || sizeOf(list)+s.size() > maxSuspectBytes || slices.ContainsFunc(list, func(o Suspect) bool { return slices.Equal(o, s) }) {
 		return list
 	}
 	return append(list, s)
