Quarantine: the reports of all routers are merged at once

Found by reading.

Change: Merge takes all reports and derives the blocks once; Restore takes the own row of an earlier process. No figure for the start of a fleet was taken.

--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -171,6 +171,7 @@
 // applyCrashes applies changed reports of crashes, of this router's earlier processes too.
 func (rt *Router) applyCrashes(b cicadastore.ChangeBatch, full bool, now time.Time) {
 	shared, ok := rt.clock.SharedTime(now)
+	var reports []cicadaquarantine.Report
 	for i := range b.Changes {
 		c := &b.Changes[i]
 		if c.Deleted {
@@ -182,10 +183,14 @@
 			rt.cfg.Log.WithField("router", c.Key).WithField("clockKnown", ok).WithError(err).Error("failed to read a router's crashes")
 			continue
 		}
-		own := c.Key == rt.cfg.Name
-		if rt.quarantine.Merge(&report, own, shared) && !own {
-			rt.crashSignal.send()
+		if c.Key == rt.cfg.Name {
+			rt.quarantine.Restore(&report, shared)
+			continue
 		}
+		reports = append(reports, report)
+	}
+	if rt.quarantine.Merge(reports, shared) {
+		rt.crashSignal.send()
 	}
 	rt.logBlocks()
 	if full {
@@ -211,7 +216,7 @@
 func (rt *Router) applyPeerCrashes(crashes *cicadaquarantine.Report) {
 	if crashes != nil {
 		latest := time.Duration(crashes.LatestMillis()) * time.Millisecond
-		if rt.quarantine.Merge(crashes, false, max(rt.sharedTime(), latest)) {
+		if rt.quarantine.Merge([]cicadaquarantine.Report{*crashes}, max(rt.sharedTime(), latest)) {
 			rt.crashSignal.send()
 		}
 		rt.logBlocks()
--- a/internal/cicadaedge/quarantine_operator.go
+++ b/internal/cicadaedge/quarantine_operator.go
@@ -90,13 +90,15 @@
 		return nil, batch, errors.Wrap(err, "read the routers' crashes")
 	}
 	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	var reports []cicadaquarantine.Report
 	for i := range batch.Changes {
 		c := &batch.Changes[i]
 		var report cicadaquarantine.Report
 		if err := json.Unmarshal(c.Value, &report); err != nil {
 			return nil, batch, errors.Wrapf(err, "decode the crashes of router %s", c.Key)
 		}
-		q.Merge(&report, false, time.Duration(batch.NowMillis)*time.Millisecond)
+		reports = append(reports, report)
 	}
+	q.Merge(reports, time.Duration(batch.NowMillis)*time.Millisecond)
 	return q, batch, nil
 }
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -292,8 +292,8 @@
 			q := cicadaquarantine.New(cicadaquarantine.Config{})
 			for _, i := range rng.Perm(len(reporters)) {
 				report := reporters[i].Report()
-				q.Merge(&report, false, 10*time.Second)
-				q.Merge(&report, false, 10*time.Second)
+				q.Merge([]cicadaquarantine.Report{report}, 10*time.Second)
+				q.Merge([]cicadaquarantine.Report{report}, 10*time.Second)
 			}
 			if try == 0 {
 				want = blocked(q)
@@ -311,12 +311,12 @@
 		reporter.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, begun([]traits{{"rare"}}))
 	}
 	report := reporter.Report()
-	other.Merge(&report, false, 4*time.Second)
+	other.Merge([]cicadaquarantine.Report{report}, 4*time.Second)
 	if changed := other.RecordAnswer(traits{"rare"}, 4*time.Second); !changed {
 		t.Error("the router that saw an answer has nothing to report")
 	}
 	report = other.Report()
-	reporter.Merge(&report, false, 5*time.Second)
+	reporter.Merge([]cicadaquarantine.Report{report}, 5*time.Second)
 	if diff := cmp.Diff([][]cicadaquarantine.Trait(nil), blocked(reporter)); diff != "" {
 		t.Errorf("blocks (-want +got):\n%s", diff)
 	}
@@ -330,12 +330,12 @@
 		reporter.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, begun([]traits{{"first", "bad"}, {"first"}}))
 	}
 	report := reporter.Report()
-	other.Merge(&report, false, 4*time.Second)
+	other.Merge([]cicadaquarantine.Report{report}, 4*time.Second)
 	if changed := reporter.RecordAnswer(traits{"first"}, 4*time.Second); !changed {
 		t.Error("the router that reported the suspect has nothing to report after its answer")
 	}
 	report = reporter.Report()
-	other.Merge(&report, false, 5*time.Second)
+	other.Merge([]cicadaquarantine.Report{report}, 5*time.Second)
 	for name, q := range map[string]*cicadaquarantine.Quarantine{"reporter": reporter, "other router": other} {
 		if diff := cmp.Diff([][]cicadaquarantine.Trait{{"bad"}}, blocked(q)); diff != "" {
 			t.Errorf("blocks of the %s (-want +got):\n%s", name, diff)
@@ -348,14 +348,14 @@
 	t.Parallel()
 	q := cicadaquarantine.New(cicadaquarantine.Config{})
 	cleared := cicadaquarantine.Report{Cleared: map[cicadaquarantine.Trait]int64{"rare": 10_000}}
-	q.Merge(&cleared, false, 20*time.Second)
+	q.Merge([]cicadaquarantine.Report{cleared}, 20*time.Second)
 	var crashes cicadaquarantine.Report
 	for i := range 3 {
 		crashes.Crashes = append(crashes.Crashes, cicadaquarantine.Crash{
 			Runner: fmt.Sprint("r", i), AtMillis: int64(i+1) * 1000, Suspects: begun([]traits{{"rare"}}),
 		})
 	}
-	q.Merge(&crashes, false, 20*time.Second)
+	q.Merge([]cicadaquarantine.Report{crashes}, 20*time.Second)
 	if diff := cmp.Diff([][]cicadaquarantine.Trait(nil), blocked(q)); diff != "" {
 		t.Errorf("blocks (-want +got):\n%s", diff)
 	}
@@ -405,7 +405,7 @@
 	}
 	restarted := cicadaquarantine.New(cicadaquarantine.Config{})
 	report := q.Report()
-	restarted.Merge(&report, true, time.Minute/2)
+	restarted.Restore(&report, time.Minute/2)
 	for name, q := range map[string]*cicadaquarantine.Quarantine{"router": q, "restarted router": restarted} {
 		if diff := cmp.Diff([][]cicadaquarantine.Trait{{"bad"}}, blocked(q)); diff != "" {
 			t.Errorf("blocks of the %s (-want +got):\n%s", name, diff)
@@ -442,7 +442,7 @@
 		at   time.Duration
 		want bool
 	}{{23 * time.Hour, true}, {25 * time.Hour, false}} {
-		q.Merge(&cicadaquarantine.Report{}, false, tt.at)
+		q.Merge(nil, tt.at)
 		if _, got := q.Match(traits{"bad"}, tt.at); got != tt.want {
 			t.Errorf("in quarantine after %v: %v, want %v", tt.at, got, tt.want)
 		}
--- a/internal/cicadaquarantine/report.go
+++ b/internal/cicadaquarantine/report.go
@@ -6,11 +6,27 @@
 	"time"
 )
 
-// Merge adds the evidence of another router, or of an earlier process of this router if own is
-// set. It reports whether this router's report has changed.
-func (q *Quarantine) Merge(report *Report, own bool, now time.Duration) bool {
+// Merge adds the evidence of other routers. It reports whether this router's report has changed.
+func (q *Quarantine) Merge(reports []Report, now time.Duration) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	changed := false
+	for i := range reports {
+		changed = q.mergeReport(&reports[i], false, now) || changed
+	}
+	q.update(now)
+	return changed
+}
+
+// Restore adds the evidence that an earlier process of this router reported.
+func (q *Quarantine) Restore(report *Report, now time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.mergeReport(report, true, now)
+	q.update(now)
+}
+
+func (q *Quarantine) mergeReport(report *Report, own bool, now time.Duration) bool {
 	changed := false
 	for i := range report.Crashes {
 		r := &report.Crashes[i]
@@ -30,8 +46,7 @@
 	for t, ms := range report.Cleared {
 		q.mergeClearance(t, time.Duration(ms)*time.Millisecond, own)
 	}
-	q.update(now)
-	return changed || own
+	return changed
 }
 
 // mergeClearance merges a clearance of another router. This router need not report its own any more
--- a/internal/cicadaquarantine/suspects.go
+++ b/internal/cicadaquarantine/suspects.go
@@ -51,8 +51,10 @@
 	return s[:min(len(s), maxTraits)]
 }
 
+// addSuspect adds a suspect to a list that does not have it, if the bounds allow it.
 func addSuspect(list []Suspect, s Suspect) []Suspect {
-	if len(s) == 0 || len(list) >= maxSuspects || sizeOf(list)+s.size() > maxSuspectBytes || slices.ContainsFunc(list, func(o Suspect) bool { return slices.Equal(o, s) }) {
+	isFull := len(list) >= maxSuspects || sizeOf(list)+s.size() > maxSuspectBytes
+	if len(s) == 0 || isFull || slices.ContainsFunc(list, func(o Suspect) bool { return slices.Equal(o, s) }) {
 		return list
 	}
 	return append(list, s)
