Quarantine: what operators lift does not pile up

Found by reading. Cause: the row of lifted traits kept each of them for ever, and a row of the store takes 64 KB. Lifting would have failed then.

Change: entries older than the crashes that they could be for are dropped.

TestLiftedTraitsPileUp. TestRoutersWithTheSameEvidenceDisagree now also checks that its schedules have blocks, so that it cannot pass without any.

--- a/internal/cicadaedge/quarantine_operator.go
+++ b/internal/cicadaedge/quarantine_operator.go
@@ -35,7 +35,7 @@
 		return errors.Errorf("trait %q is not in quarantine", trait)
 	}
 	ref := cicadastore.Ref{Table: tableCrashes, Key: liftedKey}
-	lifted := cicadaquarantine.Report{Cleared: map[cicadaquarantine.Trait]int64{}}
+	var lifted cicadaquarantine.Report
 	var version uint64
 	for i := range batch.Changes {
 		if c := &batch.Changes[i]; c.Key == liftedKey {
@@ -45,9 +45,7 @@
 			}
 		}
 	}
-	for _, t := range suspectsOf(q, block) {
-		lifted.Cleared[t] = batch.NowMillis
-	}
+	lifted.Clear(suspectsOf(q, block), time.Duration(batch.NowMillis)*time.Millisecond)
 	value, err := json.Marshal(lifted)
 	if err != nil {
 		return errors.Wrap(err, "encode the traits that operators cleared")
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -273,6 +273,7 @@
 // TestRoutersWithTheSameEvidenceDisagree merges reports of crashes in different orders.
 func TestRoutersWithTheSameEvidenceDisagree(t *testing.T) {
 	t.Parallel()
+	withBlocks := 0
 	for seed := range uint64(300) {
 		rng := rand.New(rand.NewPCG(seed, 2))
 		var reporters []*cicadaquarantine.Quarantine
@@ -296,12 +297,17 @@
 				q.Merge([]cicadaquarantine.Report{report}, 10*time.Second)
 			}
 			if try == 0 {
-				want = blocked(q)
+				if want = blocked(q); len(want) > 0 {
+					withBlocks++
+				}
 			} else if diff := cmp.Diff(want, blocked(q)); diff != "" {
 				t.Fatalf("seed %d: blocks after another order of reports (-want +got):\n%s", seed, diff)
 			}
 		}
 	}
+	if withBlocks < 30 {
+		t.Errorf("%d of 300 seeds have blocks, want 30 or more", withBlocks)
+	}
 }
 
 func TestReportedClearanceEndsOtherRoutersSuspicion(t *testing.T) {
@@ -432,6 +438,18 @@
 	}
 }
 
+func TestLiftedTraitsPileUp(t *testing.T) {
+	t.Parallel()
+	var lifted cicadaquarantine.Report
+	lifted.Clear([]cicadaquarantine.Trait{"old"}, time.Hour)
+	lifted.Clear([]cicadaquarantine.Trait{"yesterday"}, 20*time.Hour)
+	lifted.Clear([]cicadaquarantine.Trait{"new"}, 30*time.Hour)
+	want := map[cicadaquarantine.Trait]int64{"yesterday": (20 * time.Hour).Milliseconds(), "new": (30 * time.Hour).Milliseconds()}
+	if diff := cmp.Diff(want, lifted.Cleared); diff != "" {
+		t.Errorf("cleared traits (-want +got):\n%s", diff)
+	}
+}
+
 func TestQuarantineEndsAfterADay(t *testing.T) {
 	t.Parallel()
 	q := cicadaquarantine.New(cicadaquarantine.Config{})
--- a/internal/cicadaquarantine/report.go
+++ b/internal/cicadaquarantine/report.go
@@ -152,6 +152,21 @@
 	return out
 }
 
+// Clear clears traits of all crashes until a shared time, and removes clearances that no crash is
+// kept for any more.
+func (r *Report) Clear(traits []Trait, now time.Duration) {
+	cleared := map[Trait]int64{}
+	for t, ms := range r.Cleared {
+		if now-time.Duration(ms)*time.Millisecond <= blockTTL {
+			cleared[t] = ms
+		}
+	}
+	for _, t := range traits {
+		cleared[t] = now.Milliseconds()
+	}
+	r.Cleared = cleared
+}
+
 // LatestMillis returns the shared time of the last crash in the report, in milliseconds; zero if
 // there is none.
 func (r *Report) LatestMillis() int64 {
