--- a/internal/cicadaedge/crash_detector.go
+++ b/internal/cicadaedge/crash_detector.go
@@ -29,7 +29,7 @@
 		at         time.Time // of the first one
 		suspects   cicadaquarantine.Suspects
 		requestIDs []string
-		ifAlive    []func() // called if the runner has not crashed; nil for nothing to do
+		ifAlive    []func() // called if the runner accepts connections
 	}
 )
 
@@ -71,8 +71,8 @@
 		WithField("requests", len(b.requestIDs))
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		entry.WithError(err).Info("connections of a runner ended, and it has not crashed")
-		for _, f := range b.ifAlive {
-			if f != nil && err == nil {
+		if err == nil {
+			for _, f := range b.ifAlive {
 				f()
 			}
 		}
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -185,9 +185,9 @@
 		return nil, &sendError{cause: err}
 	}
 	stall := x.startStallTimer(x.firstByteTimeout(), x.attempts+1, cancel)
-	sent, err := x.rt.transports.roundTrip(p.Runner(), x.service, req, x.body) //nolint:bodyclose // attempt.close closes it
+	trip, err := x.rt.transports.roundTrip(p.Runner(), x.service, req, x.body) //nolint:bodyclose // attempt.close closes it
 	stall.stop()
-	if sent.sent {
+	if trip.sent {
 		x.attempts++
 	}
 	if err != nil {
@@ -195,11 +195,11 @@
 			err = cause
 		}
 		cancel(nil)
-		return nil, &sendError{cause: err, sent: sent.sent}
+		return nil, &sendError{cause: err, sent: trip.sent}
 	}
 	x.headerAt = time.Now()
-	a := &attempt{placement: p, resp: sent.resp, cancel: cancel, info: x.rt.cfg.Dialect.ParseResponse(sent.resp)}
-	x.retireUncertain(a, sent.conn)
+	a := &attempt{placement: p, resp: trip.resp, cancel: cancel, info: x.rt.cfg.Dialect.ParseResponse(trip.resp)}
+	x.retireUncertain(a, trip.conn)
 	if a.info.Load != nil {
 		p.ReportLoad(*a.info.Load, time.Now())
 	}
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -56,8 +56,8 @@
 
 func (q *request) partTraits() []cicadaquarantine.Trait {
 	var out []cicadaquarantine.Trait
-	for i := range len(q.info.PromptParts) - 1 {
-		out = append(out, partTraitPrefix+cicadaquarantine.Trait(boundedID(q.info.PromptParts[i].ID)))
+	for _, part := range sharedParts(q.info.PromptParts) {
+		out = append(out, partTraitPrefix+cicadaquarantine.Trait(boundedID(part.ID)))
 	}
 	return out
 }
@@ -120,11 +120,11 @@
 }
 
 // recordBroken records that the connection of an attempt broke before the response was complete.
-func (x *exchange) recordBroken(p *placement) { x.checkRunner(p, nil) }
+func (x *exchange) recordBroken(p *placement) { x.checkRunner(p) }
 
-// checkRunner has the runner of an attempt checked, whose connection ended. It calls ifAlive, if set,
-// if the runner has not crashed.
-func (x *exchange) checkRunner(p *placement, ifAlive func()) {
+// checkRunner finds out whether the runner of an attempt whose connection ended has crashed. If not,
+// it calls ifAlive.
+func (x *exchange) checkRunner(p *placement, ifAlive ...func()) {
 	now := time.Now()
 	if errors.Is(x.rt.balancer.Unavailability(p.Runner(), now), cicadaplace.ErrDraining) {
 		// It was about to end, whatever it served.
@@ -138,7 +138,7 @@
 	case now.Sub(x.headerAt) < soundAnswerPeriod:
 		suspects.Begun = suspect
 	}
-	x.rt.crashDetector.add(p.Runner(), &brokenAttempts{at: now, suspects: suspects, requestIDs: []string{x.info.ID}, ifAlive: []func(){ifAlive}})
+	x.rt.crashDetector.add(p.Runner(), &brokenAttempts{at: now, suspects: suspects, requestIDs: []string{x.info.ID}, ifAlive: ifAlive})
 }
 
 // recordEnd records the end of a response. If it is the end of the connection, it may also be that of
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -30,12 +30,16 @@
 // maxPartsLogged bounds the prompt parts in a log line.
 const maxPartsLogged = 16
 
-// sharedPartIDs returns the ids of the parts that other requests may share, which are all but the
-// last one, up to maxPartsLogged.
+// sharedParts returns the parts that other requests may share, which are all but the last one.
+func sharedParts(parts []cicadaplace.Part) []cicadaplace.Part { return parts[:max(len(parts)-1, 0)] }
+
+// sharedPartIDs returns the ids of the first maxPartsLogged shared parts.
 func sharedPartIDs(parts []cicadaplace.Part) []string {
 	ids := []string{}
-	for i := range min(len(parts)-1, maxPartsLogged) {
-		ids = append(ids, parts[i].ID)
+	for _, part := range sharedParts(parts) {
+		if len(ids) < maxPartsLogged {
+			ids = append(ids, part.ID)
+		}
 	}
 	return ids
 }
--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -61,8 +61,9 @@
 		retired atomic.Bool
 	}
 
-	// sentRequest is a request that was passed to a transport. Its user closes the response's body.
-	sentRequest struct {
+	// roundTripResult is the outcome of a request that was passed to a transport. Its user closes the
+	// response's body.
+	roundTripResult struct {
 		resp *http.Response
 		sent bool // some bytes of the request may have reached the runner
 		conn *countedConn
@@ -177,7 +178,7 @@
 // the transport recognises idempotent requests are written in lower case.
 func (ts *runnerTransports) roundTrip(
 	r *cicadaplace.Runner, s *cicadadeploy.Service, req *http.Request, body []byte,
-) (sentRequest, error) {
+) (roundTripResult, error) {
 	t := ts.transport(r, s)
 	for _, name := range autoRetryHeaders {
 		if list, ok := req.Header[name]; ok {
@@ -198,13 +199,13 @@
 		if len(body) > 0 || slices.Contains(bodilessMethods, req.Method) {
 			req.Body = io.NopCloser(bytes.NewReader(body))
 		}
-		resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace))) //nolint:bodyclose // see sentRequest
+		resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace))) //nolint:bodyclose // see roundTripResult
 		if err == nil {
-			return sentRequest{resp: resp, sent: true, conn: conn}, nil
+			return roundTripResult{resp: resp, sent: true, conn: conn}, nil
 		}
 		sent := conn != nil && conn.written.Load() > writtenBefore
 		if sent || !reused || try == maxStaleConns || req.Context().Err() != nil {
-			return sentRequest{sent: sent}, err
+			return roundTripResult{sent: sent}, err
 		}
 	}
 }
