Quarantine: an answered first part is not refused for the harmful one

Cause: a trait that is in fewer suspects than another one, always together with it, counts as the more special one. Suspects were compared without the traits that they are cleared of, so an answer to a request with the first part made it look more special than the part that was never answered.

Ruled out: an answer with the harmful part (none was recorded in a scratch copy).

Change: suspects are compared with all their traits.

The new case of TestBlocks failed before.

--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -157,6 +157,15 @@
 			},
 			want: [][]cicadaquarantine.Trait{{"bad"}},
 		},
+		{
+			name: "a first part that was answered after the first of the crashes",
+			crashes: []crash{
+				{"r1", 1 * second, []traits{{"first", "bad"}}, nil}, {"r2", 2 * second, []traits{{"first", "bad"}}, nil},
+				{"r3", 3 * second, []traits{{"first", "bad"}}, nil}, {"r4", 4 * second, []traits{{"first", "bad"}}, nil},
+			},
+			answers: map[cicadaquarantine.Trait]time.Duration{"first": 1500 * time.Millisecond},
+			want:    [][]cicadaquarantine.Trait{{"bad"}},
+		},
 		{
 			name: "a second cause that cannot be told from others yet",
 			crashes: []crash{
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -209,7 +209,9 @@
 			number, began = number+1, at
 		}
 		tl.incident = append(tl.incident, number)
-		for _, s := range tl.crashes[i].all() {
+		// Cleared traits count here: an answer makes a trait no more special.
+		c := q.crashes[tl.crashes[i].Runner]
+		for _, s := range c.suspects.all() {
 			for _, t := range s {
 				if list := tl.suspects[t]; len(list) == 0 || list[len(list)-1] != suspects {
 					tl.suspects[t] = append(list, suspects)
