--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -160,8 +160,10 @@
 		{
 			name: "a first part that was answered after the first of the crashes",
 			crashes: []crash{
-				{"r1", 1 * second, []traits{{"first", "bad"}}, nil}, {"r2", 2 * second, []traits{{"first", "bad"}}, nil},
-				{"r3", 3 * second, []traits{{"first", "bad"}}, nil}, {"r4", 4 * second, []traits{{"first", "bad"}}, nil},
+				{"r1", 1 * second, []traits{{"first", "bad"}}, nil},
+				{"r2", 2 * second, []traits{{"first", "bad"}}, nil},
+				{"r3", 3 * second, []traits{{"first", "bad"}}, nil},
+				{"r4", 4 * second, []traits{{"first", "bad"}}, nil},
 			},
 			answers: map[cicadaquarantine.Trait]time.Duration{"first": 1500 * time.Millisecond},
 			want:    [][]cicadaquarantine.Trait{{"bad"}},
