A key no longer runs twice while its first request waits for units

What callers saw: of two requests with the same key, sent at the same time, both ran at an engine (the second bill was voided).

Cause: a request that finds its key claimed asks the claim's holder for the response. The holder registered the response only after its reservation, so in between it answered that it had none, which was taken for a request that will never have one: the key was claimed once more and the request ran again.

Refusing requests without a claim was tried too: three tests fail, as a partition gets a home only with its first bill.

Change: the response is registered before the claim, and ends with a refusal.

--- a/internal/cicadarouter/hazard_test.go
+++ b/internal/cicadarouter/hazard_test.go
@@ -218,17 +218,42 @@
 	if diff := cmp.Diff(len(results), countComplete(results)); diff != "" {
 		t.Errorf("complete responses (-want +got)\n%s%+v", diff, results)
 	}
-	ran := 0
+	if diff := cmp.Diff(1, countRuns(w, "k")); diff != "" {
+		t.Errorf("runs (-want +got)\n%s", diff)
+	}
+}
+
+// TestRetryWhileTheFirstWaitsForUnitsRunsTwice repeats a key while the request that
+// claimed it still waits for its reservation.
+func TestRetryWhileTheFirstWaitsForUnitsRunsTwice(t *testing.T) {
+	w := newEnvironment(t, nil)
+	call(t, newSpec(w.Routers()[0], "warm")) // the partition gets a home
+	w.Platform().SetFaults(cicadastandin.PlatformFaults{AddedLatency: 200 * time.Millisecond})
+	first := make(chan cicadaload.Result, 1)
+	repeat := func(r *cicadarouter.Router) cicadaload.Result {
+		s := newSpec(r, "tag")
+		s.IdempotencyKey = "k"
+		return call(t, s)
+	}
+	go func() { first <- repeat(w.Routers()[1]) }()
+	time.Sleep(50 * time.Millisecond)
+	second := repeat(w.Routers()[2])
+	if diff := cmp.Diff(1, countRuns(w, "k")); diff != "" {
+		t.Errorf("runs (-want +got)\n%s%+v\n%+v", diff, <-first, second)
+	}
+}
+
+// countRuns returns how often engines ran requests with a key.
+func countRuns(w *cicadademo.Environment, key string) int {
+	n := 0
 	for _, e := range w.Engines() {
 		for _, rec := range e.Records() {
-			if rec.Key == "k" {
-				ran++
+			if rec.Key == key {
+				n++
 			}
 		}
 	}
-	if diff := cmp.Diff(1, ran); diff != "" {
-		t.Errorf("runs (-want +got)\n%s", diff)
-	}
+	return n
 }
 
 // TestHazard06StoreOutage serves requests during a store outage from allocated units;
--- a/internal/cicadarouter/request.go
+++ b/internal/cicadarouter/request.go
@@ -176,35 +176,40 @@
 	}
 	defer ar.r.limits.release(ar.svc.Name() + "/" + ar.org.Name)
 	ar.r.retries.deposit(ar.budget, ar.rules.RetryPercent)
-	replayed, ref := ar.claimKey(ctx)
-	if replayed {
-		return
-	}
-	if ref == nil {
-		ref = ar.reserve(ctx)
-	}
-	if ref == nil && ar.keyDigest != "" && !ar.claimed {
-		// The first claim got no result. It is repeated, as the reservation has
-		// ensured that a home is available.
-		if replayed, ref = ar.claimKey(ctx); replayed || ref != nil {
-			ar.releaseReservation()
-		}
-		if replayed {
-			return
-		}
+	if ar.keyDigest != "" {
+		// A request that finds the key claimed asks for the response of this one.
+		ar.r.responses.begin(ar.id)
 	}
+	replayed, ref := ar.claimAndReserve(ctx)
 	if ref != nil {
 		ar.releaseKey()
 		ar.refuse(ref)
-		return
 	}
-	if ar.keyDigest != "" {
-		ar.r.responses.begin(ar.id)
+	if replayed || ref != nil {
+		ar.r.responses.end(ar.id, nil)
+		return
 	}
 	out := run(ctx)
 	ar.finish(out)
 }
 
+// claimAndReserve claims the request's key and reserves units. It returns replayed as
+// true if the caller got the stored response of an earlier request.
+func (ar *activeRequest) claimAndReserve(ctx context.Context) (replayed bool, ref *cicadarefusal.Refusal) {
+	if replayed, ref = ar.claimKey(ctx); replayed || ref != nil {
+		return replayed, ref
+	}
+	if ref = ar.reserve(ctx); ref != nil || ar.keyDigest == "" || ar.claimed {
+		return false, ref
+	}
+	// The first claim got no result. It is repeated, as the reservation has
+	// ensured that a home is available.
+	if replayed, ref = ar.claimKey(ctx); replayed || ref != nil {
+		ar.releaseReservation()
+	}
+	return replayed, ref
+}
+
 // reserve reserves the most units that the request can use.
 func (ar *activeRequest) reserve(ctx context.Context) *cicadarefusal.Refusal {
 	units, err := ar.promptBound.Add(ar.outputBound)
