A host that does not reach the runners serves its callers through another router

What callers saw: while a host is cut from the runners, its callers get 503 or 502, or nothing until their deadline.

Cause: a router knows one way to a runner. If it is closed, the runner is taken for a failed one, on this host alone, and after some of them none is left.

--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -13,6 +13,7 @@
 package cicadaedge
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -126,10 +127,12 @@
 		ReadyPath      string
 		// PeerListener accepts calls of other routers; nil for none.
 		PeerListener net.Listener
-		Store        Store
-		Sources      Sources
-		Dialect      Dialect
-		Runtime      RuntimeSettings
+		// DialRunner opens connections to runners; nil for the default.
+		DialRunner func(ctx context.Context, network, addr string) (net.Conn, error)
+		Store      Store
+		Sources    Sources
+		Dialect    Dialect
+		Runtime    RuntimeSettings
 		// StopTimeout is the time between the stop signal and the kill.
 		StopTimeout time.Duration
 		// HoldPeriod is how long, after an outage of the store, runners stay in use whose entries
--- a/internal/cicadaedge/crash_detector.go
+++ b/internal/cicadaedge/crash_detector.go
@@ -6,7 +6,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/pkg/errors"
@@ -63,7 +62,7 @@
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := cicadanet.NewDialer(dialTimeout).DialContext(ctx, "tcp", r.Addr())
+	conn, err := d.rt.dialer.dialContext(ctx, "tcp", r.Addr())
 	if err == nil {
 		err = conn.Close()
 	}
--- a/internal/cicadaedge/metrics.go
+++ b/internal/cicadaedge/metrics.go
@@ -21,24 +21,28 @@
 	// Metrics holds the counters of a router. They are not published globally, since several
 	// routers can run in one process.
 	Metrics struct {
-		Requests      expvar.Map // by outcome
-		Errors        expvar.Map // by kind
-		Store         expvar.Map // calls, failures and bytes by path
-		InFlight      expvar.Int
-		Dials         expvar.Int // connections dialled to runners
-		Resumed       expvar.Int // streams continued at another runner
-		Retried       expvar.Int // retries: attempts after the first one of a request
-		RateLimited   expvar.Int // responses that advertise a rate limit
-		Paused        expvar.Int // responses of runners that want no requests for a while
-		Evacuated     expvar.Int // data centres that are evacuated now
-		LinkOverloads expvar.Int
-		Crashes       expvar.Int // crashes of runners while they served requests of this router
-		Quarantined   expvar.Int // requests refused or not repeated because they are in quarantine
-		Blocks        expvar.Int // sets of traits that are in quarantine now
-		DeployVersion expvar.Int
-		FirstByte     *LatencyHistogram // until the first byte of a response
-		Total         *LatencyHistogram // until the end of a response
-		StoreCall     *LatencyHistogram
+		Requests expvar.Map // by outcome
+		Errors   expvar.Map // by kind
+		Store    expvar.Map // calls, failures and bytes by path
+		InFlight expvar.Int
+		Dials    expvar.Int // connections dialled to runners
+		Relayed  expvar.Int // connections to runners through other routers
+		// RelayedForOthers counts the connections to runners that other routers asked for.
+		RelayedForOthers expvar.Int
+		RelayedRunners   expvar.Int // runners that are reached through other routers only
+		Resumed          expvar.Int // streams continued at another runner
+		Retried          expvar.Int // retries: attempts after the first one of a request
+		RateLimited      expvar.Int // responses that advertise a rate limit
+		Paused           expvar.Int // responses of runners that want no requests for a while
+		Evacuated        expvar.Int // data centres that are evacuated now
+		LinkOverloads    expvar.Int
+		Crashes          expvar.Int // crashes of runners while they served requests of this router
+		Quarantined      expvar.Int // requests refused or not repeated because they are in quarantine
+		Blocks           expvar.Int // sets of traits that are in quarantine now
+		DeployVersion    expvar.Int
+		FirstByte        *LatencyHistogram // until the first byte of a response
+		Total            *LatencyHistogram // until the end of a response
+		StoreCall        *LatencyHistogram
 	}
 
 	// LatencyHistogram is a histogram of latencies in milliseconds. It is safe for concurrent use.
@@ -91,9 +95,11 @@
 // ServeHTTP writes the metrics as JSON.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"requests":%s,"errors":%s,"store":%s,"inFlight":%s,"dials":%s,"resumed":%s,"repeated":%s,"limited":%s,`+
-		`"paused":%s,"evacuated":%s,"linkOverloads":%s,"crashes":%s,"quarantined":%s,"blocks":%s,"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s}`+"\n",
-		m.Requests.String(), m.Errors.String(), m.Store.String(), m.InFlight.String(), m.Dials.String(), m.Resumed.String(),
+	fmt.Fprintf(w, `{"requests":%s,"errors":%s,"store":%s,"inFlight":%s,"dials":%s,"relayed":%s,"relayedForOthers":%s,`+
+		`"relayedRunners":%s,"resumed":%s,"repeated":%s,"limited":%s,"paused":%s,"evacuated":%s,"linkOverloads":%s,"crashes":%s,`+
+		`"quarantined":%s,"blocks":%s,"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s}`+"\n",
+		m.Requests.String(), m.Errors.String(), m.Store.String(), m.InFlight.String(), m.Dials.String(), m.Relayed.String(),
+		m.RelayedForOthers.String(), m.RelayedRunners.String(), m.Resumed.String(),
 		m.Retried.String(), m.RateLimited.String(), m.Paused.String(), m.Evacuated.String(), m.LinkOverloads.String(),
 		m.Crashes.String(), m.Quarantined.String(), m.Blocks.String(), m.DeployVersion.String(), m.FirstByte, m.Total, m.StoreCall)
 }
--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -79,7 +79,13 @@
 		}
 	})
 	defer stop()
-	accepter := server.NetAccepter(ln, channel.Line)
+	rt.runTask(func() { rt.relayServer.serve(ln.relay) })
+	rt.runTask(func() {
+		if err := ln.run(); err != nil {
+			rt.cfg.Log.WithError(err).Error("peer listener failed")
+		}
+	})
+	accepter := server.NetAccepter(ln.rpc, channel.Line)
 	if err := server.Loop(context.WithoutCancel(ctx), accepter, server.Static(methods), &server.LoopOptions{
 		ServerOptions: &jrpc2.ServerOptions{Concurrency: peerConcurrency},
 	}); err != nil && ctx.Err() == nil {
--- a/internal/cicadaedge/peers.go
+++ b/internal/cicadaedge/peers.go
@@ -136,7 +136,7 @@
 }
 
 // sample returns at most n random elements of a list.
-func sample(list []string, n int) []string {
+func sample[T any](list []T, n int) []T {
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(n, len(list))]
 }
--- /dev/null
+++ b/internal/cicadaedge/relay_server.go
@@ -0,0 +1,111 @@
+package cicadaedge
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// relayIdleCheck is how often a stopping router checks whether its relayed connections have ended.
+	relayIdleCheck = 20 * time.Millisecond
+	relayAccepted  = "HTTP/1.1 200 OK\r\n\r\n"
+)
+
+// relayServer connects other routers to runners that they do not reach themselves.
+type relayServer struct {
+	rt     *Router
+	active atomic.Int64 // number of relayed connections
+}
+
+// serve serves the connections of a listener until it is closed.
+func (s *relayServer) serve(ln net.Listener) {
+	srv := s.rt.newServer(s)
+	s.rt.serveListener(srv, ln)
+}
+
+// ServeHTTP handles a CONNECT request. It answers 502 if the runner refuses the connection, 504 if it
+// is not reached, and 503 if this router does not connect to it.
+func (s *relayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodConnect {
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	if !s.mayConnect(r.Header.Get(relayRunnerHeader), r.Host) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), dialTimeout)
+	defer cancel()
+	runnerConn, err := s.rt.dialer.dialContext(ctx, "tcp", r.Host)
+	if err != nil {
+		status := http.StatusGatewayTimeout
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			status = http.StatusBadGateway
+		}
+		s.rt.cfg.Log.WithField("runner", r.Header.Get(relayRunnerHeader)).WithError(err).Debug("failed to connect another router to a runner")
+		w.WriteHeader(status)
+		return
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_, err = conn.Write([]byte(relayAccepted))
+	}
+	if err != nil {
+		s.rt.cfg.Log.WithError(err).Debug("router that asked for a connection to a runner has left")
+		_ = runnerConn.Close() // nothing was sent
+		return
+	}
+	s.rt.cfg.Metrics.RelayedForOthers.Add(1)
+	relay(conn, runnerConn)
+}
+
+// mayConnect reports whether this router connects others to a runner. It does not if it would not
+// send requests there itself, or reaches the runner through another router only.
+func (s *relayServer) mayConnect(id, addr string) bool {
+	runner := s.rt.balancer.Find(id)
+	return runner != nil && runner.Addr() == addr && !s.rt.stopping.Load() && !s.rt.linkOverloaded() &&
+		s.rt.balancer.Unavailability(runner, time.Now()) == nil && !s.rt.dialer.isRelayed(runner)
+}
+
+// wait waits until no connection is relayed or ctx ends.
+func (s *relayServer) wait(ctx context.Context) {
+	for s.active.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, relayIdleCheck)
+	}
+}
+
+// relay passes on what router and runner send until one of them closes. A connection that the runner
+// reset is reset for the router too: a response without length would look complete otherwise.
+func relay(router, runner net.Conn) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = io.Copy(runner, router) // routers close only connections that they gave up
+		_ = runner.Close()
+	}()
+	_, err := io.Copy(router, runner)
+	if tcp, ok := tcpConn(router); ok && err != nil {
+		_ = tcp.SetLinger(0)
+	}
+	_ = router.Close()
+	_ = runner.Close()
+	<-done
+}
+
+// tcpConn returns the TCP connection of a connection to another router.
+func tcpConn(conn net.Conn) (*net.TCPConn, bool) {
+	if c, ok := conn.(*peerConn); ok {
+		conn = c.Conn
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	return tcp, ok
+}
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -14,6 +14,7 @@
 	unitsWait      time.Duration // for units of the budget
 	sentAt         time.Time     // when the request was first sent to a runner
 	runnerID       string        // last runner
+	relay          string        // router that the last attempt went through; empty for none
 	estimateMillis float64
 	cachedTokens   int
 	runnerRate     float64 // rate limit known of the runner, if any
@@ -74,6 +75,9 @@
 	if q.route != nil {
 		f["route"] = q.route.Name
 	}
+	if q.relay != "" {
+		f["relay"] = q.relay
+	}
 	if q.runnerLimited {
 		f["runnerRate"] = q.runnerRate
 	}
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -46,7 +46,9 @@
 	clock           *cicadalimit.Clock
 	limits          *cicadalimit.Limits
 	link            *cicadaadmission.Link
+	dialer          *runnerDialer
 	transports      *runnerTransports
+	relayServer     *relayServer
 	buffers         *bodyBuffers
 	poolSyncer      *poolSyncer
 	eraTracker      *eraTracker
@@ -100,18 +102,20 @@
 			DataCentre: cfg.DataCentre, HoldPeriod: cfg.HoldPeriod, HeartbeatInterval: cfg.HeartbeatInterval, Limits: limits,
 			Regions: cfg.Regions,
 		}),
-		clock:      clock,
-		limits:     limits,
-		accounts:   cicadabudget.NewAccounts(),
-		retries:    cicadaretry.NewBudget(cfg.Runtime.RetryBudget),
-		link:       link,
-		transports: newRunnerTransports(cfg.Metrics, link),
-		buffers:    newBodyBuffers(cfg.MemoryLimitBytes),
+		clock:    clock,
+		limits:   limits,
+		accounts: cicadabudget.NewAccounts(),
+		retries:  cicadaretry.NewBudget(cfg.Runtime.RetryBudget),
+		link:     link,
+		buffers:  newBodyBuffers(cfg.MemoryLimitBytes),
 
 		announceSignal: newSignal(),
 		crashSignal:    newSignal(),
 		quarantine:     cicadaquarantine.New(cicadaquarantine.Config{}),
 	}
+	rt.dialer = newRunnerDialer(rt)
+	rt.transports = newRunnerTransports(cfg.Metrics, link, rt.dialer)
+	rt.relayServer = &relayServer{rt: rt}
 	peerAddr := ""
 	if cfg.PeerListener != nil {
 		peerAddr = cfg.PeerListener.Addr().String()
@@ -290,6 +294,7 @@
 	if err := rt.callerServer.Shutdown(ctx); err != nil {
 		rt.cfg.Log.WithError(err).WithField("inFlight", rt.cfg.Metrics.InFlight.String()).Warn("requests still in progress at the stop deadline are aborted")
 	}
+	rt.relayServer.wait(ctx)
 	rt.cancel()
 	<-rt.poolSyncer.done
 	rt.poolSyncer.returnUnits(ctx)
--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -16,7 +16,6 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadaadmission"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
-	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 )
 
@@ -40,6 +39,7 @@
 	runnerTransports struct {
 		metrics *Metrics
 		link    *cicadaadmission.Link
+		dialer  *runnerDialer
 
 		mu       sync.Mutex // guards the fields below
 		byRunner map[*cicadaplace.Runner]*runnerTransport
@@ -57,6 +57,7 @@
 	countedConn struct {
 		net.Conn
 		link    *cicadaadmission.Link
+		relay   string // name of the router that the connection goes through; empty for none
 		written atomic.Int64
 		retired atomic.Bool
 	}
@@ -70,8 +71,8 @@
 	}
 )
 
-func newRunnerTransports(m *Metrics, link *cicadaadmission.Link) *runnerTransports {
-	return &runnerTransports{metrics: m, link: link, byRunner: map[*cicadaplace.Runner]*runnerTransport{}, routers: 1}
+func newRunnerTransports(m *Metrics, link *cicadaadmission.Link, dialer *runnerDialer) *runnerTransports {
+	return &runnerTransports{metrics: m, link: link, dialer: dialer, byRunner: map[*cicadaplace.Runner]*runnerTransport{}, routers: 1}
 }
 
 // retire closes the connection. A request that the transport assigns to it meanwhile is not sent on it.
@@ -123,6 +124,16 @@
 	return max(int(runnerConnShare*float64(maxConns))/ts.routers, minConnsPerRunner)
 }
 
+// closeIdle closes the idle connections to a runner.
+func (ts *runnerTransports) closeIdle(r *cicadaplace.Runner) {
+	ts.mu.Lock()
+	t := ts.byRunner[r]
+	ts.mu.Unlock()
+	if t != nil {
+		t.CloseIdleConnections()
+	}
+}
+
 // remove closes the idle connections to a runner that is no longer in use.
 func (ts *runnerTransports) remove(r *cicadaplace.Runner) {
 	ts.mu.Lock()
@@ -132,6 +143,7 @@
 	if t != nil {
 		t.CloseIdleConnections()
 	}
+	ts.dialer.remove(r)
 }
 
 func (ts *runnerTransports) close() {
@@ -148,15 +160,18 @@
 	if cached := ts.byRunner[r]; cached != nil {
 		return cached.Transport
 	}
-	dialer := cicadanet.NewDialer(dialTimeout)
 	t := &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			ts.metrics.Dials.Add(1)
-			conn, err := dialer.DialContext(ctx, network, addr)
+			conn, err := ts.dialer.dial(ctx, r)
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn, link: ts.link}, nil
+			counted := &countedConn{Conn: conn, link: ts.link}
+			if relayed, ok := conn.(*relayedConn); ok {
+				counted.relay = relayed.relay
+			}
+			return counted, nil
 		},
 		MaxIdleConnsPerHost:    64,
 		IdleConnTimeout:        idleConnTimeout,
@@ -192,8 +207,13 @@
 		var reused bool
 		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 			reused = info.Reused
-			if conn, _ = info.Conn.(*countedConn); conn != nil {
-				writtenBefore = conn.written.Load()
+			if conn, _ = info.Conn.(*countedConn); conn == nil {
+				return
+			}
+			writtenBefore = conn.written.Load()
+			if reused && conn.relay != "" {
+				// The other router may not send there any more. Nothing is written to the connection.
+				_ = conn.retire()
 			}
 		}}
 		if len(body) > 0 || slices.Contains(bodilessMethods, req.Method) {
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -198,6 +198,20 @@
 	return e.StartMillis == other.StartMillis && e.Addr == other.Addr && e.Service == other.Service && e.DataCentre == other.DataCentre
 }
 
+// Find returns the runner with an id, or nil.
+func (b *Balancer) Find(id string) *Runner {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.byID[id]
+}
+
+// Reinstate forgets the failures of a runner, because they were not its own.
+func (b *Balancer) Reinstate(r *Runner) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r.failures, r.ejections, r.ejectedUntil = 0, 0, time.Time{}
+}
+
 // Len returns the number of runners in use.
 func (b *Balancer) Len() int {
 	b.mu.Lock()
