Quarantine: a host that is cut from the runners takes none for crashed

What callers would see: sound requests refused by all routers, as "requests like this one crash runners", after one host was cut from the runners twice.

Cause: connections that break and a refused dial count as a crash. A network that cuts a host from runners may refuse connections too.

Change: a refused dial counts if another router confirms it, which answers so only while it reaches other runners. If none can be asked, this host must reach another runner itself.

The tests of crashes and of the quarantine pass unchanged.

--- a/internal/cicadaedge/crash_detector.go
+++ b/internal/cicadaedge/crash_detector.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
@@ -52,23 +51,18 @@
 	b.ifAlive = append(b.ifAlive, ended.ifAlive...)
 }
 
-// check dials the runner. A refused connection shows that its process has ended: broken connections
-// alone also come from networks, and from runners that go on.
+// check dials the runner. Broken connections alone also come from networks, and from runners that go
+// on.
 func (d *crashDetector) check(r *cicadaplace.Runner) {
 	time.Sleep(brokenAttemptDelay)
 	d.mu.Lock()
 	b := d.pending[r]
 	delete(d.pending, r)
 	d.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	conn, err := d.rt.dialer.dialContext(ctx, "tcp", r.Addr())
-	if err == nil {
-		err = conn.Close()
-	}
+	err := d.rt.dialer.probe(context.Background(), r)
 	entry := d.rt.cfg.Log.WithField("runner", r.ID()).WithField("requestIds", b.requestIDs[:min(len(b.requestIDs), maxRunnersLogged)]).
 		WithField("requests", len(b.requestIDs))
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !errors.Is(err, errRunnerEnded) {
 		entry.WithError(err).Info("connections of a runner ended, and it has not crashed")
 		if err == nil {
 			for _, f := range b.ifAlive {
--- a/internal/cicadaedge/relay_client.go
+++ b/internal/cicadaedge/relay_client.go
@@ -31,8 +31,9 @@
 )
 
 var (
-	errNoRelay      = errors.New("no other router can be asked to reach the runner")
-	errRelayRefused = errors.New("the runner refused a connection of another router")
+	errNoRelay       = errors.New("no other router can be asked to reach the runner")
+	errRunnerEnded   = errors.New("the runner has ended")
+	errRunnerUnknown = errors.New("this host reaches no runner, and no other router was asked whether this one has ended")
 )
 
 type (
@@ -157,7 +158,7 @@
 	case err != nil:
 		return err
 	case resp.StatusCode == http.StatusBadGateway:
-		return errRelayRefused
+		return errRunnerEnded
 	case resp.StatusCode != http.StatusOK:
 		return errors.Errorf("the router answered with status %d", resp.StatusCode)
 	case br.Buffered() > 0:
--- a/internal/cicadaedge/relay_server.go
+++ b/internal/cicadaedge/relay_server.go
@@ -30,8 +30,8 @@
 	s.rt.serveListener(srv, ln)
 }
 
-// ServeHTTP handles a CONNECT request. It answers 502 if the runner refuses the connection, 504 if it
-// is not reached, and 503 if this router does not connect to it.
+// ServeHTTP handles a CONNECT request. It answers 502 if the runner alone refuses connections, 504 if
+// it is not reached, and 503 if this router does not connect to it.
 func (s *relayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodConnect {
 		w.WriteHeader(http.StatusMethodNotAllowed)
@@ -48,7 +48,7 @@
 	runnerConn, err := s.rt.dialer.dialContext(ctx, "tcp", r.Host)
 	if err != nil {
 		status := http.StatusGatewayTimeout
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && s.rt.dialer.reachesOthers(r.Context(), r.Header.Get(relayRunnerHeader)) {
 			status = http.StatusBadGateway
 		}
 		s.rt.cfg.Log.WithField("runner", r.Header.Get(relayRunnerHeader)).WithError(err).Debug("failed to connect another router to a runner")
--- a/internal/cicadaedge/relay_test.go
+++ b/internal/cicadaedge/relay_test.go
@@ -222,3 +222,50 @@
 		t.Errorf("response (-want +got)\n%s", diff)
 	}
 }
+
+// Connections to all runners break while they begin to answer, twice. The runners live on.
+func TestCutHostTakesRunnersForCrashed(t *testing.T) {
+	t.Parallel()
+	for name, alone := range map[string]bool{"another router reaches the runners": false, "no other router": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			var began atomic.Int64
+			for range 2 {
+				f.addRunner(func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(http.StatusOK)
+					w.(http.Flusher).Flush()
+					began.Add(1)
+					time.Sleep(200 * time.Millisecond)
+				})
+			}
+			var cut runnerCut
+			metrics := cicadaedge.NewMetrics()
+			host := f.waitReady(f.startNode("n1", cut.configure, func(cfg *cicadaedge.Config) { cfg.Metrics = metrics }))
+			if !alone {
+				f.waitReady(f.startNode("n2"))
+				eventually(t, "the host knows the other one", func() bool { return host.RouterCount() == 2 })
+			}
+			for i := range 2 {
+				began.Store(0)
+				var calls sync.WaitGroup
+				for range 8 {
+					calls.Go(func() {
+						call(t, host, "/stream/", map[string]string{"X-Tokens": "10,5", "X-Parts": "system,sound,own"}, "x")
+					})
+				}
+				eventually(t, "all answers have begun", func() bool { return began.Load() == 8 })
+				cut.begin(cutReset)
+				calls.Wait()
+				time.Sleep(300 * time.Millisecond)
+				cut.begin(noCut)
+				eventually(t, fmt.Sprintf("cut %d is over", i), func() bool {
+					return call(t, host, "/once/", nil, "x").status == http.StatusOK
+				})
+			}
+			if diff := cmp.Diff([]int64{0, 0}, []int64{metrics.Crashes.Value(), metrics.Blocks.Value()}); diff != "" {
+				t.Errorf("crashes and blocks (-want +got)\n%s", diff)
+			}
+		})
+	}
+}
