Brittle runners get no more than fits

What callers would see: runners that say that they are brittle crash, one after the other, as routers send more than they have room for.

Cause: nothing in the code knows the statement. Routers choose by reports up to 0.6 s old and by their own requests, so that many choose the same free slots, and what is rejected is tried at the next runner.

Change: while a service's runners are brittle, the routers that place its groups' requests place all of them and stay below three quarters of the slots; a router that reaches none of these has a small share.

--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -74,6 +74,11 @@
 		// routers together; empty for none. RateLimitErr is set if a value cannot be parsed.
 		RateLimits   []float64
 		RateLimitErr error
+		// Brittle reports that the runner crashes if it has to reject more than BrittleRejections requests
+		// in a second. BrittleErr is set if the number cannot be parsed.
+		Brittle           bool
+		BrittleRejections float64
+		BrittleErr        error
 		// Draining reports that the runner is about to leave.
 		Draining bool
 		// RetryAfter is how long the runner wants no requests of this router; zero if it does not
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -116,10 +116,10 @@
 		}
 		return result{refusal: f}, false
 	}
-	p, err := x.rt.placementClient.choose(ctx, &cicadaplace.Request{
+	p, err := x.chooseWithRoom(ctx, &cicadaplace.Request{
 		Service: x.service.Name, Parts: x.info.PromptParts, Tokens: int(x.info.PromptTokens), Tried: x.tried,
 		Priority: x.priority(), Homes: x.homes(),
-	}, x.deadline)
+	})
 	if err != nil {
 		return x.noRunnerResult(err), false
 	}
@@ -152,6 +152,10 @@
 	if isPaused {
 		return refuse(RefuseNoRunner, max(paused.RetryAfter, retrySoon), err.Error())
 	}
+	var noRoom *cicadaplace.NoRoomError
+	if errors.As(err, &noRoom) {
+		return refuse(RefuseNoRunner, retryAfterReturn, err.Error())
+	}
 	var limited *cicadaplace.RateLimitedError
 	if errors.As(err, &limited) {
 		class := cicadalimit.Class{Service: x.service.Name, Priority: x.priority()}
@@ -207,6 +211,7 @@
 		p.ReportLoad(*a.info.Load, time.Now())
 	}
 	x.recordRateLimit(a)
+	x.recordBrittle(a)
 	x.recordAvailability(a)
 	return a, nil
 }
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -324,6 +324,10 @@
 		RequestID: resp.Header.Get("X-Id"), Sealed: resp.Header.Get("X-Sealed") != "", NotRun: resp.Header.Get("X-Not-Run") != "",
 	}
 	a.Draining = resp.Header.Get("X-Leaving") != ""
+	if v := resp.Header.Get("X-Brittle"); v != "" {
+		a.Brittle = true
+		a.BrittleRejections, a.BrittleErr = strconv.ParseFloat(v, 64)
+	}
 	if v := resp.Header.Get("X-Pause"); v != "" {
 		a.RetryAfter, a.RetryAfterErr = time.ParseDuration(v)
 	}
@@ -402,6 +406,12 @@
 	})
 }
 
+func (f *fleet) putEntryWithSlots(r *runner, slots int) {
+	f.store.put(tableRunners, r.id, cicadaplace.Entry{
+		ID: r.id, Service: r.service, Addr: r.Listener.Addr().String(), DataCentre: r.dataCentre, Slots: slots,
+	})
+}
+
 // ServeHTTP does what all runners do, and then calls the handler.
 func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	body, _ := io.ReadAll(req.Body)
--- a/internal/cicadaedge/metrics.go
+++ b/internal/cicadaedge/metrics.go
@@ -34,6 +34,7 @@
 		Retried          expvar.Int // retries: attempts after the first one of a request
 		RateLimited      expvar.Int // responses that advertise a rate limit
 		Paused           expvar.Int // responses of runners that want no requests for a while
+		RoomWaits        expvar.Int // waits of requests for room at brittle runners
 		Evacuated        expvar.Int // data centres that are evacuated now
 		LinkOverloads    expvar.Int
 		Crashes          expvar.Int // crashes of runners while they served requests of this router
@@ -96,10 +97,10 @@
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	fmt.Fprintf(w, `{"requests":%s,"errors":%s,"store":%s,"inFlight":%s,"dials":%s,"relayed":%s,"relayedForOthers":%s,`+
-		`"relayedRunners":%s,"resumed":%s,"repeated":%s,"limited":%s,"paused":%s,"evacuated":%s,"linkOverloads":%s,"crashes":%s,`+
-		`"quarantined":%s,"blocks":%s,"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s}`+"\n",
+		`"relayedRunners":%s,"resumed":%s,"repeated":%s,"limited":%s,"paused":%s,"roomWaits":%s,"evacuated":%s,"linkOverloads":%s,`+
+		`"crashes":%s,"quarantined":%s,"blocks":%s,"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s}`+"\n",
 		m.Requests.String(), m.Errors.String(), m.Store.String(), m.InFlight.String(), m.Dials.String(), m.Relayed.String(),
 		m.RelayedForOthers.String(), m.RelayedRunners.String(), m.Resumed.String(),
-		m.Retried.String(), m.RateLimited.String(), m.Paused.String(), m.Evacuated.String(), m.LinkOverloads.String(),
+		m.Retried.String(), m.RateLimited.String(), m.Paused.String(), m.RoomWaits.String(), m.Evacuated.String(), m.LinkOverloads.String(),
 		m.Crashes.String(), m.Quarantined.String(), m.Blocks.String(), m.DeployVersion.String(), m.FirstByte, m.Total, m.StoreCall)
 }
--- a/internal/cicadaedge/placement.go
+++ b/internal/cicadaedge/placement.go
@@ -28,6 +28,8 @@
 	methodEnded      = "ended"
 )
 
+var errNotPlaced = errors.New("no other router has placed the request")
+
 type (
 	// placementServer chooses runners for requests of other routers as well as this router's own,
 	// for the runner groups that are assigned to this router. One router that sees all prompts of
@@ -66,11 +68,14 @@
 		// Excluded holds the ids of the runners that the requesting router must not use now.
 		Excluded []string   `json:"barred,omitempty"`
 		Homes    [][]string `json:"homes,omitempty"` // see cicadaplace.Request
+		// Brittle is set if the runners are: the rejections in a second that each tolerates.
+		Brittle *float64 `json:"brittle,omitempty"`
 	}
 
 	placementReply struct {
 		LeaseID  uint64 `json:"place"`
 		RunnerID string `json:"runner"`
+		NoRoom   bool   `json:"noRoom,omitempty"` // the runners are brittle and may have no room
 	}
 
 	startedNotice struct {
@@ -101,10 +106,17 @@
 // handlePlace chooses a runner for a request of another router.
 func (s *placementServer) handlePlace(_ context.Context, req placementRequest) (placementReply, error) {
 	now := time.Now()
+	if req.Brittle != nil {
+		s.balancer.MergeBrittle(req.Service, *req.Brittle, now)
+	}
 	assignment, err := s.balancer.Choose(&cicadaplace.Request{
 		Service: req.Service, Parts: req.Parts, Tokens: req.Tokens, Tried: req.Tried, DataCentre: req.DataCentre,
-		Excluded: req.Excluded, Homes: req.Homes, ForPeer: true,
+		Excluded: req.Excluded, Homes: req.Homes, ForPeer: true, PlacesGroup: true,
 	}, now)
+	var noRoom *cicadaplace.NoRoomError
+	if errors.As(err, &noRoom) {
+		return placementReply{NoRoom: true}, nil
+	}
 	if err != nil {
 		return placementReply{}, err
 	}
@@ -152,12 +164,13 @@
 }
 
 // choose returns a placement for a request: from the placement server of its runner group, or from
-// this router's own balancer if the request has no prompt parts, this router is that server itself,
+// this router's own balancer if the request has no prompt parts and no brittle runners, this router is that server itself,
 // or no server chooses a runner.
 func (c *placementClient) choose(ctx context.Context, req *cicadaplace.Request, deadline time.Time) (*placement, error) {
-	if len(req.Parts) > 0 {
-		if p := c.placeRemotely(ctx, req, deadline); p != nil {
-			return p, nil
+	_, brittle := c.rt.balancer.Brittle(req.Service, time.Now())
+	if len(req.Parts) > 0 || brittle {
+		if p, err := c.placeRemotely(ctx, req, deadline); !errors.Is(err, errNotPlaced) {
+			return p, err
 		}
 	}
 	assignment, err := c.rt.balancer.Choose(req, time.Now())
@@ -173,31 +186,34 @@
 	return &placement{Assignment: assignment}, nil
 }
 
-// placeRemotely asks the placement servers of the group in ranked order. It returns nil if this
-// router is the first of them that is up, or if none of them chooses a runner.
-func (c *placementClient) placeRemotely(ctx context.Context, req *cicadaplace.Request, deadline time.Time) *placement {
+// placeRemotely asks the placement servers of the group in ranked order. It returns errNotPlaced if this
+// router is the first of them that is up, which it notes in req, or if none of them chooses a runner.
+func (c *placementClient) placeRemotely(ctx context.Context, req *cicadaplace.Request, deadline time.Time) (*placement, error) {
+	req.PlacesGroup = false
 	group, _ := c.rt.balancer.Group(req)
 	names := c.rt.peers.ranked(req.Service+"/"+strconv.Itoa(group), placementCandidates)
 	tries := 0
 	for _, name := range names {
 		if name == c.rt.cfg.Name || tries == maxPlacementTries {
-			return nil
+			req.PlacesGroup = name == c.rt.cfg.Name
+			return nil, errNotPlaced
 		}
 		if c.isDown(name) {
 			continue
 		}
 		tries++
 		p, err := c.requestPlacement(ctx, name, req, deadline)
-		if err == nil {
-			return p
+		var noRoom *cicadaplace.NoRoomError
+		if err == nil || errors.As(err, &noRoom) {
+			return p, err
 		}
 		c.rt.cfg.Metrics.Errors.Add("desk", 1)
 		if errors.Is(err, cicadaplace.ErrNoRunner) {
-			return nil
+			return nil, errNotPlaced
 		}
 		c.markDown(name, err)
 	}
-	return nil
+	return nil, errNotPlaced
 }
 
 func (c *placementClient) requestPlacement(ctx context.Context, name string, req *cicadaplace.Request, deadline time.Time) (*placement, error) {
@@ -207,8 +223,13 @@
 	if err != nil {
 		return nil, err
 	}
+	var known *float64
+	if rejections, brittle := c.rt.balancer.Brittle(req.Service, time.Now()); brittle {
+		known = &rejections
+	}
 	var reply placementReply
 	err = client.CallResult(ctx, methodPlace, placementRequest{
+		Brittle: known,
 		Service: req.Service, Parts: req.Parts, Tokens: req.Tokens, Tried: req.Tried,
 		RemainingMillis: time.Until(deadline).Milliseconds(), DataCentre: c.rt.cfg.DataCentre,
 		Excluded: c.rt.balancer.UnusableIDs(req, time.Now()), Homes: req.Homes,
@@ -220,6 +241,9 @@
 		}
 		return nil, errors.Wrap(err, "request placement")
 	}
+	if reply.NoRoom {
+		return nil, &cicadaplace.NoRoomError{}
+	}
 	assignment, err := c.rt.balancer.AssignTo(reply.RunnerID, req, time.Now())
 	if err != nil {
 		// The placement server does not yet know what this router knows about the runner.
--- a/internal/cicadaedge/tables.go
+++ b/internal/cicadaedge/tables.go
@@ -260,6 +260,7 @@
 	n := rt.peers.count()
 	rt.accounts.SetRouters(n)
 	rt.retries.SetRouters(n)
+	rt.balancer.SetRouters(n)
 	rt.transports.setRouters(n)
 	rt.poolSyncer.routerCount.Store(int64(n))
 }
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -80,7 +80,9 @@
 		removed map[string]removedEntry
 		// evacuated holds the data centres whose runners must get no requests.
 		evacuated map[string]bool
-		warmups   map[string]Warmup // by service
+		warmups   map[string]Warmup        // by service
+		brittle   map[string]*brittleState // by service
+		routers   int                      // number of routers that use the runners
 	}
 
 	// removedEntry is the last entry of a removed runner. It is kept as long as the store may be
@@ -109,6 +111,11 @@
 
 		reportedLoad Load
 		reportedAt   time.Time
+		sinceReport  int // requests of this router since the report
+
+		// While the runner is brittle: rejectedUntil is the time until which it gets nothing after a
+		// rejection, nextRisk that until which it gets nothing that may not fit.
+		rejectedUntil, nextRisk time.Time
 
 		failures     int // consecutive
 		ejectedUntil time.Time
@@ -130,7 +137,9 @@
 	if cfg.Limits == nil {
 		cfg.Limits = cicadalimit.New(&cicadalimit.Clock{})
 	}
-	return &Balancer{cfg: cfg, byID: map[string]*Runner{}, services: map[string][]*Runner{}, removed: map[string]removedEntry{}}
+	return &Balancer{
+		cfg: cfg, byID: map[string]*Runner{}, services: map[string][]*Runner{}, removed: map[string]removedEntry{}, brittle: map[string]*brittleState{},
+	}
 }
 
 // ID returns the runner's id.
--- /dev/null
+++ b/internal/cicadaplace/brittle.go
@@ -0,0 +1,153 @@
+package cicadaplace
+
+import (
+	"math"
+	"time"
+)
+
+// Runners may be brittle for a while: one that has to reject more than a number of requests in a second,
+// for want of room, crashes. All routers together must stay below that. So the routers that place the
+// requests of a service divide most of its runners' slots among them and send no more than fits. A router
+// that reaches none of these has a small share of the slots, or of those that a recent report shows to be
+// free; beyond it, it sends rarely enough for all such requests to be rejected.
+const (
+	// groupFill is the share of a runner's slots that the routers of its service's groups divide.
+	groupFill = 0.75
+	// ownFill is the share of a runner's slots that all routers divide, and freeFill that of its free ones.
+	ownFill  = 0.1
+	freeFill = 0.75
+	// brittleRisk is the share of the tolerated rejections that routers provoke at most by requests that
+	// may not fit.
+	brittleRisk = 0.5
+	// maxRiskInterval bounds the time between two such requests.
+	maxRiskInterval = time.Minute
+	// rejectionPause is the time without requests after a rejection.
+	rejectionPause = 250 * time.Millisecond
+	// brittleReturn is how long runners that are no longer brittle get less than usual: the shares double
+	// with each brittleStep.
+	brittleReturn = 2 * time.Second
+	brittleStep   = 500 * time.Millisecond
+)
+
+// NoRoomError is returned by Choose if the runners that are left are brittle and may have no room.
+type NoRoomError struct{}
+
+// brittleState is what is known of a service whose runners are brittle.
+type brittleState struct {
+	rejections float64   // that a runner tolerates in a second, of all routers together
+	saidAt     time.Time // when a response last said so
+	endedAt    time.Time // when responses no longer said so; zero if they do
+}
+
+// Error implements error.
+func (*NoRoomError) Error() string {
+	return "the runners that are left are brittle and may have no room"
+}
+
+// SetRouters sets the number of routers that use the runners.
+func (b *Balancer) SetRouters(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.routers = n
+}
+
+// RecordBrittle records whether the runner stated in a response that it is brittle, and how many
+// rejections in a second it tolerates. It reports whether this changes what is known of its service.
+func (a *Assignment) RecordBrittle(stated bool, rejections float64, now time.Time) bool {
+	b := a.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	st := b.brittle[a.runner.entry.Service]
+	switch {
+	case stated:
+		changed := st == nil || !st.endedAt.IsZero() || st.rejections != rejections
+		b.brittle[a.runner.entry.Service] = &brittleState{rejections: rejections, saidAt: now}
+		return changed
+	case st == nil || !st.endedAt.IsZero() || a.assignedAt.Before(st.saidAt):
+		return false
+	default:
+		st.endedAt = now
+		return true
+	}
+}
+
+// brittleState returns the state of a service with brittle runners, or nil.
+func (b *Balancer) brittleState(service string, now time.Time) *brittleState {
+	st := b.brittle[service]
+	if st != nil && !st.endedAt.IsZero() && now.Sub(st.endedAt) > brittleReturn {
+		delete(b.brittle, service)
+		return nil
+	}
+	return st
+}
+
+// Brittle returns how many rejections in a second each runner of a service tolerates, and whether they
+// are brittle.
+func (b *Balancer) Brittle(service string, now time.Time) (rejections float64, brittle bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if st := b.brittleState(service, now); st != nil {
+		return st.rejections, true
+	}
+	return 0, false
+}
+
+// MergeBrittle records what another router knows of a service with brittle runners.
+func (b *Balancer) MergeBrittle(service string, rejections float64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.brittle[service] = &brittleState{rejections: rejections, saidAt: now}
+}
+
+// hasRoom reports whether a brittle runner may get one more request.
+func (b *Balancer) hasRoom(r *Runner, req *Request, now time.Time) bool {
+	st := b.brittleState(r.entry.Service, now)
+	if st == nil {
+		return true
+	}
+	if now.Before(r.rejectedUntil) {
+		return false
+	}
+	return b.surelyFits(r, req, st, now) || !req.PlacesGroup && !now.Before(r.nextRisk)
+}
+
+// surelyFits reports whether one more request is within the share of this router.
+func (b *Balancer) surelyFits(r *Runner, req *Request, st *brittleState, now time.Time) bool {
+	share := float64(r.entry.Slots) * ownFill / float64(max(b.routers, 1))
+	if req.PlacesGroup {
+		share = float64(r.entry.Slots) * groupFill / float64(groupCount(len(b.services[r.entry.Service])))
+	}
+	if !st.endedAt.IsZero() {
+		share *= math.Exp2(math.Floor(float64(now.Sub(st.endedAt)) / float64(brittleStep)))
+	}
+	if float64(r.inFlight+1) <= share {
+		return true
+	}
+	if req.PlacesGroup || now.Sub(r.reportedAt) > loadReportTTL || r.reportedLoad.Waiting > 0 {
+		return false
+	}
+	free := float64(r.entry.Slots-r.reportedLoad.Running) * freeFill / float64(max(b.routers, 1))
+	return float64(r.sinceReport+1) <= free
+}
+
+// takeRoom counts a request that may not fit.
+func (b *Balancer) takeRoom(r *Runner, req *Request, now time.Time) {
+	st := b.brittleState(r.entry.Service, now)
+	if st != nil && !b.surelyFits(r, req, st, now) {
+		r.nextRisk = now.Add(b.riskInterval(st))
+	}
+}
+
+// riskInterval returns the time between two requests of this router to one runner that may be rejected.
+func (b *Balancer) riskInterval(st *brittleState) time.Duration {
+	seconds := float64(max(b.routers, 1)) / max(brittleRisk*st.rejections, 1/maxRiskInterval.Seconds())
+	return max(min(time.Duration(seconds*float64(time.Second)), maxRiskInterval), time.Second)
+}
+
+// recordRejection keeps requests from a brittle runner that had no room.
+func (b *Balancer) recordRejection(r *Runner, now time.Time) {
+	if st := b.brittleState(r.entry.Service, now); st != nil {
+		r.rejectedUntil = now.Add(rejectionPause)
+		r.nextRisk = now.Add(b.riskInterval(st))
+	}
+}
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -76,6 +76,8 @@
 		// ForPeer reports whether another router sends the request. That router then enforces
 		// the rate limits.
 		ForPeer bool
+		// PlacesGroup reports whether this router places the requests of the group for all routers.
+		PlacesGroup bool
 	}
 
 	// Assignment is the assignment of a request to a runner. It counts towards the runner's load
@@ -119,6 +121,7 @@
 	ignoreEjection := b.tooManyEjected(list, now)
 	var best *Runner
 	var bestCost, limitedRate float64
+	noRoom := false
 	preferred := b.preferredRunner(req, now)
 	for _, r := range list {
 		if b.isExcluded(r, req, ignoreEjection, now) {
@@ -128,6 +131,10 @@
 			limitedRate += b.rate(r, now)
 			continue
 		}
+		if !b.hasRoom(r, req, now) {
+			noRoom = true
+			continue
+		}
 		cost := b.cost(r, req, r == preferred, now)
 		if best == nil || cost < bestCost || cost == bestCost && r.hash < best.hash {
 			best, bestCost = r, cost
@@ -135,9 +142,12 @@
 	}
 	switch {
 	case best != nil:
+		b.takeRoom(best, req, now)
 		return b.assign(best, req, best == preferred, now), nil
 	case limitedRate > 0:
 		return nil, &RateLimitedError{Rate: limitedRate}
+	case noRoom:
+		return nil, &NoRoomError{}
 	default:
 		return nil, b.noRunnerError(req, now)
 	}
@@ -151,6 +161,7 @@
 	a := &Assignment{balancer: b, runner: r, assignedAt: now, estimateMillis: b.cost(r, req, preferred, now), cachedTokens: r.cachedTokens(req, preferred, now)}
 	a.uncachedTokens = max(req.Tokens-a.cachedTokens, 0)
 	r.inFlight++
+	r.sinceReport++
 	r.pendingTokens += a.uncachedTokens
 	for i := range len(req.Parts) - 1 {
 		r.cachedParts.add(req.Parts[i].ID, now)
@@ -353,7 +364,7 @@
 func (a *Assignment) ReportLoad(l Load, now time.Time) {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
-	a.runner.reportedLoad, a.runner.reportedAt = l, now
+	a.runner.reportedLoad, a.runner.reportedAt, a.runner.sinceReport = l, now, 0
 }
 
 // Finish ends the assignment. It returns the duration of the runner's ejection, or zero if the
@@ -367,6 +378,9 @@
 	a.ended = true
 	a.markStarted()
 	a.runner.inFlight--
+	if res == Refused {
+		a.balancer.recordRejection(a.runner, now)
+	}
 	return a.runner.recordResult(res, now)
 }
 
