cicadacrash: the detector of crashed runners is a package of its own

The attempts that break at one runner are collected as before; what a crash is stays with the caller. What a lift of the quarantine clears moves to cicadaquarantine for the same reason.

No behaviour changes.

--- /dev/null
+++ b/internal/cicadacrash/detector.go
@@ -0,0 +1,79 @@
+// Package cicadacrash collects the attempts whose connections to a runner break at the same time, so
+// that the runner is checked once for all of them. Whether it has crashed is up to the caller: broken
+// connections alone also come from networks, and from runners that go on.
+package cicadacrash
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
+)
+
+// collectionPeriod is the time in which the attempts that a crash breaks are collected.
+const collectionPeriod = 30 * time.Millisecond
+
+type (
+	// Broken are attempts at one runner that broke at the same time.
+	Broken struct {
+		At         time.Time // of the first one
+		Suspects   cicadaquarantine.Suspects
+		RequestIDs []string
+		// IfAlive are called by the caller if the runner turns out to be alive.
+		IfAlive []func()
+	}
+
+	// Config configures a Detector of runners that are identified by an R.
+	Config[R comparable] struct {
+		// Go runs a function in a goroutine that the caller owns.
+		Go func(f func())
+		// Check finds out whether a runner has crashed.
+		Check func(runner R, b *Broken)
+	}
+
+	// Detector has runners checked whose connections broke. It is safe for concurrent use.
+	Detector[R comparable] struct {
+		cfg Config[R]
+
+		mu      sync.Mutex // guards pending
+		pending map[R]*Broken
+	}
+)
+
+// NewDetector returns a Detector.
+func NewDetector[R comparable](cfg Config[R]) *Detector[R] {
+	return &Detector[R]{cfg: cfg, pending: map[R]*Broken{}}
+}
+
+// Add adds attempts that broke at a runner. The runner is checked once collectionPeriod has passed.
+func (d *Detector[R]) Add(runner R, b *Broken) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if pending := d.pending[runner]; pending != nil {
+		pending.merge(b)
+		return
+	}
+	d.pending[runner] = b
+	d.cfg.Go(func() {
+		time.Sleep(collectionPeriod)
+		d.cfg.Check(runner, d.take(runner))
+	})
+}
+
+func (d *Detector[R]) take(runner R) *Broken {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.pending[runner]
+	delete(d.pending, runner)
+	return b
+}
+
+func (b *Broken) merge(o *Broken) {
+	if o.At.Before(b.At) {
+		b.At = o.At
+	}
+	b.RequestIDs = append(b.RequestIDs, o.RequestIDs...)
+	b.Suspects.Begun = append(b.Suspects.Begun, o.Suspects.Begun...)
+	b.Suspects.Waiting = append(b.Suspects.Waiting, o.Suspects.Waiting...)
+	b.IfAlive = append(b.IfAlive, o.IfAlive...)
+}
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cicadadyke/cicadadyke/internal/cicadacrash"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
@@ -138,7 +139,7 @@
 	case now.Sub(x.headerAt) < soundAnswerPeriod:
 		suspects.Begun = suspect
 	}
-	x.rt.crashDetector.add(p.Runner(), &brokenAttempts{at: now, suspects: suspects, requestIDs: []string{x.info.ID}, ifAlive: ifAlive})
+	x.rt.crashDetector.Add(p.Runner(), &cicadacrash.Broken{At: now, Suspects: suspects, RequestIDs: []string{x.info.ID}, IfAlive: ifAlive})
 }
 
 // recordEnd records the end of a response. If it is the end of the connection, it may also be that of
--- a/internal/cicadaedge/quarantine_operator.go
+++ b/internal/cicadaedge/quarantine_operator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
@@ -30,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	block, ok := blockOf(q.Blocks(time.Duration(batch.NowMillis)*time.Millisecond), trait)
+	block, ok := q.BlockOf(trait, time.Duration(batch.NowMillis)*time.Millisecond)
 	if !ok {
 		return errors.Errorf("trait %q is not in quarantine", trait)
 	}
@@ -45,7 +44,7 @@
 			}
 		}
 	}
-	lifted.Clear(suspectsOf(q, block), time.Duration(batch.NowMillis)*time.Millisecond)
+	lifted.Clear(q.SuspectsOf(&block), time.Duration(batch.NowMillis)*time.Millisecond)
 	value, err := json.Marshal(lifted)
 	if err != nil {
 		return errors.Wrap(err, "encode the traits that operators cleared")
@@ -57,30 +56,6 @@
 	return errors.Wrap(err, "write the traits that operators cleared")
 }
 
-func blockOf(blocks []cicadaquarantine.Block, trait cicadaquarantine.Trait) (cicadaquarantine.Block, bool) {
-	for _, b := range blocks {
-		if slices.Contains(b.Traits, trait) {
-			return b, true
-		}
-	}
-	return cicadaquarantine.Block{}, false
-}
-
-// suspectsOf returns the traits of all suspects in the crashes that support a block. If only the
-// block's own were cleared, these crashes would count against the others.
-func suspectsOf(q *cicadaquarantine.Quarantine, b cicadaquarantine.Block) []cicadaquarantine.Trait {
-	var out []cicadaquarantine.Trait
-	for _, c := range q.Evidence().Crashes {
-		if !slices.Contains(b.Runners, c.Runner) {
-			continue
-		}
-		for _, s := range slices.Concat(c.Begun, c.Waiting) {
-			out = append(out, s...)
-		}
-	}
-	return out
-}
-
 // readCrashes returns the evidence of all routers and the rows that it was read from.
 func readCrashes(ctx context.Context, store Store) (*cicadaquarantine.Quarantine, cicadastore.ChangeBatch, error) {
 	batch, err := store.Snapshot(ctx, tableCrashes)
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadaadmission"
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
+	"github.com/cicadadyke/cicadadyke/internal/cicadacrash"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
@@ -72,7 +73,7 @@
 	announceSignal signal
 
 	quarantine    *cicadaquarantine.Quarantine
-	crashDetector *crashDetector
+	crashDetector *cicadacrash.Detector[*cicadaplace.Runner]
 	// quarantineLoaded is set once the crashes that other processes reported are known.
 	quarantineLoaded atomic.Bool
 	// crashRowRead is set once this router's own row of crashes was read, which it may then overwrite.
@@ -129,7 +130,7 @@
 	rt.peerClients = newPeerClients(rt)
 	rt.placementClient = newPlacementClient(rt)
 	rt.borrower = newBorrower(rt)
-	rt.crashDetector = newCrashDetector(rt)
+	rt.crashDetector = cicadacrash.NewDetector(cicadacrash.Config[*cicadaplace.Runner]{Go: rt.runTask, Check: rt.checkBroken})
 	return rt
 }
 
--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -180,6 +180,16 @@
 	return slices.DeleteFunc(slices.Clone(*q.blocks.Load()), func(b Block) bool { return !b.appliesAt(now) })
 }
 
+// BlockOf returns the block that has a trait at a shared time, if there is one.
+func (q *Quarantine) BlockOf(t Trait, now time.Duration) (Block, bool) {
+	for _, b := range q.Blocks(now) {
+		if slices.Contains(b.Traits, t) {
+			return b, true
+		}
+	}
+	return Block{}, false
+}
+
 func (b *Block) appliesAt(now time.Duration) bool { return now.Milliseconds() < b.UntilMillis }
 
 func (b *Block) matches(traits []Trait) bool {
--- a/internal/cicadaquarantine/report.go
+++ b/internal/cicadaquarantine/report.go
@@ -137,6 +137,21 @@
 	return out
 }
 
+// SuspectsOf returns the traits of all suspects in the crashes that support a block. If only the
+// block's own are cleared, these crashes count against the others.
+func (q *Quarantine) SuspectsOf(b *Block) []Trait {
+	var out []Trait
+	for _, c := range q.Evidence().Crashes {
+		if !slices.Contains(b.Runners, c.Runner) {
+			continue
+		}
+		for _, s := range c.all() {
+			out = append(out, s...)
+		}
+	}
+	return out
+}
+
 // firstSuspicions returns the time of the first crash in which each trait was a suspect.
 func (q *Quarantine) firstSuspicions() map[Trait]time.Duration {
 	out := map[Trait]time.Duration{}
