The product's own interface: a message or a request no longer crashes engine after engine

A request that crashes its engine is an ordinary failure, repeated on up to three more engines.

Change: the traits of a request are itself and the messages of its prompt but the last. A response that breaks off has its runner dialled; one that refuses while others accept has crashed. Evidence goes with the heartbeats, by digest. Requests in quarantine are refused as not run, or not repeated; operators see and lift it.

Why it works: two crashes that one trait explains keep it from engines at every router that has heard of them, within a heartbeat.

--- a/internal/cicadademo/environment.go
+++ b/internal/cicadademo/environment.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -32,6 +33,8 @@
 	operatorToken = "demo-operator"
 	sharedKey     = "shared key of the demo's routers"
 	headerTimeout = 5 * time.Second
+	// engineRestartDelay is how long a crashed engine is away.
+	engineRestartDelay = 400 * time.Millisecond
 )
 
 type (
@@ -57,9 +60,10 @@
 		platformURL   string
 		engines       []*cicadastandin.Engine
 		plainServices []*cicadastandin.PlainService
-		servers       []*http.Server
 
 		mu             sync.Mutex // guards the fields below
+		servers        []*http.Server
+		crashes        []time.Time // of engines
 		documents      map[string]*cicadadoc.Document
 		routers        []*cicadarouter.Router
 		allRouters     []*cicadarouter.Router
@@ -112,21 +116,69 @@
 	return env, env.awaitReady(ctx)
 }
 
-// listen listens on a free loopback port.
-func listen() (net.Listener, error) {
+func listen(addr string) (net.Listener, error) {
 	var lc net.ListenConfig
-	return lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	return lc.Listen(context.Background(), "tcp", addr)
 }
 
 func (env *Environment) startServer(h http.Handler) (string, error) {
-	ln, err := listen()
+	ln, err := listen("127.0.0.1:0")
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
+	env.serve(ln, h)
+	return ln.Addr().String(), nil
+}
+
+func (env *Environment) serve(ln net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	env.mu.Lock()
 	env.servers = append(env.servers, s)
+	env.mu.Unlock()
 	go func() { _ = s.Serve(ln) }()
-	return ln.Addr().String(), nil
+	return s
+}
+
+// startEngine starts an engine that a crash ends for engineRestartDelay.
+func (env *Environment) startEngine(cfg cicadastandin.EngineConfig) (string, error) {
+	ln, err := listen("127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	addr := ln.Addr().String()
+	var (
+		engine *cicadastandin.Engine
+		server atomic.Pointer[http.Server]
+	)
+	cfg.Crash = func() {
+		env.recordCrash()
+		_ = server.Load().Close() // its connections break
+		time.AfterFunc(engineRestartDelay, func() {
+			ln, err := listen(addr)
+			if err != nil {
+				env.cfg.Logger.WithError(err).WithField("engine", cfg.Name).Error("engine stand-in could not start again")
+				return
+			}
+			server.Store(env.serve(ln, engine.Handler()))
+		})
+	}
+	engine = cicadastandin.NewEngine(cfg)
+	env.engines = append(env.engines, engine)
+	server.Store(env.serve(ln, engine.Handler()))
+	return addr, nil
+}
+
+func (env *Environment) recordCrash() {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.crashes = append(env.crashes, time.Now())
+}
+
+// Crashes returns the times at which engines crashed.
+func (env *Environment) Crashes() []time.Time {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return slices.Clone(env.crashes)
 }
 
 // loadDocument reads a document, starts its runners on free ports and sets their
@@ -165,11 +217,9 @@
 		env.plainServices = append(env.plainServices, p)
 		return env.startServer(p.Handler())
 	}
-	e := cicadastandin.NewEngine(cicadastandin.EngineConfig{
+	return env.startEngine(cicadastandin.EngineConfig{
 		Name: r.Name, Capacity: r.Capacity, TokenInterval: env.cfg.ResponseDelay, LoadReportDelay: 200 * time.Millisecond,
 	})
-	env.engines = append(env.engines, e)
-	return env.startServer(e.Handler())
 }
 
 func (env *Environment) startRouters(doc *cicadadoc.Document) error {
@@ -196,7 +246,7 @@
 		cfg.SeedPeers = append(cfg.SeedPeers, r.Host().PeerAddr)
 	}
 	for _, l := range []*net.Listener{&cfg.CallerListener, &cfg.OperatorListener, &cfg.PeerListener} {
-		ln, err := listen()
+		ln, err := listen("127.0.0.1:0")
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
@@ -371,6 +421,8 @@
 
 // CloseStandIns closes the stand-ins' servers.
 func (env *Environment) CloseStandIns() {
+	env.mu.Lock()
+	defer env.mu.Unlock()
 	for _, s := range env.servers {
 		_ = s.Close()
 	}
--- a/internal/cicadafleet/fleet.go
+++ b/internal/cicadafleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
 	"github.com/cicadadyke/cicadadyke/internal/cicadamember"
 	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/pkg/errors"
 )
@@ -65,6 +66,10 @@
 		// requests. OnDrainingRunners is called with those of a peer.
 		DrainingRunners   func() []string
 		OnDrainingRunners func(addrs []string)
+		// Crashes returns the crashes of runners that this host knows. OnCrashes is called with those
+		// of a peer.
+		Crashes   func() cicadapeer.Crashes
+		OnCrashes func(evidence *cicadaquarantine.Report)
 	}
 
 	// Fleet is this host's view of the other hosts. Close stops its goroutines.
@@ -81,6 +86,8 @@
 		homeAddrs  map[cicadaledger.PartitionID]string // last known peer address of the home
 		senders    map[string]*batchSender
 		lastRecall map[recallKey]time.Time
+		// crashDigests are the digests of the crashes that peers know, by host name.
+		crashDigests map[string]uint64
 	}
 
 	recallKey struct {
@@ -101,6 +108,8 @@
 		homeAddrs:  make(map[cicadaledger.PartitionID]string),
 		senders:    make(map[string]*batchSender),
 		lastRecall: make(map[recallKey]time.Time),
+
+		crashDigests: make(map[string]uint64),
 	}
 	f.table.ApplyHostList([]cicadastore.Host{cfg.Self})
 	return f
@@ -117,7 +126,7 @@
 	f.home = home
 	f.wg.Add(2)
 	go f.runEvery(hostListInterval, f.refresh)
-	go f.runEvery(heartbeatInterval, f.sendHeartbeats)
+	go f.runEvery(heartbeatInterval, f.SendHeartbeats)
 }
 
 // Close stops the goroutines and waits for them.
@@ -146,7 +155,7 @@
 	f.self.State = cicadastore.HostDraining
 	f.mu.Unlock()
 	f.refresh()
-	f.sendHeartbeats()
+	f.SendHeartbeats()
 }
 
 // refresh announces this host and reads the host list.
@@ -180,7 +189,8 @@
 	return append(list, self)
 }
 
-func (f *Fleet) sendHeartbeats() {
+// SendHeartbeats sends heartbeats to the neighbours and waits for the replies.
+func (f *Fleet) SendHeartbeats() {
 	f.mu.Lock()
 	targets := f.table.Neighbours(neighbourCount, time.Now())
 	f.mu.Unlock()
@@ -195,34 +205,52 @@
 	wg.Wait()
 }
 
-// Heartbeat returns the heartbeat that this host sends.
-func (f *Fleet) Heartbeat() *cicadapeer.Heartbeat {
+// Heartbeat returns the heartbeat that this host sends to a peer that knows the crashes with a digest.
+func (f *Fleet) Heartbeat(crashesDigest uint64) *cicadapeer.Heartbeat {
 	f.mu.Lock()
 	draining := f.self.State != cicadastore.HostLive
 	f.mu.Unlock()
-	return &cicadapeer.Heartbeat{
+	crashes := f.cfg.Crashes()
+	b := &cicadapeer.Heartbeat{
 		RouterID:        f.RouterID(),
 		ConfigSeq:       f.cfg.ConfigSeq(),
 		Draining:        draining,
 		DrainingRunners: f.cfg.DrainingRunners(),
+		CrashesDigest:   crashes.Digest,
+	}
+	if crashes.Digest != crashesDigest {
+		b.Crashes = crashes.Evidence
 	}
+	return b
+}
+
+// heartbeatFor returns the heartbeat for a host.
+func (f *Fleet) heartbeatFor(host string) *cicadapeer.Heartbeat {
+	f.mu.Lock()
+	digest := f.crashDigests[host]
+	f.mu.Unlock()
+	return f.Heartbeat(digest)
 }
 
 // HandleHeartbeat records a heartbeat of a peer and calls the callbacks of the configuration.
 func (f *Fleet) HandleHeartbeat(b *cicadapeer.Heartbeat) {
 	f.mu.Lock()
 	f.table.RecordHeartbeat(b.RouterID, b.Draining, time.Now())
+	f.crashDigests[b.RouterID.Host] = b.CrashesDigest
 	f.mu.Unlock()
 	f.cfg.OnPeerConfigSeq(b.ConfigSeq)
 	if len(b.DrainingRunners) > 0 {
 		f.cfg.OnDrainingRunners(b.DrainingRunners)
 	}
+	if b.Crashes != nil {
+		f.cfg.OnCrashes(b.Crashes)
+	}
 }
 
 func (f *Fleet) sendHeartbeat(h cicadastore.Host) {
 	ctx, cancel := context.WithTimeout(f.ctx, heartbeatTimeout)
 	defer cancel()
-	reply, err := f.cfg.Client.Heartbeat(ctx, h.PeerAddr, f.Heartbeat())
+	reply, err := f.cfg.Client.Heartbeat(ctx, h.PeerAddr, f.heartbeatFor(h.Name))
 	if err == nil {
 		f.HandleHeartbeat(reply)
 		return
@@ -248,7 +276,7 @@
 func (f *Fleet) Responds(ctx context.Context, addr string, id cicadaledger.RouterID) bool {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	b, err := f.cfg.Client.Heartbeat(ctx, addr, f.Heartbeat())
+	b, err := f.cfg.Client.Heartbeat(ctx, addr, f.heartbeatFor(id.Host))
 	if err != nil {
 		return false
 	}
--- a/internal/cicadapeer/message.go
+++ b/internal/cicadapeer/message.go
@@ -10,6 +10,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaconfig"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/pkg/errors"
 )
 
@@ -122,6 +123,16 @@
 		Draining  bool                  `json:"l,omitempty"`
 		// DrainingRunners are the addresses of runners that take no new requests.
 		DrainingRunners []string `json:"r,omitempty"`
+		// CrashesDigest is the digest of the crashes that the sender knows, zero for none. Crashes
+		// holds them if the receiver is not known to have the same.
+		CrashesDigest uint64                   `json:"d,omitempty"`
+		Crashes       *cicadaquarantine.Report `json:"k,omitempty"`
+	}
+
+	// Crashes are the crashes of runners that a router knows, with their digest.
+	Crashes struct {
+		Digest   uint64
+		Evidence *cicadaquarantine.Report // nil if there are none
 	}
 
 	// FetchResponseRequest asks for the stored response of a request.
--- a/internal/cicadarefusal/kinds.go
+++ b/internal/cicadarefusal/kinds.go
@@ -138,6 +138,11 @@
 		Remedy:     "come back with the same key",
 		RetryAfter: retrySoon,
 	},
+	Quarantined: {
+		Status: http.StatusServiceUnavailable,
+		Title:  "requests like this one crash runners",
+		Remedy: "operators look at the quarantine in the router's state and at the runners' crashes",
+	},
 	UpstreamFailed: {
 		Status:     http.StatusBadGateway,
 		Title:      "upstream failed",
--- a/internal/cicadarefusal/refusal.go
+++ b/internal/cicadarefusal/refusal.go
@@ -86,6 +86,7 @@
 	AlreadyRan         Code = "alreadyRan"
 	OutcomeUnknown     Code = "outcomeUnknown"
 	ClaimNotRecorded   Code = "claimNotRecorded"
+	Quarantined        Code = "quarantined"
 	UpstreamFailed     Code = "upstreamFailed"
 	UpstreamRejected   Code = "upstreamRejected"
 	DeadlineExceeded   Code = "deadlineExceeded"
--- a/internal/cicadaroute/table.go
+++ b/internal/cicadaroute/table.go
@@ -174,6 +174,19 @@
 	return out
 }
 
+// OtherRunners returns the addresses of at most n runners in use, chosen at random, without the one at addr.
+func (t *Table) OtherRunners(addr string, n int) []string {
+	var out []string
+	for other := range t.byAddr {
+		if other != addr {
+			out = append(out, other)
+		}
+	}
+	sort.Strings(out)
+	t.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
 // subset selects the runners that this router uses, by rendezvous hashing.
 func (t *Table) subset(runners []Runner) []Runner {
 	if len(runners) <= maxRunnersPerUpstream {
--- a/internal/cicadarouter/attempt.go
+++ b/internal/cicadarouter/attempt.go
@@ -52,6 +52,9 @@
 // allowed.
 func (s *attemptSequence) run(ctx context.Context, prefix uint64, try attemptFunc) *outcome {
 	for s.count < maxAttempts {
+		if ref := s.ar.quarantineRefusal(s.runStatus()); ref != nil {
+			return s.refusedOutcome(ref)
+		}
 		addr, err := s.waitForRunner(ctx, prefix)
 		if err != nil {
 			return s.failedOutcome(err)
@@ -127,14 +130,26 @@
 		Addr: addr, Header: s.ar.upstreamHeaders(), RequestID: s.ar.id, Attempt: s.count,
 		FirstByteTimeout: time.Duration(s.ar.rules.FirstByteDeadline),
 	}
+	s.ar.progress = attemptProgress{}
 	out, failure := try(ctx, call)
 	s.ar.r.recordAttemptEnd(addr, failure)
+	s.checkRunner(ctx, addr, failure)
 	if failure != nil {
 		s.ar.trail.Add(&cicadatrail.Attempt{Number: s.count, Runner: addr, Outcome: failure.Error()})
 	}
 	return out, failure
 }
 
+// checkRunner has the runner checked if its response may have broken off because it crashed.
+func (s *attemptSequence) checkRunner(ctx context.Context, addr string, failure cicadaupstream.Failure) {
+	switch failure.(type) {
+	case *cicadaupstream.NoResponseError, *cicadaupstream.ResponseError:
+		if ctx.Err() == nil {
+			s.ar.checkRunner(addr)
+		}
+	}
+}
+
 // recordAttemptEnd records the result of an attempt in the routing table.
 // Refusals and rejected requests do not count as failures of the runner.
 func (r *Router) recordAttemptEnd(addr string, failure cicadaupstream.Failure) {
@@ -186,13 +201,11 @@
 // cancelAttempt cancels a failed attempt at its engine in the background, so that
 // it uses no further capacity.
 func (r *Router) cancelAttempt(addr, requestID string) {
-	r.wg.Add(1)
-	go func() {
-		defer r.wg.Done()
+	r.runTask(func() {
 		if _, err := r.upstreamClient.Cancel(r.ctx, addr, requestID); err != nil {
 			r.metrics.Router.Add("cancelsFailed", 1)
 		}
-	}()
+	})
 }
 
 // unknownOutcome is the outcome of an at-most-once request that may have run. Its
@@ -209,22 +222,32 @@
 // failedOutcome is the outcome of a request that got no usable response from any
 // runner. It is reported as not run only if no runner can have received any of it.
 func (s *attemptSequence) failedOutcome(cause error) *outcome {
-	ar := s.ar
-	out := &outcome{bill: ar.newBill(0, 0, cicadaledger.OutcomeNotRun)}
-	ran := cicadarefusal.NotRun
-	if s.mayHaveRun {
-		ran = cicadarefusal.RunUnknown
-		out.bill.Outcome = cicadaledger.OutcomeInterrupted
-	}
+	ar, ran := s.ar, s.runStatus()
 	switch {
 	case errors.Is(cause, cicadaroute.ErrBusy):
-		out.refusal = cicadarefusal.New(cicadarefusal.RunnersBusy, ran, "upstream %s", ar.upstream.Name)
+		return s.refusedOutcome(cicadarefusal.New(cicadarefusal.RunnersBusy, ran, "upstream %s", ar.upstream.Name))
 	case errors.Is(cause, cicadaroute.ErrNoRunner):
-		out.refusal = cicadarefusal.New(cicadarefusal.NoRunner, ran, "upstream %s, %d attempts", ar.upstream.Name, s.count)
+		return s.refusedOutcome(cicadarefusal.New(cicadarefusal.NoRunner, ran, "upstream %s, %d attempts", ar.upstream.Name, s.count))
 	case time.Now().After(ar.deadline):
-		out.refusal = cicadarefusal.New(cicadarefusal.DeadlineExceeded, ran, "after %s", time.Duration(ar.rules.RequestDeadline))
+		return s.refusedOutcome(cicadarefusal.New(cicadarefusal.DeadlineExceeded, ran, "after %s", time.Duration(ar.rules.RequestDeadline)))
 	default:
-		out.refusal = cicadarefusal.New(cicadarefusal.UpstreamFailed, ran, "%d attempts, the last: %v", s.count, cause)
+		return s.refusedOutcome(cicadarefusal.New(cicadarefusal.UpstreamFailed, ran, "%d attempts, the last: %v", s.count, cause))
+	}
+}
+
+// runStatus states whether a runner may have received any of the request.
+func (s *attemptSequence) runStatus() cicadarefusal.RunStatus {
+	if s.mayHaveRun {
+		return cicadarefusal.RunUnknown
+	}
+	return cicadarefusal.NotRun
+}
+
+// refusedOutcome is the outcome of a request that is refused after its attempts.
+func (s *attemptSequence) refusedOutcome(ref *cicadarefusal.Refusal) *outcome {
+	out := &outcome{bill: s.ar.newBill(0, 0, cicadaledger.OutcomeNotRun), refusal: ref}
+	if s.mayHaveRun {
+		out.bill.Outcome = cicadaledger.OutcomeInterrupted
 	}
 	return out
 }
@@ -252,6 +275,9 @@
 		ar.refuse(out.refusal)
 		return
 	}
+	if bill.Outcome == cicadaledger.OutcomeComplete {
+		ar.recordAnswer()
+	}
 	isRecorded := ar.awaitBillRecord(recorded)
 	ar.trail.Add(&cicadatrail.Billed{Bill: bill, Partition: ar.partitionName(), RecordedBeforeEnd: isRecorded})
 	if out.finishResponse != nil {
--- a/internal/cicadarouter/chat.go
+++ b/internal/cicadarouter/chat.go
@@ -88,6 +88,7 @@
 	// The server detects a disconnected caller by continuing to read, which an
 	// expired read deadline would prevent.
 	_ = http.NewResponseController(ar.w).SetReadDeadline(time.Time{})
+	ar.body = body
 	return body, nil
 }
 
@@ -158,6 +159,7 @@
 	for _, m := range c.messages {
 		ar.promptBound += promptBound(m)
 	}
+	ar.setMessages(c.messages)
 	ar.outputBound = cicadabudget.Units(c.maxTokens)
 	return ar.readIdempotencyKey(body)
 }
@@ -241,6 +243,7 @@
 		if err != nil {
 			return ar.classifyCallError(ctx, call, err)
 		}
+		ar.answerBegins()
 		if resp.StatusCode != http.StatusOK {
 			return nil, cicadaupstream.Classify(resp)
 		}
--- a/internal/cicadarouter/debug.go
+++ b/internal/cicadarouter/debug.go
@@ -10,6 +10,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadahome"
 	"github.com/cicadadyke/cicadadyke/internal/cicadamember"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaroute"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 )
@@ -28,6 +29,7 @@
 		Allocations         []cicadabudget.AllocationState     `json:"slices"`
 		Homes               []cicadahome.PartitionState        `json:"homes"`
 		Runners             map[string][]cicadaroute.Candidate `json:"runners"`
+		Quarantine          []cicadaquarantine.Block           `json:"quarantine"`
 		StoredResponses     int                                `json:"keptAnswers"`
 		StoredResponseBytes int                                `json:"keptAnswerBytes"`
 		Trails              int                                `json:"trails"`
@@ -56,6 +58,7 @@
 		Allocations:         r.session.AllocationStates(),
 		Homes:               r.home.PartitionStates(),
 		Runners:             r.runnerState(),
+		Quarantine:          r.quarantine.Blocks(sharedTime(time.Now())),
 		StoredResponses:     responses,
 		StoredResponseBytes: bytes,
 		Trails:              r.trails.Len(),
@@ -89,6 +92,7 @@
 		_ = enc.Encode(r.State())
 	})
 	mux.HandleFunc("GET /debug/requests/{id}", r.serveExplain)
+	mux.HandleFunc("DELETE /debug/quarantine/{trait}", r.serveLift)
 	mux.HandleFunc("GET /readyz", r.serveReady)
 	return r.requireOperatorToken(mux)
 }
--- a/internal/cicadarouter/peer.go
+++ b/internal/cicadarouter/peer.go
@@ -36,7 +36,7 @@
 // Heartbeat processes a heartbeat and returns that of this host.
 func (h *peerHandler) Heartbeat(_ context.Context, heartbeat *cicadapeer.Heartbeat) (*cicadapeer.Heartbeat, error) {
 	h.r.fleet.HandleHeartbeat(heartbeat)
-	return h.r.fleet.Heartbeat(), nil
+	return h.r.fleet.Heartbeat(heartbeat.CrashesDigest), nil
 }
 
 // FetchResponse returns a stored response, waiting up to runningWaitTimeout for a
--- a/internal/cicadarouter/plain.go
+++ b/internal/cicadarouter/plain.go
@@ -82,6 +82,7 @@
 		if err != nil {
 			return ar.classifyCallError(ctx, call, err)
 		}
+		ar.answerBegins()
 		if resp.Header.Get(cicadaupstream.HeaderNotRun) != "" || (resp.StatusCode >= http.StatusInternalServerError && !ar.atMostOnce) {
 			return nil, cicadaupstream.Classify(resp)
 		}
--- a/internal/cicadarouter/request.go
+++ b/internal/cicadarouter/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadadoc"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
 	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/cicadadyke/cicadadyke/internal/cicadarefusal"
 	"github.com/cicadadyke/cicadadyke/internal/cicadatrail"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaupstream"
@@ -52,6 +54,11 @@
 		reservation cicadabudget.Reservation
 		deadline    time.Time
 
+		body           []byte
+		sharedMessages []json.RawMessage // of the prompt, without the last one
+		traitList      []cicadaquarantine.Trait
+		progress       attemptProgress
+
 		headerSent     bool // the response header has been sent
 		bytesSent      int64
 		storedResponse *cicadapeer.StoredResponse
@@ -169,6 +176,10 @@
 func (ar *activeRequest) process(run func(ctx context.Context) *outcome) {
 	ctx, cancel := ar.runContext()
 	defer cancel()
+	if ref := ar.quarantineRefusal(cicadarefusal.NotRun); ref != nil {
+		ar.refuse(ref)
+		return
+	}
 	if !ar.r.limits.acquire(ar.svc.Name()+"/"+ar.org.Name, ar.org.Limits, ar.r.fleet.LiveCount()) {
 		ar.refuse(cicadarefusal.New(cicadarefusal.OrganisationLimit, cicadarefusal.NotRun,
 			"organisation %s reached its limits at this router", ar.org.Name))
--- a/internal/cicadarouter/router.go
+++ b/internal/cicadarouter/router.go
@@ -18,11 +18,13 @@
 
 	"github.com/apex/log"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaconfig"
+	"github.com/cicadadyke/cicadadyke/internal/cicadacrash"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadoc"
 	"github.com/cicadadyke/cicadadyke/internal/cicadafleet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadahome"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
 	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaroute"
 	"github.com/cicadadyke/cicadadyke/internal/cicadasession"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
@@ -91,6 +93,11 @@
 
 		tableMu sync.Mutex // guards table
 		table   *cicadaroute.Table
+
+		quarantine    *cicadaquarantine.Quarantine
+		crashDetector *cicadacrash.Detector[string] // by address
+		blocksMu      sync.Mutex                    // guards loggedBlocks
+		loggedBlocks  map[string]bool
 	}
 )
 
@@ -114,7 +121,9 @@
 		limits:    newOrgLimiter(),
 		retries:   newRetryBudget(),
 		table:     cicadaroute.NewTable(cfg.Name, cfg.RandomSeed),
-		done:      make(chan struct{}),
+
+		quarantine: cicadaquarantine.New(cicadaquarantine.Config{}),
+		done:       make(chan struct{}),
 		self: cicadastore.Host{
 			Name: cfg.Name, DataCentre: cfg.DataCentre, Region: cfg.Region, Incarnation: cfg.Incarnation,
 			State:        cicadastore.HostLive,
@@ -129,6 +138,7 @@
 
 func (r *Router) initComponents() {
 	m := r.metrics
+	r.crashDetector = cicadacrash.NewDetector(cicadacrash.Config[string]{Go: r.runTask, Check: r.checkBroken})
 	r.peerClient = cicadapeer.NewClient(cicadapeer.ClientConfig{
 		Identity: r.cfg.Identity, BytesReceived: &m.PeerBytesIn, BytesSent: &m.PeerBytesOut, Calls: m.PeerCalls,
 	})
@@ -142,6 +152,8 @@
 		OnPeerConfigSeq:   r.watcher.NotifySeq,
 		DrainingRunners:   r.drainingRunners,
 		OnDrainingRunners: r.markRunnersDraining,
+		Crashes:           r.knownCrashes,
+		OnCrashes:         r.mergeCrashes,
 	})
 	r.home = cicadahome.New(cicadahome.Config{
 		Platform: r.cfg.Platform, Fleet: r.fleet, RecoverySource: &recoverySource{r: r}, Self: r.fleet.RouterID(), Region: r.cfg.Region, PeerAddr: r.self.PeerAddr,
--- a/internal/cicadarouter/stream.go
+++ b/internal/cicadarouter/stream.go
@@ -44,9 +44,10 @@
 	ctx context.Context, c *chatRequest, call *cicadaupstream.Call, resp *http.Response,
 ) (*outcome, cicadaupstream.Failure) {
 	s := ar.r.upstreamClient.NewStream(call, cicadaupstream.StreamConfig{
-		ProgressTimeout: time.Duration(ar.rules.ProgressTimeout), Resumable: true,
+		ProgressTimeout: time.Duration(ar.rules.ProgressTimeout), Resumable: true, OnBroken: func() { ar.checkRunner(call.Addr) },
 	})
 	err := s.Run(ctx, resp, func(ch cicadaupstream.Chunk) error {
+		ar.recordGoingAnswer()
 		if ch.Usage != nil && !ch.HasContent && !c.includeUsage {
 			return nil
 		}
--- a/internal/cicadastandin/engine.go
+++ b/internal/cicadastandin/engine.go
@@ -41,6 +41,8 @@
 		TokenInterval   time.Duration // interval between two tokens
 		PrefillPerToken time.Duration // time for each prompt token that is not cached
 		LoadReportDelay time.Duration // minimum age of a load report before it is renewed
+		// Crash ends the engine's server when CrashOn applies. It is called without locks held.
+		Crash func()
 	}
 
 	// EngineFaults are the faults that the engine simulates.
@@ -53,6 +55,8 @@
 		// ForgetOnStall cancels and forgets a request when its stream stalls, as
 		// if the engine had crashed and restarted.
 		ForgetOnStall bool `json:"forgetOnStall"`
+		// CrashOn crashes the engine when it begins to answer a prompt that contains this text.
+		CrashOn string `json:"crashOn,omitempty"`
 	}
 
 	// Engine is the stand-in for a model engine. It processes up to Capacity
@@ -128,6 +132,17 @@
 	e.faults = f
 }
 
+// crash forgets all requests and ends the server.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	for _, g := range e.requests {
+		g.forgotten = true
+		g.cancel()
+	}
+	e.mu.Unlock()
+	e.cfg.Crash()
+}
+
 // Records returns the records of all requests that the engine started, in order. A
 // request that was started again with another attempt number is listed once for each
 // start, each time with the record of its last attempt.
--- a/internal/cicadastandin/enginehttp.go
+++ b/internal/cicadastandin/enginehttp.go
@@ -118,7 +118,14 @@
 		<-r.Context().Done()
 		return
 	}
-	g := e.startGeneration(newEngineRequest(r, &body))
+	req := newEngineRequest(r, &body)
+	if faults.CrashOn != "" && strings.Contains(req.prompt, faults.CrashOn) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		e.crash()
+		return
+	}
+	g := e.startGeneration(req)
 	if body.Stream {
 		e.sendStream(w, r, g, body.Model, 0)
 		return
--- a/internal/cicadaupstream/stream.go
+++ b/internal/cicadaupstream/stream.go
@@ -48,6 +48,8 @@
 		ProgressTimeout time.Duration
 		// Resumable enables resuming interrupted streams at the engine.
 		Resumable bool
+		// OnBroken is called when a response breaks off, before the stream is resumed.
+		OnBroken func()
 	}
 
 	// Stream reads the events of one attempt.
@@ -99,6 +101,9 @@
 		if err == nil || !errors.As(err, &respErr) || ctx.Err() != nil {
 			return err
 		}
+		if s.cfg.OnBroken != nil {
+			s.cfg.OnBroken()
+		}
 		resumed, resumeErr := s.resume(ctx) //nolint:bodyclose // readEvents closes it
 		if resumeErr != nil {
 			return err
