cicadaupstream: a late second answer no longer reaches the next caller

Cause: the client of the product's own interface took whatever came first on a kept connection. Only chunks of streams are numbered, and those by attempt, not by request.

Ruled out: net/http closes a connection on which bytes arrive while it is idle, but not one on which they arrive after the next request was written.

Change: connections are kept only with runners that name the request (X-Request-Id) in their responses; a response on a kept connection that does not name its own is none, and its request counts as one that may have run. Polls and cancels have connections of their own. This covers the repeated refusal as well, whose connection was closed before.

The servers of two tests of kept connections name the request now, so that they still test kept ones.

--- a/internal/cicadastandin/enginehttp.go
+++ b/internal/cicadastandin/enginehttp.go
@@ -83,7 +83,17 @@
 		}
 		e.SetFaults(f)
 	})
-	return mux
+	return nameRequests(mux)
+}
+
+// nameRequests adds the id of the request to responses.
+func nameRequests(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(cicadaupstream.HeaderRequestID); id != "" {
+			w.Header().Set(cicadaupstream.HeaderRequestID, id)
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
--- a/internal/cicadastandin/plainservice.go
+++ b/internal/cicadastandin/plainservice.go
@@ -86,7 +86,7 @@
 		p.SetFaults(f)
 	})
 	mux.HandleFunc("/", p.serveCall)
-	return mux
+	return nameRequests(mux)
 }
 
 func (p *PlainService) serveCall(w http.ResponseWriter, r *http.Request) {
--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -11,7 +11,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -139,8 +138,10 @@
 
 	// Client calls runners. Close closes its idle connections.
 	Client struct {
-		cfg  Config
-		http *http.Client
+		cfg     Config
+		http    *http.Client
+		control *http.Client // for load polls, cancels, fences and usage queries
+		kept    keptConnections
 	}
 )
 
@@ -159,33 +160,39 @@
 // New returns a client. The timeouts of a request close a connection that does not
 // respond, and the next request opens a new one.
 func New(cfg Config) *Client {
-	dialer := cicadapeer.NewDialer()
+	return &Client{cfg: cfg, http: newHTTPClient(), control: newHTTPClient()}
+}
+
+func newHTTPClient() *http.Client {
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            cicadapeer.NewDialer().DialContext,
 		MaxIdleConnsPerHost:    maxIdleConnsPerRunner,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return &Client{cfg: cfg, http: &http.Client{
+	return &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+	c.control.CloseIdleConnections()
+}
 
 // Do sends a call and returns the response once its header has arrived. The caller
 // must close the body. Cancelling ctx closes the connection.
 func (c *Client) Do(ctx context.Context, call *Call) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var (
-		sent atomic.Bool
-		conn net.Conn
+		sent     atomic.Bool
+		connInfo httptrace.GotConnInfo
 	)
 	trace := &httptrace.ClientTrace{
-		GotConn:          func(info httptrace.GotConnInfo) { conn = info.Conn },
+		GotConn:          func(info httptrace.GotConnInfo) { connInfo = info },
 		WroteHeaderField: func(string, []string) { sent.Store(true) },
 		WroteHeaders:     func() { sent.Store(true) },
 	}
@@ -194,6 +201,7 @@
 		cancel(nil)
 		return nil, &NotSentError{cause: err}
 	}
+	req.Close = !c.kept.mayKeep(call.Addr)
 	timer := time.AfterFunc(call.FirstByteTimeout, func() { cancel(errFirstByteTimeout) })
 	resp, err := c.http.Do(req)
 	timer.Stop()
@@ -207,12 +215,15 @@
 		}
 		return nil, &NotSentError{cause: err}
 	}
-	c.reportLoad(call.Addr, resp.Header)
-	if resp.Header.Get(HeaderNotRun) != "" && conn != nil {
-		// A copy of the refusal would be taken for the response to the next request. The header says
-		// all; the error of a connection that is closed already does not matter.
-		_ = conn.Close()
+	if err := c.kept.check(call, &connInfo, resp); err != nil {
+		cancel(nil)
+		// What follows on the connection cannot be assigned to a call. A connection that is closed
+		// already is no error.
+		_ = resp.Body.Close()
+		_ = connInfo.Conn.Close()
+		return nil, NewResponseError(err)
 	}
+	c.reportLoad(call.Addr, resp.Header)
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
 	return resp, nil
 }
@@ -324,7 +335,7 @@
 	if err != nil {
 		return errors.Wrap(err, "make request")
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.control.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "runner")
 	}
--- a/internal/cicadaupstream/upstream_test.go
+++ b/internal/cicadaupstream/upstream_test.go
@@ -35,6 +35,11 @@
 	}
 }
 
+// nameRequest names the request in the response, so that its connection is kept.
+func nameRequest(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(cicadaupstream.HeaderRequestID, r.Header.Get(cicadaupstream.HeaderRequestID))
+}
+
 // runStream runs a call and returns the received text.
 func runStream(t *testing.T, addr string, progress time.Duration) (string, *cicadaupstream.Stream, error) {
 	t.Helper()
@@ -177,8 +182,9 @@
 // by default for such requests.
 func TestTransportSendsARequestOnce(t *testing.T) {
 	var calls atomic.Int64
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if calls.Add(1) == 1 {
+			nameRequest(w, r)
 			return
 		}
 		conn, _, err := http.NewResponseController(w).Hijack()
@@ -282,10 +288,11 @@
 func TestCallsAreSentOnce(t *testing.T) {
 	t.Parallel()
 	var got atomic.Int64
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if got.Add(1) > 1 {
 			panic(http.ErrAbortHandler)
 		}
+		nameRequest(w, r)
 		w.WriteHeader(http.StatusOK)
 	}))
 	defer s.Close()
