A TRACE is no longer sent to a runner twice

What callers saw: nothing yet; found by reading. A TRACE without a body on a route whose requests may run once ran twice when its kept connection broke.

Cause: http.Transport resends requests of four methods by itself; three were known.

Change: cicadaedge writes nothing to a second connection that the transport takes for the same request, whatever its reason; cicadaupstream gives a TRACE a body, as for the others.

TestEmptyOrdersAreNotRepeated and TestCallsAreSentOnce with TRACE: two runs before, one now.

--- a/internal/cicadaedge/serve_test.go
+++ b/internal/cicadaedge/serve_test.go
@@ -301,6 +301,7 @@
 		{http.MethodOptions, "X-Other"},
 		{http.MethodGet, "X-Other"},
 		{http.MethodHead, "X-Other"},
+		{http.MethodTrace, "X-Other"},
 	} {
 		r.setHandler(r.respondWith("ok"))
 		call(t, n, "/once/", nil, "")
--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -190,7 +190,8 @@
 //
 // The transport must not resend requests by itself. For this reason the body has no GetBody,
 // requests with one of bodilessMethods have a body even if it is empty, and the headers by which
-// the transport recognises idempotent requests are written in lower case.
+// the transport recognises idempotent requests are written in lower case. If it resends one all the
+// same, such as a TRACE, nothing is written to the second connection.
 func (ts *runnerTransports) roundTrip(
 	r *cicadaplace.Runner, s *cicadadeploy.Service, req *http.Request, body []byte,
 ) (roundTripResult, error) {
@@ -204,16 +205,17 @@
 	for try := 1; ; try++ {
 		var conn *countedConn
 		var writtenBefore int64
-		var reused bool
+		var reused, sent bool
 		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+			sent = sent || conn != nil && conn.written.Load() > writtenBefore
 			reused = info.Reused
 			if conn, _ = info.Conn.(*countedConn); conn == nil {
 				return
 			}
 			writtenBefore = conn.written.Load()
-			if reused && conn.relay != "" {
-				// The other router may not send there any more. Nothing is written to the connection.
-				_ = conn.retire()
+			// Another router may not send there any more, which is known when a connection is opened.
+			if sent || reused && conn.relay != "" {
+				_ = conn.retire() // nothing is written to it
 			}
 		}}
 		if len(body) > 0 || slices.Contains(bodilessMethods, req.Method) {
@@ -223,7 +225,7 @@
 		if err == nil {
 			return roundTripResult{resp: resp, sent: true, conn: conn}, nil
 		}
-		sent := conn != nil && conn.written.Load() > writtenBefore
+		sent = sent || conn != nil && conn.written.Load() > writtenBefore
 		if sent || !reused || try == maxStaleConns || req.Context().Err() != nil {
 			return roundTripResult{sent: sent}, err
 		}
--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -230,6 +231,9 @@
 
 var errFirstByteTimeout = errors.New("no answer within the first-byte deadline")
 
+// replayedMethods are the methods that http.Transport takes for idempotent.
+var replayedMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace}
+
 func newRequest(ctx context.Context, call *Call) (*http.Request, error) {
 	target := "http://" + call.Addr + call.Path
 	if call.RawQuery != "" {
@@ -240,13 +244,13 @@
 		return nil, errors.Wrap(err, "make request")
 	}
 	// The transport resends a request with an idempotent method or an Idempotency-Key
-	// header, if it has GetBody or no body. GetBody is removed, GET, HEAD and OPTIONS
-	// requests without a body get an empty one that the transport does not recognise as
-	// such, and the header is written in lower case, which it does not recognise either.
+	// header, if it has GetBody or no body. GetBody is removed, requests with one of
+	// replayedMethods get an empty body that the transport does not recognise as such,
+	// and the header is written in lower case, which it does not recognise either.
 	req.GetBody = nil
 	switch {
 	case len(call.Body) > 0:
-	case call.Method == http.MethodGet || call.Method == http.MethodHead || call.Method == http.MethodOptions:
+	case slices.Contains(replayedMethods, call.Method):
 		req.Body = io.NopCloser(bytes.NewReader(nil))
 	default:
 		req.Body = http.NoBody
--- a/internal/cicadaupstream/upstream_test.go
+++ b/internal/cicadaupstream/upstream_test.go
@@ -300,6 +300,7 @@
 		{http.MethodGet, ""},
 		{http.MethodHead, ""},
 		{http.MethodOptions, ""},
+		{http.MethodTrace, ""},
 		{http.MethodPost, ""},
 		{http.MethodPost, "k"}, // the key makes the transport take the call for idempotent
 	} {
