A runner that is silent for a second keeps its connections

What callers would see: a request at a runner that falls silent for a second and goes on is lost, if the silence begins just before a keep-alive probe.

Cause: the user timeout also decides when keep-alive probes give up: with 1.5 s, at the first check after a probe, 1 s after it. The number of probes does not count.

Change: a probe after 1 s, a check 2 s later. An idle connection that is silent for good is closed within 3 s as before.

--- a/internal/cicadanet/net.go
+++ b/internal/cicadanet/net.go
@@ -15,11 +15,16 @@
 	// defaultUserTimeout is the default of DialerConfig.UserTimeout. It is less than
 	// the 2 s after which callers give up a stream.
 	defaultUserTimeout = 1500 * time.Millisecond
-	// The keep-alive settings detect a broken idle connection within 4 s, before
-	// most connections are used again.
-	keepAliveIdle     = 2 * time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	// The keep-alive settings detect a broken idle connection within 3 s, before
+	// most connections are used again, and let a peer be silent for 2 s. With a user
+	// timeout, the kernel gives up at the first check after a probe at which the peer
+	// has been silent for that long, whatever the number of probes.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 2 * time.Second
+	// Accepted connections have no user timeout.
+	listenKeepAliveIdle     = 2 * time.Second
+	listenKeepAliveInterval = time.Second
+	listenKeepAliveCount    = 2
 )
 
 // DialerConfig configures a dialer.
@@ -46,22 +51,20 @@
 		cfg.UserTimeout = defaultUserTimeout
 	}
 	if !cfg.KeepAlive.Enable {
-		cfg.KeepAlive = defaultKeepAlive()
+		cfg.KeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: 1}
 	}
 	return &net.Dialer{Timeout: cfg.Timeout, Control: cfg.control, KeepAliveConfig: cfg.KeepAlive}
 }
 
 // Listen returns a TCP listener on addr whose connections send keep-alive probes.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	lc := net.ListenConfig{KeepAliveConfig: defaultKeepAlive()}
+	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: listenKeepAliveIdle, Interval: listenKeepAliveInterval, Count: listenKeepAliveCount,
+	}}
 	ln, err := lc.Listen(ctx, "tcp", addr)
 	return ln, errors.Wrapf(err, "listen on %s", addr)
 }
 
-func defaultKeepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-}
-
 // control sets TCP_USER_TIMEOUT, so that the kernel closes a connection whose data
 // is not acknowledged, for example after the network has dropped the connection.
 func (cfg DialerConfig) control(_, _ string, c syscall.RawConn) error {
