Brittle runners: room is what a runner has memory for, not only slots

What callers would see: engines that say that they are brittle crash one after the other while a part of their slots is free.

Cause: routers shared three quarters of the slots. Long prompts fill an engine's memory first (26 prompts of 17,000 tokens in 64 slots), so what they sent did not fit.

Change: a rejection tells how many requests there is room for. That takes the place of the slots and grows slowly; a runner that reports waiting requests has no room.

--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -113,9 +113,12 @@
 		reportedAt   time.Time
 		sinceReport  int // requests of this router since the report
 
-		// While the runner is brittle: rejectedUntil is the time until which it gets nothing after a
-		// rejection, nextRisk that until which it gets nothing that may not fit.
-		rejectedUntil, nextRisk time.Time
+		// While the runner is brittle: rejectedAt is the time of its last rejection. Until nextRisk it
+		// gets nothing that may not fit. roomSeen is the number of requests that it had room for when
+		// it rejected one at roomSeenAt.
+		rejectedAt, nextRisk time.Time
+		roomSeen             float64
+		roomSeenAt           time.Time
 
 		failures     int // consecutive
 		ejectedUntil time.Time
--- a/internal/cicadaplace/brittle.go
+++ b/internal/cicadaplace/brittle.go
@@ -19,6 +19,12 @@
 	// brittleRisk is the share of the tolerated rejections that routers provoke at most by requests that
 	// may not fit.
 	brittleRisk = 0.5
+	// roomGrowth is how fast the room that a runner is taken to have grows after a rejection: requests in a
+	// second, for each rejection in a second that is tolerated.
+	roomGrowth = 0.1
+	// settlingPeriod is the time until the requests have ended that routers sent before they knew that
+	// the runners are brittle. Until then, a rejection says little about the room for those of this router.
+	settlingPeriod = time.Second
 	// maxRiskInterval bounds the time between two such requests.
 	maxRiskInterval = time.Minute
 	// rejectionPause is the time without requests after a rejection.
@@ -35,6 +41,7 @@
 // brittleState is what is known of a service whose runners are brittle.
 type brittleState struct {
 	rejections float64   // that a runner tolerates in a second, of all routers together
+	since      time.Time // when a response first said so
 	saidAt     time.Time // when a response last said so
 	endedAt    time.Time // when responses no longer said so; zero if they do
 }
@@ -60,9 +67,7 @@
 	st := b.brittle[a.runner.entry.Service]
 	switch {
 	case stated:
-		changed := st == nil || !st.endedAt.IsZero() || st.rejections != rejections
-		b.brittle[a.runner.entry.Service] = &brittleState{rejections: rejections, saidAt: now}
-		return changed
+		return b.setBrittle(a.runner.entry.Service, rejections, now)
 	case st == nil || !st.endedAt.IsZero() || a.assignedAt.Before(st.saidAt):
 		return false
 	default:
@@ -96,7 +101,19 @@
 func (b *Balancer) MergeBrittle(service string, rejections float64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.brittle[service] = &brittleState{rejections: rejections, saidAt: now}
+	b.setBrittle(service, rejections, now)
+}
+
+// setBrittle reports whether this changes what is known of the service.
+func (b *Balancer) setBrittle(service string, rejections float64, now time.Time) bool {
+	st := b.brittle[service]
+	if st == nil || !st.endedAt.IsZero() {
+		b.brittle[service] = &brittleState{rejections: rejections, since: now, saidAt: now}
+		return true
+	}
+	changed := st.rejections != rejections
+	st.rejections, st.saidAt = rejections, now
+	return changed
 }
 
 // hasRoom reports whether a brittle runner may get one more request.
@@ -105,17 +122,33 @@
 	if st == nil {
 		return true
 	}
-	if now.Before(r.rejectedUntil) {
+	if now.Sub(r.rejectedAt) < rejectionPause {
 		return false
 	}
 	return b.surelyFits(r, req, st, now) || !req.PlacesGroup && !now.Before(r.nextRisk)
 }
 
+// room returns the number of requests that a brittle runner has room for: as many as its slots, or fewer
+// if it has rejected requests although slots were free, for want of memory. It is taken to grow again
+// afterwards.
+func (r *Runner) room(st *brittleState, now time.Time) float64 {
+	slots := float64(r.entry.Slots)
+	if r.roomSeenAt.Before(st.since) {
+		return slots
+	}
+	return min(slots, r.roomSeen+roomGrowth*st.rejections*now.Sub(r.roomSeenAt).Seconds())
+}
+
 // surelyFits reports whether one more request is within the share of this router.
 func (b *Balancer) surelyFits(r *Runner, req *Request, st *brittleState, now time.Time) bool {
-	share := float64(r.entry.Slots) * ownFill / float64(max(b.routers, 1))
+	reported := now.Sub(r.reportedAt) <= loadReportTTL
+	if reported && r.reportedLoad.Waiting > 0 {
+		return false
+	}
+	room := r.room(st, now)
+	share := room * ownFill / float64(max(b.routers, 1))
 	if req.PlacesGroup {
-		share = float64(r.entry.Slots) * groupFill / float64(groupCount(len(b.services[r.entry.Service])))
+		share = room * groupFill / float64(b.groups(r))
 	}
 	if !st.endedAt.IsZero() {
 		share *= math.Exp2(math.Floor(float64(now.Sub(st.endedAt)) / float64(brittleStep)))
@@ -123,10 +156,10 @@
 	if float64(r.inFlight+1) <= share {
 		return true
 	}
-	if req.PlacesGroup || now.Sub(r.reportedAt) > loadReportTTL || r.reportedLoad.Waiting > 0 {
+	if req.PlacesGroup || !reported {
 		return false
 	}
-	free := float64(r.entry.Slots-r.reportedLoad.Running) * freeFill / float64(max(b.routers, 1))
+	free := (room - float64(r.reportedLoad.Running)) * freeFill / float64(max(b.routers, 1))
 	return float64(r.sinceReport+1) <= free
 }
 
@@ -146,8 +179,20 @@
 
 // recordRejection keeps requests from a brittle runner that had no room.
 func (b *Balancer) recordRejection(r *Runner, now time.Time) {
-	if st := b.brittleState(r.entry.Service, now); st != nil {
-		r.rejectedUntil = now.Add(rejectionPause)
-		r.nextRisk = now.Add(b.riskInterval(st))
+	st := b.brittleState(r.entry.Service, now)
+	if st == nil {
+		return
+	}
+	r.rejectedAt, r.nextRisk = now, now.Add(b.riskInterval(st))
+	if now.Sub(st.since) < settlingPeriod {
+		return
 	}
+	seen := float64(r.inFlight * b.groups(r))
+	if now.Sub(r.reportedAt) < rejectionPause {
+		seen = float64(r.reportedLoad.Running)
+	}
+	r.roomSeen, r.roomSeenAt = min(seen, r.room(st, now)), now
 }
+
+// groups returns the number of groups of a runner's service.
+func (b *Balancer) groups(r *Runner) int { return groupCount(len(b.services[r.entry.Service])) }
--- a/internal/cicadaplace/brittle_test.go
+++ b/internal/cicadaplace/brittle_test.go
@@ -28,6 +28,7 @@
 	// brittleRunner falls over if it rejects more than a number of requests in a second.
 	brittleRunner struct {
 		slots, running int
+		fits           int // requests that have room, at most slots
 		rejectedAt     []time.Time
 		falls          int
 	}
@@ -61,7 +62,7 @@
 	roomInterval = 25 * time.Millisecond
 )
 
-func newBrittleFleet(routers, servers, runners, slots int, duration time.Duration) *brittleFleet {
+func newBrittleFleet(routers, servers, runners, slots, fits int, duration time.Duration) *brittleFleet {
 	f := &brittleFleet{
 		rng: rand.New(rand.NewPCG(1, uint64(routers))), now: time.Unix(1000, 0), runners: map[string]*brittleRunner{}, duration: duration,
 	}
@@ -72,7 +73,7 @@
 	}
 	for i := range runners {
 		id := fmt.Sprint("r", i)
-		f.runners[id] = &brittleRunner{slots: slots}
+		f.runners[id] = &brittleRunner{slots: slots, fits: fits}
 		for _, b := range f.routers {
 			b.Apply(cicadaplace.Entry{ID: id, Service: "svc", Addr: id, Slots: slots}, f.now)
 		}
@@ -136,7 +137,7 @@
 		a.RecordBrittle(true, toleratedRejections, f.now)
 		a.Finish(res, f.now)
 	}
-	if r.running < r.slots {
+	if r.running < r.fits {
 		r.running++
 		f.after(time.Duration(f.rng.ExpFloat64()*float64(f.duration)), func() {
 			r.running--
@@ -164,22 +165,27 @@
 	t.Parallel()
 	for _, tt := range []struct {
 		routers, servers, runners, slots int
+		fits                             int // requests that a runner has room for, by its slots or its memory
 		duration                         time.Duration
 		wantServed                       float64 // share of what the runners can serve
 	}{
-		{6, 1, 4, 6, 60 * time.Millisecond, 0.6},
-		{73, 1, 4, 6, 15 * time.Millisecond, 0.6},
-		{9, 1, 18, 64, 500 * time.Millisecond, 0.6},
-		{295, 4, 90, 64, 500 * time.Millisecond, 0.5},
-		{6, 0, 4, 6, 60 * time.Millisecond, 0},
-		{73, 0, 4, 6, 15 * time.Millisecond, 0},
-		{9, 0, 18, 64, 500 * time.Millisecond, 0},
+		{6, 1, 4, 6, 6, 60 * time.Millisecond, 0.6},
+		{73, 1, 4, 6, 6, 15 * time.Millisecond, 0.6},
+		{9, 1, 18, 64, 64, 500 * time.Millisecond, 0.6},
+		{295, 4, 90, 64, 64, 500 * time.Millisecond, 0.5},
+		{9, 1, 18, 64, 25, 500 * time.Millisecond, 0.5},
+		{295, 4, 90, 64, 25, 500 * time.Millisecond, 0.5},
+		{6, 0, 4, 6, 6, 60 * time.Millisecond, 0},
+		{73, 0, 4, 6, 6, 15 * time.Millisecond, 0},
+		{9, 0, 18, 64, 64, 500 * time.Millisecond, 0},
+		{9, 0, 18, 64, 25, 500 * time.Millisecond, 0},
 	} {
-		t.Run(fmt.Sprintf("%d routers, %d of them place, %d runners with %d slots", tt.routers, tt.servers, tt.runners, tt.slots), func(t *testing.T) {
+		name := fmt.Sprintf("%d routers, %d of them place, %d runners with %d slots and room for %d", tt.routers, tt.servers, tt.runners, tt.slots, tt.fits)
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := newBrittleFleet(tt.routers, tt.servers, tt.runners, tt.slots, tt.duration)
+			f := newBrittleFleet(tt.routers, tt.servers, tt.runners, tt.slots, tt.fits, tt.duration)
 			const load = 1.3 // of what the runners can serve
-			capacity := float64(tt.runners*tt.slots) / tt.duration.Seconds()
+			capacity := float64(tt.runners*tt.fits) / tt.duration.Seconds()
 			const period = 8 * time.Second
 			f.run(load*capacity, period)
 			falls := 0
