Quarantine: crashes behind a relay count

What callers would see: runners crash one after the other over requests that come in at a host which is cut from the runners itself.

Cause: a crash is known by a refused dial. A host that is cut silently gets none, and takes no runner for crashed; the routers through which it reaches runners only pass bytes on.

Change: if a broken attempt went through another router, other routers are asked whether the runner has ended.

--- a/internal/cicadacrash/detector.go
+++ b/internal/cicadacrash/detector.go
@@ -19,6 +19,7 @@
 		At         time.Time // of the first one
 		Suspects   cicadaquarantine.Suspects
 		RequestIDs []string
+		Relayed    bool // one of them at least was sent through another router
 		// IfAlive are called by the caller if the runner turns out to be alive.
 		IfAlive []func()
 	}
@@ -73,6 +74,7 @@
 		b.At = o.At
 	}
 	b.RequestIDs = append(b.RequestIDs, o.RequestIDs...)
+	b.Relayed = b.Relayed || o.Relayed
 	b.Suspects.Begun = append(b.Suspects.Begun, o.Suspects.Begun...)
 	b.Suspects.Waiting = append(b.Suspects.Waiting, o.Suspects.Waiting...)
 	b.IfAlive = append(b.IfAlive, o.IfAlive...)
--- a/internal/cicadaedge/crash.go
+++ b/internal/cicadaedge/crash.go
@@ -10,7 +10,7 @@
 
 // checkBroken finds out whether a runner whose connections broke has crashed, and records it.
 func (rt *Router) checkBroken(r *cicadaplace.Runner, b *cicadacrash.Broken) {
-	err := rt.dialer.probe(context.Background(), r)
+	err := rt.dialer.probe(context.Background(), r, b.Relayed)
 	entry := rt.cfg.Log.WithField("runner", r.ID()).WithField("requestIds", b.RequestIDs[:min(len(b.RequestIDs), maxRunnersLogged)]).
 		WithField("requests", len(b.RequestIDs))
 	if !errors.Is(err, errRunnerEnded) {
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -194,6 +194,9 @@
 	if trip.sent {
 		x.attempts++
 	}
+	if x.relay = ""; trip.conn != nil {
+		x.relay = trip.conn.relay
+	}
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -202,9 +205,6 @@
 		return nil, &sendError{cause: err, sent: trip.sent}
 	}
 	x.headerAt = time.Now()
-	if x.relay = ""; trip.conn != nil {
-		x.relay = trip.conn.relay
-	}
 	a := &attempt{placement: p, resp: trip.resp, cancel: cancel, info: x.rt.cfg.Dialect.ParseResponse(trip.resp)}
 	x.retireUncertain(a, trip.conn)
 	if a.info.Load != nil {
--- a/internal/cicadaedge/probe.go
+++ b/internal/cicadaedge/probe.go
@@ -16,11 +16,13 @@
 
 // probe finds out whether a runner accepts connections. It returns errRunnerEnded if its process has
 // ended. A refused connection alone does not show that: a network that cuts hosts from runners may
-// refuse connections too. Another router decides, or other runners if none can be asked.
-func (d *runnerDialer) probe(ctx context.Context, r *cicadaplace.Runner) error {
-	err := d.tryConnect(ctx, r.Addr())
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return err
+// refuse connections too. Another router decides, or other runners if none can be asked. relayed states
+// that this host reached the runner through another router only.
+func (d *runnerDialer) probe(ctx context.Context, r *cicadaplace.Runner, relayed bool) error {
+	if !relayed {
+		if err := d.tryConnect(ctx, r.Addr()); !errors.Is(err, syscall.ECONNREFUSED) {
+			return err
+		}
 	}
 	for _, dial := range d.relayDials(r) {
 		conn, err := dial(ctx)
@@ -31,7 +33,7 @@
 			return err
 		}
 	}
-	if d.reachesOthers(ctx, r.ID()) {
+	if !relayed && d.reachesOthers(ctx, r.ID()) {
 		return errRunnerEnded
 	}
 	return errRunnerUnknown
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -139,7 +139,7 @@
 	case now.Sub(x.headerAt) < soundAnswerPeriod:
 		suspects.Begun = suspect
 	}
-	x.rt.crashDetector.Add(p.Runner(), &cicadacrash.Broken{At: now, Suspects: suspects, RequestIDs: []string{x.info.ID}, IfAlive: ifAlive})
+	x.rt.crashDetector.Add(p.Runner(), &cicadacrash.Broken{At: now, Suspects: suspects, RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", IfAlive: ifAlive})
 }
 
 // recordEnd records the end of a response. If it is the end of the connection, it may also be that of
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -428,3 +428,32 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// The only router that gets harmful requests does not reach the runners itself.
+func TestRelayedRequestsCrashRunnerAfterRunner(t *testing.T) {
+	t.Parallel()
+	for name, kind := range map[string]cutKind{"refused": cutReset, "silent": cutSilent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			runners := f.addCrashingRunners(8, hasHarmfulPart)
+			var cut runnerCut
+			host := f.waitReady(f.startNode("n1", cut.configure))
+			f.waitReady(f.startNode("n2"))
+			eventually(t, "the host knows the other one", func() bool { return host.RouterCount() == 2 })
+			cut.begin(kind)
+			var calls sync.WaitGroup
+			for i := range 40 {
+				calls.Go(func() {
+					call(t, host, "/stream/", map[string]string{"X-Tokens": "10,5", "X-Parts": fmt.Sprintf("system,harmful,own%d", i)}, "prompt")
+				})
+				time.Sleep(200 * time.Millisecond)
+			}
+			calls.Wait()
+			if late := runners.lateArrivals(maxCrashesBeforeQuarantine); late > maxLateArrivals {
+				t.Errorf("%d harmful requests reached runners later than %v after the crash %d, want at most %d; %d crashes",
+					late, quarantinePeriod, maxCrashesBeforeQuarantine, maxLateArrivals, runners.crashCount())
+			}
+		})
+	}
+}
--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -66,8 +66,8 @@
 	// response's body.
 	roundTripResult struct {
 		resp *http.Response
-		sent bool // some bytes of the request may have reached the runner
-		conn *countedConn
+		sent bool         // some bytes of the request may have reached the runner
+		conn *countedConn // nil if none was established
 	}
 )
 
@@ -227,7 +227,7 @@
 		}
 		sent = sent || conn != nil && conn.written.Load() > writtenBefore
 		if sent || !reused || try == maxStaleConns || req.Context().Err() != nil {
-			return roundTripResult{sent: sent}, err
+			return roundTripResult{sent: sent, conn: conn}, err
 		}
 	}
 }
