A retry of a call whose outcome is unknown is told so at once

Cause: the home learns the outcome with the bill, a commit later. Until then its word is that the key is in use. The router that ran the call knows better, and is asked for the answer anyway, but could not say that there is none.

Change: it says that the call has ended and may have run.

--- a/internal/cicadapeer/message.go
+++ b/internal/cicadapeer/message.go
@@ -141,11 +141,13 @@
 	}
 
 	// FetchResponseReply contains a stored response. Found is false if there is none;
-	// Running then states that the request is still in progress at the router.
+	// Running then states that the request is still in progress at the router, and
+	// OutcomeUnknown that it has ended and may have run.
 	FetchResponseReply struct {
-		Found    bool           `json:"found"`
-		Running  bool           `json:"running,omitempty"`
-		Response StoredResponse `json:"kept,omitzero"`
+		Found          bool           `json:"found"`
+		Running        bool           `json:"running,omitempty"`
+		OutcomeUnknown bool           `json:"outcomeUnknown,omitempty"`
+		Response       StoredResponse `json:"kept,omitzero"`
 	}
 
 	// StoredResponse is the complete response to a request with an idempotency key.
--- a/internal/cicadarouter/attempt.go
+++ b/internal/cicadarouter/attempt.go
@@ -270,7 +270,7 @@
 		recorded = nil
 	}
 	if out.refusal != nil {
-		ar.r.responses.end(ar.id, nil)
+		ar.storeResponse(bill.Outcome)
 		ar.trail.Add(&cicadatrail.Billed{Bill: bill, Partition: ar.partitionName()})
 		ar.refuse(out.refusal)
 		return
@@ -288,13 +288,18 @@
 	ar.r.metrics.Router.Add("outcome."+string(bill.Outcome), 1)
 }
 
+// storeResponse ends the request for those that wait for its response.
 func (ar *activeRequest) storeResponse(o cicadaledger.Outcome) {
-	if o == cicadaledger.OutcomeComplete {
+	switch o {
+	case cicadaledger.OutcomeComplete:
 		ar.r.responses.end(ar.id, ar.storedResponse)
 		return
+	case cicadaledger.OutcomeUnknown:
+		ar.r.responses.endUnknown(ar.id)
+	default:
+		ar.r.responses.end(ar.id, nil)
 	}
 	ar.trail.MarkFailed()
-	ar.r.responses.end(ar.id, nil)
 }
 
 func (ar *activeRequest) partitionName() string {
--- a/internal/cicadarouter/claim.go
+++ b/internal/cicadarouter/claim.go
@@ -43,8 +43,13 @@
 		return false, ar.applyClaimResult(res)
 	}
 	result := ar.replayResponse(ctx, res)
-	if result == replaySent {
+	switch result {
+	case replaySent:
 		return true, nil
+	case replayOutcomeUnknown:
+		// The home learns it with the bill of that request, which is on its way.
+		res.Status = cicadaledger.KeyOutcomeUnknown
+		return false, ar.applyClaimResult(res)
 	}
 	if ar.atMostOnce || result == replayInProgress {
 		return false, ar.applyClaimResult(res)
@@ -118,9 +123,10 @@
 type replayResult int
 
 const (
-	replaySent        replayResult = iota // the response was sent to the caller
-	replayInProgress                      // the earlier request is still running
-	replayUnavailable                     // the response is not stored, or its router is unreachable
+	replaySent           replayResult = iota // the response was sent to the caller
+	replayInProgress                         // the earlier request is still running
+	replayOutcomeUnknown                     // the earlier request has ended and may have run
+	replayUnavailable                        // the response is not stored, or its router is unreachable
 )
 
 // replayResponse waits a limited time for the request that holds the key to finish,
@@ -132,6 +138,8 @@
 		return replayUnavailable
 	case err != nil || stored.Running:
 		return replayInProgress
+	case stored.OutcomeUnknown:
+		return replayOutcomeUnknown
 	case !stored.Found:
 		return replayUnavailable
 	}
--- a/internal/cicadarouter/responses.go
+++ b/internal/cicadarouter/responses.go
@@ -33,6 +33,7 @@
 		storedAt  time.Time
 		ended     chan struct{} // closed when the request has finished
 		running   bool
+		unknown   bool // it may have run, and has no response
 		response  cicadapeer.StoredResponse
 	}
 )
@@ -62,11 +63,27 @@
 		delete(s.byID, requestID)
 		return
 	}
+	resp.response = *response
+	s.retain(resp)
+}
+
+// endUnknown stores that a request has finished without a response and may have run.
+func (s *responseStore) endUnknown(requestID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if resp, ok := s.byID[requestID]; ok {
+		close(resp.ended)
+		resp.unknown = true
+		s.retain(resp)
+	}
+}
+
+// retain keeps a finished request for responseRetention. The caller holds s.mu.
+func (s *responseStore) retain(resp *storedResponse) {
 	resp.running = false
 	resp.storedAt = time.Now()
-	resp.response = *response
 	s.oldestFirst = append(s.oldestFirst, resp)
-	s.totalBytes += len(response.Body)
+	s.totalBytes += len(resp.response.Body)
 	s.evictOld()
 }
 
@@ -92,8 +109,8 @@
 	if !ok {
 		return &cicadapeer.FetchResponseReply{}
 	}
-	if resp.running {
-		return &cicadapeer.FetchResponseReply{Running: true}
+	if resp.running || resp.unknown {
+		return &cicadapeer.FetchResponseReply{Running: resp.running, OutcomeUnknown: resp.unknown}
 	}
 	return &cicadapeer.FetchResponseReply{Found: true, Response: resp.response}
 }
