Quarantine: a router that has just started serves nothing before it knows it

What callers would see: after all routers have restarted, a request that was in quarantine crashes a runner again.

Cause: until the crashes were read, a router was not ready but served what came all the same, and all of a data centre's routers get callers if none is ready. A router that got its view from another one counted as ready although that one had not read the crashes either.

Change: until then requests are refused as not run, and a view says whether its router knows the crashes. A view of an older build does not say that it lacks them, and counts as before.

TestRestartedRouterServesBeforeItKnowsTheQuarantine: one crash and a ready follower before, none now.

--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -61,7 +61,9 @@
 		RunnersSame      bool                `json:"runnersSame,omitempty"`
 		Runners          []cicadaplace.Entry `json:"runners,omitempty"`
 		// Crashes is set if the crashes that the router knows differ from those of the requesting router.
-		Crashes *cicadaquarantine.Report `json:"crashes,omitempty"`
+		// CrashesPending is set if the router itself has yet to learn them, as it has just started.
+		Crashes        *cicadaquarantine.Report `json:"crashes,omitempty"`
+		CrashesPending bool                     `json:"crashesPending,omitempty"`
 	}
 )
 
@@ -112,6 +114,7 @@
 	if crashes, digest := rt.knownCrashes(); digest != req.CrashesDigest {
 		reply.Crashes = &crashes
 	}
+	reply.CrashesPending = !rt.quarantineLoaded.Load()
 	return reply
 }
 
@@ -179,7 +182,7 @@
 	if err := client.CallResult(ctx, methodView, req, &reply); err != nil {
 		return errors.Wrap(err, "call peer")
 	}
-	rt.applyPeerCrashes(reply.Crashes)
+	rt.applyPeerCrashes(&reply)
 	if reply.Deployment != nil {
 		rt.activate(reply.Deployment, "peer "+addr)
 	}
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -212,17 +212,18 @@
 	return evidence, xxhash.Sum64(data)
 }
 
-// applyPeerCrashes merges the crashes that another router knows; nil if they are the same as those
-// that are known here.
-func (rt *Router) applyPeerCrashes(crashes *cicadaquarantine.Report) {
-	if crashes != nil {
+// applyPeerCrashes merges the crashes that another router knows.
+func (rt *Router) applyPeerCrashes(reply *viewReply) {
+	if crashes := reply.Crashes; crashes != nil {
 		latest := time.Duration(crashes.LatestMillis()) * time.Millisecond
 		if rt.quarantine.Merge([]cicadaquarantine.Report{*crashes}, max(rt.sharedTime(), latest)) {
 			rt.crashSignal.send()
 		}
 		rt.logBlocks()
 	}
-	rt.quarantineLoaded.Store(true)
+	if !reply.CrashesPending {
+		rt.quarantineLoaded.Store(true)
+	}
 }
 
 // logBlocks logs the blocks that have begun or ended since the last call. It is called when the
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -230,6 +230,42 @@
 	}
 }
 
+// All routers have restarted. One of them gets its view from another one, which has not read the crashes yet.
+func TestRestartedRouterServesBeforeItKnowsTheQuarantine(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	runners := f.addCrashingRunners(4, hasHarmfulPart)
+	nodes := f.startNodes(2)
+	harmful := harmfulHeader()
+	sendUntilQuarantined(t, nodes[0], harmful)
+	for _, n := range nodes {
+		n.stop()
+	}
+	before := runners.crashCount()
+	reader := f.startNode("n1", func(cfg *cicadaedge.Config) { cfg.Store.(*storeClient).crashesDown.Store(true) })
+	follower := f.startNode("n0", func(cfg *cicadaedge.Config) {
+		cfg.Runtime.Seeds = []string{reader.peerAddr}
+		cfg.Store.(*storeClient).down.Store(true)
+	})
+	eventually(t, "the follower has the view of the other router", func() bool { return len(follower.Runners()) > 0 && follower.ConfigVersion() > 0 })
+	time.Sleep(time.Second)
+	for _, n := range []*node{reader, follower} {
+		if got := call(t, n, "/stream/", harmful, "prompt"); got.status != http.StatusServiceUnavailable || n.Ready() {
+			t.Errorf("ready %v, status %d, body %q, want a refusal", n.Ready(), got.status, got.body)
+		}
+	}
+	reader.store.crashesDown.Store(false)
+	for _, n := range []*node{reader, follower} {
+		eventually(t, "the router is ready", n.Ready)
+		if got := call(t, n, "/stream/", harmful, "prompt"); !isQuarantined(got) {
+			t.Errorf("status %d, body %q, want a refusal", got.status, got.body)
+		}
+	}
+	if after := runners.crashCount(); after != before {
+		t.Errorf("%d crashes after the restart", after-before)
+	}
+}
+
 func TestRouterCutFromTheStoreForwardsWhatCrashesRunners(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -127,6 +127,9 @@
 	if q.deployment == nil {
 		return &refusal{kind: RefuseNoDeployment, retryAfter: retryLater, detail: "no configuration has been read yet"}
 	}
+	if !q.rt.quarantineLoaded.Load() {
+		return &refusal{kind: RefuseNoDeployment, retryAfter: retrySoon, detail: "it is not known yet which requests are in quarantine"}
+	}
 	if err != nil {
 		return &refusal{kind: RefuseMalformed, detail: err.Error()}
 	}
