--- a/internal/cicadaupstream/kept_connection_test.go
+++ b/internal/cicadaupstream/kept_connection_test.go
@@ -16,8 +16,8 @@
 )
 
 // startRawRunner starts a runner that writes what answer returns for each request, and returns its address.
-// Requests are counted on each connection.
-func startRawRunner(t *testing.T, answer func(count int, req *http.Request) string) string {
+// Requests are counted on each connection, which is closed after an answer if closes is set.
+func startRawRunner(t *testing.T, closes bool, answer func(count int, req *http.Request) string) string {
 	t.Helper()
 	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -43,6 +43,9 @@
 						return
 					}
 					fmt.Fprintf(conn, "%s", answer(count, req))
+					if closes {
+						return
+					}
 				}
 			}()
 		}
@@ -62,7 +65,7 @@
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\n" + cicadaupstream.HeaderNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
 	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	var requests, runs atomic.Int64
-	addr := startRawRunner(t, func(count int, _ *http.Request) string {
+	addr := startRawRunner(t, false, func(count int, _ *http.Request) string {
 		if requests.Add(1) == 1 {
 			return refusal
 		}
@@ -92,7 +95,7 @@
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", cicadaupstream.HeaderRequestID, id, len(id), id)
 	}
 	var last atomic.Value
-	addr := startRawRunner(t, func(count int, req *http.Request) string {
+	addr := startRawRunner(t, false, func(count int, req *http.Request) string {
 		answer := answerTo(req.Header.Get(cicadaupstream.HeaderRequestID))
 		if count > 1 {
 			answer = last.Load().(string) + answer
@@ -122,3 +125,23 @@
 		}
 	}
 }
+
+func TestAnswerCutAtEachByteIsNoSuccess(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\n" + cicadaupstream.HeaderRequestID + ": q\r\nContent-Length: 4\r\n\r\nbody"
+	var length atomic.Int64
+	addr := startRawRunner(t, true, func(int, *http.Request) string { return answer[:length.Load()] })
+	client := cicadaupstream.New(cicadaupstream.Config{})
+	t.Cleanup(client.Close)
+	for i := range answer {
+		length.Store(int64(i))
+		resp, err := doPlain(t, client, addr, "q")
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err == nil {
+			t.Errorf("cut after %d bytes: status %d, body %q", i, resp.StatusCode, body)
+		}
+	}
+}
