--- a/internal/cicadaupstream/upstream_test.go
+++ b/internal/cicadaupstream/upstream_test.go
@@ -139,6 +139,39 @@
 	}
 }
 
+// A stream breaks off, and the engine answers the attempt to resume it with something else.
+func TestErrorOfAResumedStreamReachesTheCaller(t *testing.T) {
+	const begun = "id: 1:0\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+	for name, resume := range map[string]http.HandlerFunc{
+		"failure":        func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "error", http.StatusInternalServerError) },
+		"not found":      http.NotFound,
+		"other text":     func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"error":"cannot resume"}`) },
+		"an error event": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "data: error\n\n") },
+		"empty":          func(http.ResponseWriter, *http.Request) {},
+		"nothing":        func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodGet {
+					resume(w, r)
+					return
+				}
+				_, _ = io.WriteString(w, begun)
+			}))
+			defer srv.Close()
+			text, _, err := runStream(t, srv.Listener.Addr().String(), time.Second)
+			var respErr *cicadaupstream.ResponseError
+			if !errors.As(err, &respErr) {
+				t.Errorf("error %v, want a ResponseError", err)
+			}
+			if diff := cmp.Diff("a", text); diff != "" {
+				t.Errorf("text (-want +got)\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestFailuresTellWhetherAnythingWasSent checks that errors distinguish requests that
 // were not sent from those without a response. Refusals are reported as not run only
 // for the former.
