--- a/internal/cicadademo/environment.go
+++ b/internal/cicadademo/environment.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -33,8 +32,6 @@
 	operatorToken = "demo-operator"
 	sharedKey     = "shared key of the demo's routers"
 	headerTimeout = 5 * time.Second
-	// engineRestartDelay is how long a crashed engine is away.
-	engineRestartDelay = 400 * time.Millisecond
 )
 
 type (
@@ -139,48 +136,6 @@
 	return s
 }
 
-// startEngine starts an engine that a crash ends for engineRestartDelay.
-func (env *Environment) startEngine(cfg cicadastandin.EngineConfig) (string, error) {
-	ln, err := listen("127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "listen")
-	}
-	addr := ln.Addr().String()
-	var (
-		engine *cicadastandin.Engine
-		server atomic.Pointer[http.Server]
-	)
-	cfg.Crash = func() {
-		env.recordCrash()
-		_ = server.Load().Close() // its connections break
-		time.AfterFunc(engineRestartDelay, func() {
-			ln, err := listen(addr)
-			if err != nil {
-				env.cfg.Logger.WithError(err).WithField("engine", cfg.Name).Error("engine stand-in could not start again")
-				return
-			}
-			server.Store(env.serve(ln, engine.Handler()))
-		})
-	}
-	engine = cicadastandin.NewEngine(cfg)
-	env.engines = append(env.engines, engine)
-	server.Store(env.serve(ln, engine.Handler()))
-	return addr, nil
-}
-
-func (env *Environment) recordCrash() {
-	env.mu.Lock()
-	defer env.mu.Unlock()
-	env.crashes = append(env.crashes, time.Now())
-}
-
-// Crashes returns the times at which engines crashed.
-func (env *Environment) Crashes() []time.Time {
-	env.mu.Lock()
-	defer env.mu.Unlock()
-	return slices.Clone(env.crashes)
-}
-
 // loadDocument reads a document, starts its runners on free ports and sets their
 // addresses.
 func (env *Environment) loadDocument(name string) (*cicadadoc.Document, error) {
