The product's own interface: one crash does not count twice by two clocks

What callers would see: sound requests refused for a minute after a single crash, if the clocks of two routers differ by a second or more.

Cause: that core has no clock that all routers share. Each took the others' times for its own, and knew a crash by address and second, so two reports of one crash were two incidents.

Change: a heartbeat says when it was sent, and its receiver converts the times and keeps the name under which it knows the crash. The digest that saves sending it all is without times.

--- a/internal/cicadademo/environment.go
+++ b/internal/cicadademo/environment.go
@@ -302,6 +302,9 @@
 // PlainServices returns the stand-ins of plain services.
 func (env *Environment) PlainServices() []*cicadastandin.PlainService { return env.plainServices }
 
+// Identity returns the identity by which the routers know each other.
+func (env *Environment) Identity() *cicadapeer.Identity { return env.identity }
+
 // OperatorToken returns the token for the routers' operator endpoints.
 func (env *Environment) OperatorToken() string { return operatorToken }
 
--- a/internal/cicadafleet/fleet.go
+++ b/internal/cicadafleet/fleet.go
@@ -67,9 +67,9 @@
 		DrainingRunners   func() []string
 		OnDrainingRunners func(addrs []string)
 		// Crashes returns the crashes of runners that this host knows. OnCrashes is called with those
-		// of a peer.
+		// of a peer, and with how much this host's clock is ahead of the peer's.
 		Crashes   func() cicadapeer.Crashes
-		OnCrashes func(evidence *cicadaquarantine.Report)
+		OnCrashes func(evidence *cicadaquarantine.Report, clockAhead time.Duration)
 	}
 
 	// Fleet is this host's view of the other hosts. Close stops its goroutines.
@@ -217,6 +217,7 @@
 		Draining:        draining,
 		DrainingRunners: f.cfg.DrainingRunners(),
 		CrashesDigest:   crashes.Digest,
+		SentMillis:      time.Now().UnixMilli(),
 	}
 	if crashes.Digest != crashesDigest {
 		b.Crashes = crashes.Evidence
@@ -243,7 +244,7 @@
 		f.cfg.OnDrainingRunners(b.DrainingRunners)
 	}
 	if b.Crashes != nil {
-		f.cfg.OnCrashes(b.Crashes)
+		f.cfg.OnCrashes(b.Crashes, time.Since(time.UnixMilli(b.SentMillis)))
 	}
 }
 
--- a/internal/cicadapeer/message.go
+++ b/internal/cicadapeer/message.go
@@ -127,6 +127,7 @@
 		// holds them if the receiver is not known to have the same.
 		CrashesDigest uint64                   `json:"d,omitempty"`
 		Crashes       *cicadaquarantine.Report `json:"k,omitempty"`
+		SentMillis    int64                    `json:"t,omitempty"` // by the sender's clock, in Unix milliseconds
 	}
 
 	// Crashes are the crashes of runners that a router knows, with their digest.
--- a/internal/cicadarouter/quarantine.go
+++ b/internal/cicadarouter/quarantine.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -31,6 +32,9 @@
 	// maxControlRunners is the number of other runners that are dialled to find out whether a refused
 	// connection is due to the runner or to the network.
 	maxControlRunners = 2
+	// minUptime is less than a runner needs to start, and to crash once more.
+	minUptime        = time.Second
+	crashIDSeparator = "@"
 )
 
 // attemptProgress is what is known of the answer to the current attempt.
@@ -111,7 +115,7 @@
 	ar.r.crashDetector.Add(addr, &cicadacrash.Broken{At: brokeAt, Suspects: suspects, RequestIDs: []string{ar.id}})
 }
 
-// sharedTime returns the time that crashes and answers are recorded with. It is that of the hosts' clocks.
+// sharedTime returns a time as it is recorded with crashes and answers: by this host's clock.
 func sharedTime(t time.Time) time.Duration { return time.Duration(t.UnixMilli()) * time.Millisecond }
 
 func (r *Router) runTask(f func()) {
@@ -137,9 +141,15 @@
 	r.fleet.SendHeartbeats()
 }
 
-// crashID names one start of a runner by the second in which it ended: all routers see the end at the
-// same time, and a runner takes longer to start again.
-func crashID(addr string, at time.Time) string { return fmt.Sprintf("%s@%d", addr, at.Unix()) }
+// crashID names one start of a runner by the second in which it ended.
+func crashID(addr string, at time.Time) string {
+	return fmt.Sprintf("%s%s%d", addr, crashIDSeparator, at.Unix())
+}
+
+func crashedAddr(id string) string {
+	addr, _, _ := strings.Cut(id, crashIDSeparator)
+	return addr
+}
 
 func (r *Router) dialRunner(addr string) error {
 	ctx, cancel := context.WithTimeout(r.ctx, crashDialTimeout)
@@ -159,13 +169,21 @@
 	return len(others) == 0 || slices.ContainsFunc(others, func(other string) bool { return r.dialRunner(other) == nil })
 }
 
-// knownCrashes returns what all routers know of crashes, and its digest.
+// knownCrashes returns what all routers know of crashes. Routers that know the same have the same digest,
+// though not the same clock.
 func (r *Router) knownCrashes() cicadapeer.Crashes {
 	if !r.quarantine.HasEvidence() {
 		return cicadapeer.Crashes{}
 	}
 	evidence := r.quarantine.Evidence()
-	data, err := json.Marshal(evidence)
+	timeless := cicadaquarantine.Report{Cleared: map[cicadaquarantine.Trait]int64{}}
+	for _, c := range evidence.Crashes {
+		timeless.Crashes = append(timeless.Crashes, cicadaquarantine.Crash{Runner: crashedAddr(c.Runner), Suspects: c.Suspects})
+	}
+	for t := range evidence.Cleared {
+		timeless.Cleared[t] = 0
+	}
+	data, err := json.Marshal(timeless)
 	if err != nil {
 		r.cfg.Log.WithError(err).Error("failed to encode the known crashes")
 		return cicadapeer.Crashes{}
@@ -174,11 +192,35 @@
 }
 
 // mergeCrashes adds what a peer knows of crashes.
-func (r *Router) mergeCrashes(evidence *cicadaquarantine.Report) {
-	r.quarantine.Merge([]cicadaquarantine.Report{*evidence}, sharedTime(time.Now()))
+func (r *Router) mergeCrashes(evidence *cicadaquarantine.Report, clockAhead time.Duration) {
+	local := r.localCrashes(evidence, clockAhead)
+	r.quarantine.Merge([]cicadaquarantine.Report{*local}, sharedTime(time.Now()))
 	r.logBlocks()
 }
 
+// localCrashes returns a peer's evidence by this host's clock. A crash that is known here keeps its name,
+// as it would count as a further one otherwise.
+func (r *Router) localCrashes(evidence *cicadaquarantine.Report, clockAhead time.Duration) *cicadaquarantine.Report {
+	known := r.quarantine.Evidence().Crashes
+	local := &cicadaquarantine.Report{Cleared: map[cicadaquarantine.Trait]int64{}}
+	for t, millis := range evidence.Cleared {
+		local.Cleared[t] = millis + clockAhead.Milliseconds()
+	}
+	for _, c := range evidence.Crashes {
+		c.AtMillis += clockAhead.Milliseconds()
+		addr := crashedAddr(c.Runner)
+		i := slices.IndexFunc(known, func(k cicadaquarantine.Crash) bool {
+			apart := time.Duration(k.AtMillis-c.AtMillis) * time.Millisecond
+			return crashedAddr(k.Runner) == addr && apart.Abs() < minUptime
+		})
+		if c.Runner = crashID(addr, time.UnixMilli(c.AtMillis)); i >= 0 {
+			c.Runner = known[i].Runner
+		}
+		local.Crashes = append(local.Crashes, c)
+	}
+	return local
+}
+
 // logBlocks logs the blocks that have begun or ended since the last call.
 func (r *Router) logBlocks() {
 	r.blocksMu.Lock()
@@ -210,7 +252,7 @@
 	}
 	var lifted cicadaquarantine.Report
 	lifted.Clear(r.quarantine.SuspectsOf(&block), now)
-	r.mergeCrashes(&lifted)
+	r.mergeCrashes(&lifted, 0)
 	r.cfg.Log.WithField("traits", block.Traits).Warn("an operator lifted the quarantine")
 	r.fleet.SendHeartbeats()
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/cicadarouter/quarantine_test.go
+++ b/internal/cicadarouter/quarantine_test.go
@@ -1,6 +1,7 @@
 package cicadarouter_test
 
 import (
+	"expvar"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,6 +11,9 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadademo"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadoc"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/cicadadyke/cicadadyke/internal/cicadarefusal"
 	"github.com/cicadadyke/cicadadyke/internal/cicadarouter"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastandin"
@@ -168,3 +172,42 @@
 		}
 	}
 }
+
+// A peer whose clock is ahead tells of a crash that this router has seen itself.
+func TestCrashCountsTwiceByAnotherClock(t *testing.T) {
+	w := newEnvironment(t, nil)
+	crashOn(w, harmfulText)
+	r := w.Routers()[0]
+	// A call that may run once crashes one engine only.
+	do(t, http.MethodPost, baseURL(r)+"/v1/chat/completions", chatBody(false, "system", "subject", harmfulText), map[string]string{
+		"Authorization": "Bearer " + apiKey, "Idempotency-Key": "once", "Cicadadyke-Idempotent": "false",
+	})
+	var crash cicadaquarantine.Crash
+	var received, sent expvar.Int
+	client := cicadapeer.NewClient(cicadapeer.ClientConfig{
+		Identity: w.Identity(), BytesReceived: &received, BytesSent: &sent, Calls: new(expvar.Map).Init(),
+	})
+	t.Cleanup(client.Close)
+	const ahead = 7 * time.Second
+	heartbeat := func() *cicadapeer.Heartbeat {
+		return &cicadapeer.Heartbeat{RouterID: cicadaledger.RouterID{Host: "peer", Incarnation: 1}, SentMillis: time.Now().Add(ahead).UnixMilli()}
+	}
+	eventually(t, "the router knows the crash", func() bool {
+		reply, err := client.Heartbeat(t.Context(), r.Host().PeerAddr, heartbeat())
+		if err != nil || reply.Crashes == nil {
+			return false
+		}
+		crash = reply.Crashes.Crashes[0]
+		return true
+	})
+	crash.Runner = crash.Runner + "7"
+	crash.AtMillis += ahead.Milliseconds()
+	told := heartbeat()
+	told.Crashes = &cicadaquarantine.Report{Crashes: []cicadaquarantine.Crash{crash}}
+	if _, err := client.Heartbeat(t.Context(), r.Host().PeerAddr, told); err != nil {
+		t.Fatal(err)
+	}
+	if blocks := r.State().Quarantine; len(blocks) > 0 {
+		t.Errorf("in quarantine: %+v", blocks)
+	}
+}
