--- a/internal/cicadaedge/upgrade_test.go
+++ b/internal/cicadaedge/upgrade_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"testing"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/creachadair/jrpc2"
 	"github.com/creachadair/jrpc2/channel"
 	"github.com/creachadair/jrpc2/handler"
@@ -17,8 +19,8 @@
 )
 
 // startOlderRouter starts the peer interface of a router of the build before relays and brittle runners,
-// which serves JSON-RPC only.
-func (f *fleet) startOlderRouter(name string, methods handler.Map) {
+// which serves JSON-RPC only, and returns its address.
+func (f *fleet) startOlderRouter(name string, methods handler.Map) (addr string) {
 	f.t.Helper()
 	ln, err := (&net.ListenConfig{}).Listen(f.t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -29,6 +31,23 @@
 	}()
 	f.t.Cleanup(func() { _ = ln.Close() })
 	f.store.put("routers", name, map[string]string{"boot": name, "relay": ln.Addr().String(), "place": "p"})
+	return ln.Addr().String()
+}
+
+// A router without store gets its view from one that knows nothing of the quarantine.
+func TestViewOfAnOlderRouterLeavesARouterUnready(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	r := f.addRunner(nil)
+	entry := cicadaplace.Entry{ID: r.id, Service: "svc", Addr: r.Listener.Addr().String(), DataCentre: "p", Slots: 8}
+	addr := f.startOlderRouter("older", handler.Map{"view": handler.New(func(context.Context, map[string]any) map[string]any {
+		return map[string]any{"ageMillis": 1, "deployment": f.doc, "runnersAgeMillis": 1, "runners": []cicadaplace.Entry{entry}}
+	})})
+	n := f.startNode("n1", func(cfg *cicadaedge.Config) {
+		cfg.Runtime.Seeds = []string{addr}
+		cfg.Store.(*storeClient).down.Store(true)
+	})
+	eventually(t, "the router is ready", n.Ready)
 }
 
 func TestHostCutFromRunnersDuringAnUpgrade(t *testing.T) {
