--- a/internal/cicadarouter/quarantine_test.go
+++ b/internal/cicadarouter/quarantine_test.go
@@ -200,7 +200,7 @@
 		crash = reply.Crashes.Crashes[0]
 		return true
 	})
-	crash.Runner = crash.Runner + "7"
+	crash.Runner += "7"
 	crash.AtMillis += ahead.Milliseconds()
 	told := heartbeat()
 	told.Crashes = &cicadaquarantine.Report{Crashes: []cicadaquarantine.Crash{crash}}
