Brittle runners: routers that are cut from each other find their shares

What callers would see: brittle runners crash one after the other while the routers do not reach each other.

Cause: each router then takes itself for the only one that places, and three quarters of the slots for its own. What it learned of the room after a rejection was that for all.

Change: a router that places learns how many of its own requests there was room for.

--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -119,6 +119,7 @@
 		rejectedAt, nextRisk time.Time
 		roomSeen             float64
 		roomSeenAt           time.Time
+		placesGroup          bool // the last request was one that this router placed for all
 
 		failures     int // consecutive
 		ejectedUntil time.Time
--- a/internal/cicadaplace/brittle.go
+++ b/internal/cicadaplace/brittle.go
@@ -165,6 +165,7 @@
 
 // takeRoom counts a request that may not fit.
 func (b *Balancer) takeRoom(r *Runner, req *Request, now time.Time) {
+	r.placesGroup = req.PlacesGroup
 	st := b.brittleState(r.entry.Service, now)
 	if st != nil && !b.surelyFits(r, req, st, now) {
 		r.nextRisk = now.Add(b.riskInterval(st))
@@ -188,8 +189,9 @@
 		return
 	}
 	seen := float64(r.inFlight * b.groups(r))
-	if now.Sub(r.reportedAt) < rejectionPause {
-		seen = float64(r.reportedLoad.Running)
+	if running := float64(r.reportedLoad.Running); now.Sub(r.reportedAt) < rejectionPause && (running < seen || !r.placesGroup) {
+		// A router that places counts its own requests only: others may place too, while they do not reach it.
+		seen = running
 	}
 	r.roomSeen, r.roomSeenAt = min(seen, r.room(st, now)), now
 }
--- a/internal/cicadaplace/brittle_test.go
+++ b/internal/cicadaplace/brittle_test.go
@@ -161,45 +161,63 @@
 	}
 }
 
+// brittleLoad is a fleet under more load than its runners can serve.
+type brittleLoad struct {
+	routers, servers, runners, slots int
+	fits                             int // requests that a runner has room for, by its slots or its memory
+	duration                         time.Duration
+	wantServed                       float64 // share of what the runners can serve
+}
+
 func TestBrittleRunnersFallOverUnderLoad(t *testing.T) {
 	t.Parallel()
-	for _, tt := range []struct {
-		routers, servers, runners, slots int
-		fits                             int // requests that a runner has room for, by its slots or its memory
-		duration                         time.Duration
-		wantServed                       float64 // share of what the runners can serve
-	}{
+	for _, tt := range []brittleLoad{
 		{6, 1, 4, 6, 6, 60 * time.Millisecond, 0.6},
 		{73, 1, 4, 6, 6, 15 * time.Millisecond, 0.6},
 		{9, 1, 18, 64, 64, 500 * time.Millisecond, 0.6},
 		{295, 4, 90, 64, 64, 500 * time.Millisecond, 0.5},
 		{9, 1, 18, 64, 25, 500 * time.Millisecond, 0.5},
 		{295, 4, 90, 64, 25, 500 * time.Millisecond, 0.5},
+		{6, 6, 4, 6, 6, 60 * time.Millisecond, 0}, // cut from each other, each places for itself
+		{9, 9, 18, 64, 64, 500 * time.Millisecond, 0},
+		{9, 9, 18, 64, 25, 500 * time.Millisecond, 0},
 		{6, 0, 4, 6, 6, 60 * time.Millisecond, 0},
 		{73, 0, 4, 6, 6, 15 * time.Millisecond, 0},
 		{9, 0, 18, 64, 64, 500 * time.Millisecond, 0},
 		{9, 0, 18, 64, 25, 500 * time.Millisecond, 0},
 	} {
-		name := fmt.Sprintf("%d routers, %d of them place, %d runners with %d slots and room for %d", tt.routers, tt.servers, tt.runners, tt.slots, tt.fits)
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f := newBrittleFleet(tt.routers, tt.servers, tt.runners, tt.slots, tt.fits, tt.duration)
-			const load = 1.3 // of what the runners can serve
-			capacity := float64(tt.runners*tt.fits) / tt.duration.Seconds()
-			const period = 8 * time.Second
-			f.run(load*capacity, period)
-			falls := 0
-			for _, r := range f.runners {
-				falls += r.falls
-			}
-			if float64(falls) > 2+0.1*float64(tt.runners) {
-				t.Errorf("runners fell over %d times", falls)
-			}
-			served := float64(f.served) / (capacity * (period - brittleContact).Seconds())
-			if served < tt.wantServed {
-				t.Errorf("%.2f of what the runners can serve was served", served)
-			}
-			t.Logf("falls %d, served %.2f, refused %d", falls, served, f.refused)
-		})
+		tt.run(t)
 	}
 }
+
+// No router reaches another one, and each places for itself.
+func TestBrittleRunnersFallOverWhenAllRoutersAreApart(t *testing.T) {
+	t.Parallel()
+	load := brittleLoad{73, 73, 4, 6, 6, 15 * time.Millisecond, 0}
+	load.run(t)
+}
+
+func (l *brittleLoad) run(t *testing.T) {
+	t.Helper()
+	name := fmt.Sprintf("%d routers, %d of them place, %d runners with %d slots and room for %d", l.routers, l.servers, l.runners, l.slots, l.fits)
+	t.Run(name, func(t *testing.T) {
+		t.Parallel()
+		f := newBrittleFleet(l.routers, l.servers, l.runners, l.slots, l.fits, l.duration)
+		const overload = 1.3 // of what the runners can serve
+		capacity := float64(l.runners*l.fits) / l.duration.Seconds()
+		const period = 8 * time.Second
+		f.run(overload*capacity, period)
+		falls := 0
+		for _, r := range f.runners {
+			falls += r.falls
+		}
+		if float64(falls) > 2+0.1*float64(l.runners) {
+			t.Errorf("runners fell over %d times", falls)
+		}
+		served := float64(f.served) / (capacity * (period - brittleContact).Seconds())
+		if served < l.wantServed {
+			t.Errorf("%.2f of what the runners can serve was served", served)
+		}
+		t.Logf("falls %d, served %.2f, refused %d", falls, served, f.refused)
+	})
+}
