--- a/internal/cicadacmd/process_test.go
+++ b/internal/cicadacmd/process_test.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -33,15 +36,28 @@
 	log                      *bytes.Buffer
 }
 
-// freeAddr returns a loopback address with an unused port.
+// firstPort and portCount define a range of ports below the ephemeral ones and those of the soak.
+const firstPort, portCount = 12_000, 8_000
+
+// portsTried counts the ports that freeAddr has tried, beginning at a random one.
+var portsTried atomic.Int64
+
+var portOffset = rand.Int64N(portCount)
+
+// freeAddr returns a loopback address with an unused port, and no address twice. The port is not
+// ephemeral, so that no outgoing connection takes it before it is used.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		addr := net.JoinHostPort("127.0.0.1", strconv.FormatInt(firstPort+(portOffset+portsTried.Add(1))%portCount, 10))
+		ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", addr)
+		if err == nil {
+			_ = ln.Close()
+			return addr
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	t.Fatal("no free port found in 1000 attempts")
+	return ""
 }
 
 // buildBinary builds the program and returns the path of the binary.
