Brittle runners: routers no longer tell each other for ever that they are brittle

Cause: a router takes what it knew of brittle runners back in steps over 2 s, and told the routers that place its requests all the while. Two that place each other's requests set each other back to the beginning each time.

Change: others are told only while the runners say so.

TestRoutersTellEachOtherForeverThatRunnersAreBrittle: both still brittle after 10 s before, none now. The other tests of brittle runners as before.

--- a/internal/cicadaedge/placement.go
+++ b/internal/cicadaedge/placement.go
@@ -167,8 +167,7 @@
 // this router's own balancer if the request has no prompt parts and no brittle runners, this router is that server itself,
 // or no server chooses a runner.
 func (c *placementClient) choose(ctx context.Context, req *cicadaplace.Request, deadline time.Time) (*placement, error) {
-	_, brittle := c.rt.balancer.Brittle(req.Service, time.Now())
-	if len(req.Parts) > 0 || brittle {
+	if len(req.Parts) > 0 || c.rt.balancer.IsBrittle(req.Service, time.Now()) {
 		if p, err := c.placeRemotely(ctx, req, deadline); !errors.Is(err, errNotPlaced) {
 			return p, err
 		}
@@ -224,7 +223,7 @@
 		return nil, err
 	}
 	var known *float64
-	if rejections, brittle := c.rt.balancer.Brittle(req.Service, time.Now()); brittle {
+	if rejections, stated := c.rt.balancer.StatedBrittle(req.Service, time.Now()); stated {
 		known = &rejections
 	}
 	var reply placementReply
--- a/internal/cicadaplace/brittle.go
+++ b/internal/cicadaplace/brittle.go
@@ -17,16 +17,15 @@
 	ownFill  = 0.1
 	freeFill = 0.75
 	// brittleRisk is the share of the tolerated rejections that routers provoke at most by requests that
-	// may not fit.
-	brittleRisk = 0.5
+	// may not fit. maxRiskInterval bounds the time between two such requests.
+	brittleRisk     = 0.5
+	maxRiskInterval = time.Minute
 	// roomGrowth is how fast the room that a runner is taken to have grows after a rejection: requests in a
 	// second, for each rejection in a second that is tolerated.
 	roomGrowth = 0.1
 	// settlingPeriod is the time until the requests have ended that routers sent before they knew that
 	// the runners are brittle. Until then, a rejection says little about the room for those of this router.
 	settlingPeriod = time.Second
-	// maxRiskInterval bounds the time between two such requests.
-	maxRiskInterval = time.Minute
 	// rejectionPause is the time without requests after a rejection.
 	rejectionPause = 250 * time.Millisecond
 	// brittleReturn is how long runners that are no longer brittle get less than usual: the shares double
@@ -86,12 +85,20 @@
 	return st
 }
 
-// Brittle returns how many rejections in a second each runner of a service tolerates, and whether they
-// are brittle.
-func (b *Balancer) Brittle(service string, now time.Time) (rejections float64, brittle bool) {
+// IsBrittle reports whether the runners of a service are brittle, or were until a moment ago.
+func (b *Balancer) IsBrittle(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.brittleState(service, now) != nil
+}
+
+// StatedBrittle returns how many rejections in a second each runner of a service tolerates, and whether
+// they still state that they are brittle. Other routers are told no longer than that: they would tell it
+// back otherwise.
+func (b *Balancer) StatedBrittle(service string, now time.Time) (rejections float64, stated bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if st := b.brittleState(service, now); st != nil {
+	if st := b.brittleState(service, now); st != nil && st.endedAt.IsZero() {
 		return st.rejections, true
 	}
 	return 0, false
--- a/internal/cicadaplace/brittle_test.go
+++ b/internal/cicadaplace/brittle_test.go
@@ -221,3 +221,33 @@
 		t.Logf("falls %d, served %.2f, refused %d", falls, served, f.refused)
 	})
 }
+
+// Two routers place each other's requests. Both learn from their own responses that the runners are no
+// longer brittle, one after the other.
+func TestRoutersTellEachOtherForeverThatRunnersAreBrittle(t *testing.T) {
+	t.Parallel()
+	const step = 100 * time.Millisecond
+	now := time.Unix(1000, 0)
+	var routers [2]*cicadaplace.Balancer
+	for i := range routers {
+		routers[i] = cicadaplace.NewBalancer(cicadaplace.Config{})
+		routers[i].Apply(cicadaplace.Entry{ID: "r", Service: "svc", Addr: "r", Slots: 64}, now)
+		routers[i].MergeBrittle("svc", toleratedRejections, now)
+	}
+	for i := range 100 {
+		now = now.Add(step)
+		from, to := routers[i%2], routers[(i+1)%2]
+		if a, err := from.Choose(&cicadaplace.Request{Service: "svc", PlacesGroup: true}, now); err == nil {
+			a.RecordBrittle(false, 0, now)
+			a.Finish(cicadaplace.Answered, now)
+		}
+		if rejections, stated := from.StatedBrittle("svc", now); stated {
+			to.MergeBrittle("svc", rejections, now)
+		}
+	}
+	for i, b := range routers {
+		if b.IsBrittle("svc", now) {
+			t.Errorf("router %d still takes the runners for brittle", i)
+		}
+	}
+}
