The product's own interface: a later clearance reaches all routers

What callers would see: a router refuses sound requests that share a message with those of two crashes, although another router has answered such requests after each of them.

Cause: routers exchange evidence if its digest differs, and the digest, which is without times, did not say which crashes a clearance is for. What an operator lifted could stay at one router alike.

Change: it counts the crashes before each clearance, which does not depend on clocks.

TestLaterClearanceStaysWithOneRouter: the same digest before, another one now.

--- a/internal/cicadarouter/quarantine.go
+++ b/internal/cicadarouter/quarantine.go
@@ -176,14 +176,7 @@
 		return cicadapeer.Crashes{}
 	}
 	evidence := r.quarantine.Evidence()
-	timeless := cicadaquarantine.Report{Cleared: map[cicadaquarantine.Trait]int64{}}
-	for _, c := range evidence.Crashes {
-		timeless.Crashes = append(timeless.Crashes, cicadaquarantine.Crash{Runner: crashedAddr(c.Runner), Suspects: c.Suspects})
-	}
-	for t := range evidence.Cleared {
-		timeless.Cleared[t] = 0
-	}
-	data, err := json.Marshal(timeless)
+	data, err := json.Marshal(timeless(&evidence))
 	if err != nil {
 		r.cfg.Log.WithError(err).Error("failed to encode the known crashes")
 		return cicadapeer.Crashes{}
@@ -191,6 +184,20 @@
 	return cicadapeer.Crashes{Digest: xxhash.Sum64(data), Evidence: &evidence}
 }
 
+// timeless returns evidence without times. Each clearance has the number of crashes before it instead.
+func timeless(evidence *cicadaquarantine.Report) *cicadaquarantine.Report {
+	out := &cicadaquarantine.Report{Cleared: map[cicadaquarantine.Trait]int64{}}
+	for _, c := range evidence.Crashes {
+		out.Crashes = append(out.Crashes, cicadaquarantine.Crash{Runner: crashedAddr(c.Runner), Suspects: c.Suspects})
+		for t, millis := range evidence.Cleared {
+			if c.AtMillis < millis {
+				out.Cleared[t]++
+			}
+		}
+	}
+	return out
+}
+
 // mergeCrashes adds what a peer knows of crashes.
 func (r *Router) mergeCrashes(evidence *cicadaquarantine.Report, clockAhead time.Duration) {
 	local := r.localCrashes(evidence, clockAhead)
--- a/internal/cicadarouter/quarantine_test.go
+++ b/internal/cicadarouter/quarantine_test.go
@@ -183,11 +183,7 @@
 		"Authorization": "Bearer " + apiKey, "Idempotency-Key": "once", "Cicadadyke-Idempotent": "false",
 	})
 	var crash cicadaquarantine.Crash
-	var received, sent expvar.Int
-	client := cicadapeer.NewClient(cicadapeer.ClientConfig{
-		Identity: w.Identity(), BytesReceived: &received, BytesSent: &sent, Calls: new(expvar.Map).Init(),
-	})
-	t.Cleanup(client.Close)
+	client := peerClient(t, w)
 	const ahead = 7 * time.Second
 	heartbeat := func() *cicadapeer.Heartbeat {
 		return &cicadapeer.Heartbeat{RouterID: cicadaledger.RouterID{Host: "peer", Incarnation: 1}, SentMillis: time.Now().Add(ahead).UnixMilli()}
@@ -211,3 +207,41 @@
 		t.Errorf("in quarantine: %+v", blocks)
 	}
 }
+
+func peerClient(t *testing.T, w *cicadademo.Environment) *cicadapeer.Client {
+	t.Helper()
+	var received, sent expvar.Int
+	client := cicadapeer.NewClient(cicadapeer.ClientConfig{
+		Identity: w.Identity(), BytesReceived: &received, BytesSent: &sent, Calls: new(expvar.Map).Init(),
+	})
+	t.Cleanup(client.Close)
+	return client
+}
+
+// A trait that was cleared of one crash is cleared of a later one too. Routers compare digests.
+func TestLaterClearanceStaysWithOneRouter(t *testing.T) {
+	w := newEnvironment(t, nil)
+	client := peerClient(t, w)
+	now := time.Now().UnixMilli()
+	tell := func(evidence *cicadaquarantine.Report) (digest uint64) {
+		reply, err := client.Heartbeat(t.Context(), w.Routers()[0].Host().PeerAddr, &cicadapeer.Heartbeat{
+			RouterID: cicadaledger.RouterID{Host: "peer", Incarnation: 1}, SentMillis: now, Crashes: evidence,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply.CrashesDigest
+	}
+	crash := func(runner string, at int64, traits ...cicadaquarantine.Trait) *cicadaquarantine.Report {
+		return &cicadaquarantine.Report{Crashes: []cicadaquarantine.Crash{{
+			Runner: runner, AtMillis: at, Suspects: cicadaquarantine.Suspects{Begun: []cicadaquarantine.Suspect{traits}},
+		}}}
+	}
+	tell(crash("r1@1", now-10_000, "shared", "first"))
+	tell(&cicadaquarantine.Report{Cleared: map[cicadaquarantine.Trait]int64{"shared": now - 9_000}})
+	before := tell(crash("r2@6", now-5_000, "shared", "second"))
+	after := tell(&cicadaquarantine.Report{Cleared: map[cicadaquarantine.Trait]int64{"shared": now - 4_000}})
+	if before == after {
+		t.Errorf("digest %d before and after the clearance", after)
+	}
+}
