The product's own interface: a new router serves once its neighbours have told it the quarantine

What callers would see: a request in quarantine crashes an engine again through a router that has just started.

Cause: heartbeats, by which routers learn of crashes, began beside the first reading of the host list, so the first ones went nowhere and the next ones a second later; callers were served meanwhile.

Change: the first heartbeats follow the first host list, and a router is ready, and serves, once they are answered or 2 s have passed.

TestNewRouterForwardsWhatCrashesEngines waited for the router to know it; it sends at once now: one crash before, none after.

--- a/internal/cicadademo/environment.go
+++ b/internal/cicadademo/environment.go
@@ -275,7 +275,7 @@
 
 func (env *Environment) awaitReady(ctx context.Context) error {
 	for _, r := range env.Routers() {
-		for len(r.Snapshot().Services()) < len(env.documents) {
+		for len(r.Snapshot().Services()) < len(env.documents) || !r.State().Ready {
 			select {
 			case <-ctx.Done():
 				return errors.Wrap(ctx.Err(), "wait until all routers have loaded the documents")
--- a/internal/cicadafleet/fleet.go
+++ b/internal/cicadafleet/fleet.go
@@ -27,6 +27,8 @@
 	heartbeatInterval = time.Second
 	// heartbeatTimeout limits the wait for the reply to a heartbeat or recall.
 	heartbeatTimeout = 400 * time.Millisecond
+	// joinTimeout limits the wait of a host that starts for its neighbours.
+	joinTimeout = 2 * time.Second
 	// neighbourCount is the number of hosts to which this host sends heartbeats.
 	neighbourCount = 2
 	// storeWritesPerSecond is the share of the platform's write capacity that
@@ -80,6 +82,9 @@
 		cancel context.CancelFunc
 		wg     sync.WaitGroup
 
+		joined   chan struct{} // closed by join
+		joinOnce sync.Once
+
 		mu         sync.Mutex // guards the fields below
 		self       cicadastore.Host
 		table      *cicadamember.Table
@@ -109,6 +114,7 @@
 		senders:    make(map[string]*batchSender),
 		lastRecall: make(map[recallKey]time.Time),
 
+		joined:       make(chan struct{}),
 		crashDigests: make(map[string]uint64),
 	}
 	f.table.ApplyHostList([]cicadastore.Host{cfg.Self})
@@ -126,7 +132,29 @@
 	f.home = home
 	f.wg.Add(2)
 	go f.runEvery(hostListInterval, f.refresh)
-	go f.runEvery(heartbeatInterval, f.SendHeartbeats)
+	go f.sendHeartbeatsRegularly()
+	time.AfterFunc(joinTimeout, f.join)
+}
+
+// Joined reports whether this host knows what its neighbours tell in their heartbeats, or has waited for
+// them for joinTimeout.
+func (f *Fleet) Joined() bool {
+	select {
+	case <-f.joined:
+		return true
+	default:
+		return false
+	}
+}
+
+func (f *Fleet) join() { f.joinOnce.Do(func() { close(f.joined) }) }
+
+// sendHeartbeatsRegularly sends the first heartbeats as soon as the neighbours are known.
+func (f *Fleet) sendHeartbeatsRegularly() {
+	f.refresh()
+	f.SendHeartbeats()
+	f.join()
+	f.runEvery(heartbeatInterval, f.SendHeartbeats)
 }
 
 // Close stops the goroutines and waits for them.
--- a/internal/cicadarouter/chat.go
+++ b/internal/cicadarouter/chat.go
@@ -68,7 +68,7 @@
 	case ar.r.stopping.Load():
 		return cicadarefusal.New(cicadarefusal.Stopping, cicadarefusal.NotRun, "the router takes no new work")
 	case !ar.r.isReady():
-		return cicadarefusal.New(cicadarefusal.NotReady, cicadarefusal.NotRun, "neither the platform nor a peer has told the configuration")
+		return cicadarefusal.New(cicadarefusal.NotReady, cicadarefusal.NotRun, "the router has not read the configuration yet, or what other routers know of crashes")
 	default:
 		return nil
 	}
--- a/internal/cicadarouter/quarantine_test.go
+++ b/internal/cicadarouter/quarantine_test.go
@@ -128,9 +128,12 @@
 		t.Fatal(err)
 	}
 	<-r.Ready()
-	eventually(t, "a heartbeat of the new router", func() bool { return len(r.State().Quarantine) > 0 })
 	for i := range 5 {
-		if got := postChat(t, r, body); got.problem.Code != string(cicadarefusal.Quarantined) {
+		got := postChat(t, r, body)
+		for got.problem.Code == string(cicadarefusal.NotReady) {
+			got = postChat(t, r, body)
+		}
+		if got.problem.Code != string(cicadarefusal.Quarantined) {
 			t.Errorf("request %d: status %d, %+v", i, got.status, got.problem)
 		}
 	}
--- a/internal/cicadarouter/serve.go
+++ b/internal/cicadarouter/serve.go
@@ -113,7 +113,12 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// isReady reports whether callers are served: a configuration is in force, and what other routers tell is
+// known, as that which requests crash runners.
 func (r *Router) isReady() bool {
+	if !r.fleet.Joined() {
+		return false
+	}
 	select {
 	case <-r.watcher.Ready():
 		return true
