--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -208,23 +208,34 @@
 	}
 }
 
-// TestRestartedRouterForgetsQuarantine starts a router after all others have ended.
-func TestRestartedRouterForgetsQuarantine(t *testing.T) {
-	t.Parallel()
+// stoppedFleetWithQuarantine returns a fleet whose routers have put requests in quarantine and ended.
+func stoppedFleetWithQuarantine(t *testing.T) (*fleet, *crashingRunners) {
+	t.Helper()
 	f := newFleet(t)
 	runners := f.addCrashingRunners(4, hasHarmfulPart)
 	nodes := f.startNodes(2)
-	harmful := harmfulHeader()
-	sendUntilQuarantined(t, nodes[0], harmful)
+	sendUntilQuarantined(t, nodes[0], harmfulHeader())
 	for _, n := range nodes {
 		n.stop()
 	}
+	return f, runners
+}
+
+func checkQuarantined(t *testing.T, n *node) {
+	t.Helper()
+	if got := call(t, n, "/stream/", harmfulHeader(), "prompt"); !isQuarantined(got) {
+		t.Errorf("status %d, body %q, want a refusal", got.status, got.body)
+	}
+}
+
+// TestRestartedRouterForgetsQuarantine starts a router after all others have ended.
+func TestRestartedRouterForgetsQuarantine(t *testing.T) {
+	t.Parallel()
+	f, runners := stoppedFleetWithQuarantine(t)
 	before := runners.crashCount()
 	n := f.startNode("n0")
 	eventually(t, "the router is ready", n.Ready)
-	if got := call(t, n, "/stream/", harmful, "prompt"); !isQuarantined(got) {
-		t.Errorf("status %d, body %q, want a refusal", got.status, got.body)
-	}
+	checkQuarantined(t, n)
 	if after := runners.crashCount(); after != before {
 		t.Errorf("%d crashes after the restart", after-before)
 	}
@@ -233,15 +244,8 @@
 // All routers have restarted. One of them gets its view from another one, which has not read the crashes yet.
 func TestRestartedRouterServesBeforeItKnowsTheQuarantine(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
-	runners := f.addCrashingRunners(4, hasHarmfulPart)
-	nodes := f.startNodes(2)
-	harmful := harmfulHeader()
-	sendUntilQuarantined(t, nodes[0], harmful)
-	for _, n := range nodes {
-		n.stop()
-	}
-	before := runners.crashCount()
+	f, runners := stoppedFleetWithQuarantine(t)
+	harmful, before := harmfulHeader(), runners.crashCount()
 	reader := f.startNode("n1", func(cfg *cicadaedge.Config) { cfg.Store.(*storeClient).crashesDown.Store(true) })
 	follower := f.startNode("n0", func(cfg *cicadaedge.Config) {
 		cfg.Runtime.Seeds = []string{reader.peerAddr}
@@ -257,9 +261,7 @@
 	reader.store.crashesDown.Store(false)
 	for _, n := range []*node{reader, follower} {
 		eventually(t, "the router is ready", n.Ready)
-		if got := call(t, n, "/stream/", harmful, "prompt"); !isQuarantined(got) {
-			t.Errorf("status %d, body %q, want a refusal", got.status, got.body)
-		}
+		checkQuarantined(t, n)
 	}
 	if after := runners.crashCount(); after != before {
 		t.Errorf("%d crashes after the restart", after-before)
@@ -277,9 +279,7 @@
 	time.Sleep(quarantinePeriod)
 	before := runners.crashCount()
 	for range 3 {
-		if got := call(t, nodes[1], "/stream/", harmful, "prompt"); !isQuarantined(got) {
-			t.Errorf("status %d, body %q, want a refusal", got.status, got.body)
-		}
+		checkQuarantined(t, nodes[1])
 	}
 	if after := runners.crashCount(); after != before {
 		t.Errorf("%d crashes by requests to the router that is cut off", after-before)
