--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -52,6 +52,7 @@
 
 func (c *crashingRunners) addRunner() {
 	r := c.fleet.addRunner(nil)
+	var ended sync.Once // two harmful requests may begin at the same moment
 	r.setHandler(func(w http.ResponseWriter, req *http.Request) {
 		if !c.harmful(req) {
 			c.answer(w, req)
@@ -63,16 +64,18 @@
 		c.mu.Unlock()
 		w.WriteHeader(http.StatusOK)
 		w.(http.Flusher).Flush()
-		if err := r.Listener.Close(); err != nil {
-			c.fleet.t.Error(err)
-		}
-		r.CloseClientConnections()
-		time.AfterFunc(runnerRestart, func() {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.fleet.store.removeRunner(r.id)
-			c.addRunner()
+		ended.Do(func() {
+			if err := r.Listener.Close(); err != nil {
+				c.fleet.t.Error(err)
+			}
+			time.AfterFunc(runnerRestart, func() {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.fleet.store.removeRunner(r.id)
+				c.addRunner()
+			})
 		})
+		r.CloseClientConnections()
 	})
 }
 
