A stream whose first event is late is no longer cut

What callers saw: a 200 that is closed before its first event, from a runner that sends the head of its answer at once and is slow to begin.

Cause: a resumable stream is given up for its silence, so that another runner continues it. Before the first event there is nothing to continue, and what was left was to cut the answer.

Change: the timer starts with the first event, or with a stream that is being continued.

TestStreamWithALateFirstEventIsCut: no event and an unexpected end before, the whole stream now.

--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -91,8 +91,13 @@
 			return &callerError{cause: err}
 		}
 	}
-	stall := x.startEventTimer(a)
-	defer stall.stop()
+	stall := &stallTimer{}
+	defer func() { stall.stop() }()
+	// Another runner cannot continue a stream without an event, so it is not given up before.
+	continuable := x.lastEventID != ""
+	if continuable {
+		stall = x.startEventTimer(a, firstEventStallFactor*x.route.LatencyObjective)
+	}
 	remaining := x.streamLimit()
 	for {
 		ev, err := readEvent(r)
@@ -114,7 +119,11 @@
 		if err := x.sendEvent(a, rc, &ev, r.Buffered() == 0); err != nil {
 			return err
 		}
-		stall.reset(eventGapStallFactor * x.route.EventIntervalObjective)
+		gap := eventGapStallFactor * x.route.EventIntervalObjective
+		if !continuable && x.lastEventID != "" {
+			continuable, stall = true, x.startEventTimer(a, gap)
+		}
+		stall.reset(gap)
 	}
 }
 
@@ -170,11 +179,11 @@
 
 // startEventTimer cancels an attempt that sends no more events, if another runner can continue the
 // stream.
-func (x *exchange) startEventTimer(a *attempt) *stallTimer {
+func (x *exchange) startEventTimer(a *attempt, d time.Duration) *stallTimer {
 	if !x.route.Resumable || x.route.EventIntervalObjective <= 0 {
 		return &stallTimer{}
 	}
-	return x.startStallTimer(firstEventStallFactor*x.route.LatencyObjective, x.attempts, a.cancel)
+	return x.startStallTimer(d, x.attempts, a.cancel)
 }
 
 // alreadySent reports whether an event was forwarded in an earlier attempt that this one
--- a/internal/cicadaedge/stream_test.go
+++ b/internal/cicadaedge/stream_test.go
@@ -203,3 +203,24 @@
 		t.Errorf("the stream took %v", d)
 	}
 }
+
+// A healthy runner sends its header at once and its first event late. Another runner could take over,
+// but not continue a stream without an event.
+func TestStreamWithALateFirstEventIsCut(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	for range 2 {
+		f.addRunner(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+			time.Sleep(900 * time.Millisecond)
+			writeEvents(w, 1, 5)
+		})
+	}
+	n := f.waitReady(f.startNode("n1"))
+	got := call(t, n, "/resume/", nil, "")
+	if diff := cmp.Diff(fullStream(5), got.body); diff != "" || got.err != nil {
+		t.Errorf("stream (-want +got), error %v:\n%s", got.err, diff)
+	}
+}
