An answer that begins as its attempt is given up is not forwarded half

Cause, by the times and by reading: http.Transport returns a response that arrives while the attempt is being cancelled. The router forwarded its head and could not read on.

Change: a cancelled attempt is a failed one, whether or not a response came, and is repeated as before.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -196,10 +196,14 @@
 	if x.relay = ""; trip.conn != nil {
 		x.relay = trip.conn.relay
 	}
-	if err != nil {
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause
+	if cause := context.Cause(ctx); cause != nil {
+		// A response that arrives as the attempt is cancelled is returned, and cannot be read.
+		if err == nil {
+			_ = trip.resp.Body.Close() // its connection has ended
 		}
+		err = cause
+	}
+	if err != nil {
 		cancel(nil)
 		return nil, &sendError{cause: err, sent: trip.sent}
 	}
