Tests: the stand-in of an older router is not stopped as a call arrives

Cause: the library's server panics if it is stopped while a call arrives. startOlderRouter passed the test's context to server.Loop; that context ends before the routers of the test stop, which still call. Ruled out: the product.

Change: the stand-in ends with its listener and its connections, as the product does.

Before: the three upgrade tests, each repeated up to 60 times with the race detector, panic in each of four runs. After: 60 repetitions pass.

--- a/internal/cicadaedge/upgrade_test.go
+++ b/internal/cicadaedge/upgrade_test.go
@@ -26,8 +26,10 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	// Ends with the listener and its connections: a JSON-RPC server that is stopped as a call arrives panics.
+	ctx := context.WithoutCancel(f.t.Context())
 	go func() {
-		_ = server.Loop(f.t.Context(), server.NetAccepter(ln, channel.Line), server.Static(methods), nil) // ends with the listener
+		_ = server.Loop(ctx, server.NetAccepter(ln, channel.Line), server.Static(methods), nil)
 	}()
 	f.t.Cleanup(func() { _ = ln.Close() })
 	f.store.put("routers", name, map[string]string{"boot": name, "relay": ln.Addr().String(), "place": "p"})
