A stream is no longer started elsewhere because its caller is slow

What callers saw: nothing wrong in the stream; but the same work ran at a second runner, at the cost of the retry budget and of the other callers of that runner. If the second one failed, the stream was cut.

Cause: the time for which a runner may be silent went on while the router waited for its own caller to read. A caller that reads nothing for twice the route's event interval, behind full buffers, made the router give up a runner that was waiting to send.

Change: the timer is suspended while an event is sent to the caller.

--- a/internal/cicadaedge/stall.go
+++ b/internal/cicadaedge/stall.go
@@ -13,10 +13,11 @@
 // After stop has returned, the attempt is not cancelled any more, even if the timeout expires at
 // that moment: its context is still used after the wait has ended.
 type stallTimer struct {
-	mu      sync.Mutex // guards the fields below
-	timer   *time.Timer
-	timeout time.Duration
-	stopped bool
+	mu        sync.Mutex // guards the fields below
+	timer     *time.Timer
+	timeout   time.Duration
+	suspended bool
+	stopped   bool
 }
 
 // startStallTimer cancels an attempt, given by its number, after a timeout, but not before another
@@ -34,7 +35,7 @@
 		defer t.mu.Unlock()
 		now := time.Now()
 		switch {
-		case t.stopped:
+		case t.stopped || t.suspended:
 		case x.rt.balancer.HasAlternative(req, now) && x.rt.retries.Allow(x.service.Name, now):
 			t.stopped = true
 			x.stallRetry.Store(true)
@@ -56,12 +57,22 @@
 	}
 }
 
+// suspend stops the timer until it is reset, while nothing is read from the runner.
+func (t *stallTimer) suspend() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspended = true
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
+
 // reset restarts the timer with another timeout.
 func (t *stallTimer) reset(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.timer != nil && !t.stopped {
-		t.timeout = d
+		t.suspended, t.timeout = false, d
 		t.timer.Reset(d)
 	}
 }
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -116,6 +116,7 @@
 		if x.alreadySent(ev.id) {
 			continue
 		}
+		stall.suspend() // a slow caller does not count against the runner
 		if err := x.sendEvent(a, rc, &ev, r.Buffered() == 0); err != nil {
 			return err
 		}
