A router that was paused no longer starts its streams elsewhere

What callers saw: at a host that is frozen for some hundred milliseconds, or gets no processor, streams whose runners had gone on all the while were started again at other runners. That used up the retry budget, ejected sound runners, and cut streams whose second runner failed.

Cause: the time for which a runner may be silent is a timer, and it goes on while the process does not run. When the process continues, the timers of all streams expire before what waits in its sockets is read. A second cause, older: a timer that is reset while its expiry waits for the lock ended the wait all the same.

Evidence: TestPausedRouterStartsStreamsElsewhere, 24 streams of 40 events through a router process that is stopped for 600 ms twice.

Change: cicadanet.SilenceTimer takes the place of the stall timer. If it fires more than 20 ms late, it waits once more, for as long as it was late and at least 100 ms, and a request's line has pausedMillis. Once only, so that a host which is always late does not wait for ever for a runner that is gone.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -189,7 +189,7 @@
 	}
 	stall := x.startStallTimer(x.firstByteTimeout(), x.attempts+1, cancel)
 	trip, err := x.rt.transports.roundTrip(p.Runner(), x.service, req, x.body) //nolint:bodyclose // attempt.close closes it
-	stall.stop()
+	x.stopStallTimer(stall)
 	if trip.sent {
 		x.attempts++
 	}
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -24,6 +24,7 @@
 	lastEventAt    time.Time // time of the last event
 	// longestGap is the longest time between two events of a stream.
 	longestGap time.Duration
+	pausedFor  time.Duration           // longest time for which this process did not run while it waited for a runner
 	cause      error                   // of the last failed attempt
 	block      *cicadaquarantine.Block // that ended the request; nil for none
 }
@@ -95,6 +96,9 @@
 		f["firstMillis"] = q.firstByteAt.Sub(q.arrivedAt).Milliseconds()
 		f["longestPauseMillis"] = q.longestGap.Milliseconds()
 	}
+	if q.pausedFor > 0 {
+		f["pausedMillis"] = q.pausedFor.Milliseconds()
+	}
 	if res.refusal != nil {
 		f["detail"] = res.refusal.detail
 	}
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/pkg/errors"
 )
@@ -91,8 +92,8 @@
 			return &callerError{cause: err}
 		}
 	}
-	stall := &stallTimer{}
-	defer func() { stall.stop() }()
+	stall := &cicadanet.SilenceTimer{}
+	defer func() { x.stopStallTimer(stall) }()
 	// Another runner cannot continue a stream without an event, so it is not given up before.
 	continuable := x.lastEventID != ""
 	if continuable {
@@ -116,7 +117,7 @@
 		if x.alreadySent(ev.id) {
 			continue
 		}
-		stall.suspend() // a slow caller does not count against the runner
+		stall.Suspend() // a slow caller does not count against the runner
 		if err := x.sendEvent(a, rc, &ev, r.Buffered() == 0); err != nil {
 			return err
 		}
@@ -124,7 +125,7 @@
 		if !continuable && x.lastEventID != "" {
 			continuable, stall = true, x.startEventTimer(a, gap)
 		}
-		stall.reset(gap)
+		stall.Reset(gap)
 	}
 }
 
@@ -180,9 +181,9 @@
 
 // startEventTimer cancels an attempt that sends no more events, if another runner can continue the
 // stream.
-func (x *exchange) startEventTimer(a *attempt, d time.Duration) *stallTimer {
+func (x *exchange) startEventTimer(a *attempt, d time.Duration) *cicadanet.SilenceTimer {
 	if !x.route.Resumable || x.route.EventIntervalObjective <= 0 {
-		return &stallTimer{}
+		return &cicadanet.SilenceTimer{}
 	}
 	return x.startStallTimer(d, x.attempts, a.cancel)
 }
