--- a/internal/cicadasoak/soak_test.go
+++ b/internal/cicadasoak/soak_test.go
@@ -363,10 +363,7 @@
 }
 
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "cicadadyke")
-	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../..").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := buildRouter(t)
 	for i := range *seedCountFlag {
 		seed := *firstSeedFlag + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
