The product's own interface: a paused router no longer resumes its streams

What callers saw: nothing in most cases; a router that had not run for longer than an engine may be silent gave up each of its streams, checked the engine, and resumed the stream there. If the engine could not resume it, the answer was cut.

Change: both timers are cicadanet.SilenceTimers.

--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadapeer"
 	"github.com/pkg/errors"
 )
@@ -203,7 +204,10 @@
 		return nil, &NotSentError{cause: err}
 	}
 	req.Close = !c.kept.mayKeep(call.Addr)
-	timer := time.AfterFunc(call.FirstByteTimeout, func() { cancel(errFirstByteTimeout) })
+	timer := cicadanet.NewSilenceTimer(call.FirstByteTimeout, func() bool {
+		cancel(errFirstByteTimeout)
+		return true
+	})
 	resp, err := c.http.Do(req)
 	timer.Stop()
 	if err != nil {
--- a/internal/cicadaupstream/stream.go
+++ b/internal/cicadaupstream/stream.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 )
@@ -115,7 +116,10 @@
 // readEvents delivers the events of one response.
 func (s *Stream) readEvents(resp *http.Response, deliver func(Chunk) error) error {
 	defer resp.Body.Close()
-	watchdog := time.AfterFunc(s.cfg.ProgressTimeout, func() { _ = resp.Body.Close() })
+	watchdog := cicadanet.NewSilenceTimer(s.cfg.ProgressTimeout, func() bool {
+		_ = resp.Body.Close() // the read fails
+		return true
+	})
 	defer watchdog.Stop()
 	for ev, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
@@ -123,7 +127,7 @@
 		}
 		// Delivering to a slow caller does not count against the runner's progress
 		// timeout.
-		watchdog.Stop()
+		watchdog.Suspend()
 		if ev.Data == EndMarker {
 			return nil
 		}
