Quarantine: a router that has just started no longer refuses what others cleared

Cause: a router stops reporting a clearance once another one reports it. Two routers that had seen the part answered each took the other's clearance for sufficient, so that neither reported it in its next row. The routers that run remember it; one that starts has the rows only.

Evidence: TestNewRouterRefusesWhatTwoOthersCleared: the part is in quarantine before, whether the two answers began at the same time or not; it is not now.

Change: of two clearances that cover the same crashes the earlier one goes on being reported, of two that do not, the later one. A router that gives way keeps the clearance that it gives way to, so that a crash in between that it learns of later makes its own answer count again.

--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -477,3 +477,28 @@
 		}
 	}
 }
+
+// Two routers that saw the same trait answered learn of each other's clearance. One that starts later has
+// their reports only.
+func TestNewRouterRefusesWhatTwoOthersCleared(t *testing.T) {
+	t.Parallel()
+	for _, second := range []time.Duration{4 * time.Second, 5 * time.Second} {
+		routers := []*cicadaquarantine.Quarantine{cicadaquarantine.New(cicadaquarantine.Config{}), cicadaquarantine.New(cicadaquarantine.Config{})}
+		for _, q := range routers {
+			for i := range 3 {
+				q.RecordCrash(fmt.Sprint("r", i), time.Duration(i+1)*time.Second, begun([]traits{{"first", cicadaquarantine.Trait(fmt.Sprint("x", i))}}))
+			}
+			q.Report()
+		}
+		routers[0].RecordAnswer(traits{"first"}, 4*time.Second)
+		routers[1].RecordAnswer(traits{"first"}, second)
+		reports := []cicadaquarantine.Report{routers[0].Report(), routers[1].Report()}
+		routers[0].Merge(reports[1:], 6*time.Second)
+		routers[1].Merge(reports[:1], 6*time.Second)
+		started := cicadaquarantine.New(cicadaquarantine.Config{})
+		started.Merge([]cicadaquarantine.Report{routers[0].Report(), routers[1].Report()}, 7*time.Second)
+		if diff := cmp.Diff([][]cicadaquarantine.Trait(nil), blocked(started)); diff != "" {
+			t.Errorf("the second answer began at %v: blocks of a router that has just started (-want +got):\n%s", second, diff)
+		}
+	}
+}
--- a/internal/cicadaquarantine/report.go
+++ b/internal/cicadaquarantine/report.go
@@ -49,14 +49,20 @@
 	return changed
 }
 
-// mergeClearance merges a clearance of another router. This router need not report its own any more
-// if the other one covers the same crashes.
+// mergeClearance merges a clearance of another router. Of several that cover the same crashes only the
+// first is reported any more, and of two that do not, the last: each router gives way to another one, and
+// no two to each other.
 func (q *Quarantine) mergeClearance(t Trait, at time.Duration, own bool) {
 	c := q.cleared[t]
 	switch {
 	case own:
 		c.own = true
-	case at >= c.at || !q.isSuspected(t, at, c.at):
+	case !c.own:
+	case at < c.at && !q.isSuspected(t, at, c.at):
+		// If a crash in between becomes known, the answer counts again.
+		q.cleared[t] = clearance{at: at}
+		return
+	case at > c.at && q.isSuspected(t, c.at, at):
 		c.own = false
 	}
 	c.at = max(c.at, at)
