Quarantine: a crash of another cause at the same moment ends no quarantine

Cause: two runners crashed within 40 ms, one over the part, one over the request. Causes were weighed by incidents, which are all crashes within 250 ms, so both claimed the incident, neither was the likelier one, and a tie puts nothing in quarantine. Ruled out by the routers' logs: a clearance (none of the part), and a restart (all routers lifted it within 0.6 s, each as it learned of the third incident).

Change: causes are rivals for a crash, not for an incident. That at least half of the runners of an incident must have served a trait, and that incidents are counted, stays.

Evidence: TestCrashOfAnotherCauseEndsAQuarantine, no block before, both now; all other tests of the package pass as before.

--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -502,3 +502,20 @@
 		}
 	}
 }
+
+// Two runners crash at the same moment, each over another request.
+func TestCrashOfAnotherCauseEndsAQuarantine(t *testing.T) {
+	t.Parallel()
+	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	record(q,
+		crash{"r1", 1000 * time.Millisecond, []traits{{"a", "x"}}, []traits{{"y"}}},
+		crash{"r2", 2000 * time.Millisecond, []traits{{"a", "y"}}, nil},
+		crash{"r3", 2040 * time.Millisecond, []traits{{"b", "z"}}, nil},
+	)
+	first := blocked(q)
+	record(q, crash{"r4", 3000 * time.Millisecond, []traits{{"b", "w"}}, []traits{{"a", "z"}}})
+	want := [][][]cicadaquarantine.Trait{{{"a"}}, {{"a"}, {"b"}}}
+	if diff := cmp.Diff(want, [][][]cicadaquarantine.Trait{first, blocked(q)}); diff != "" {
+		t.Errorf("blocks before and after another crash (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -13,14 +13,12 @@
 const wideMargin = 2
 
 type (
-	// incidents are the numbers of the incidents that a trait explains, ascending.
-	incidents []int
-
-	// group is a set of traits that cannot be told apart: they explain the same incidents, and each
+	// group is a set of traits that cannot be told apart: they explain the same crashes, and each
 	// suspect has all of them or none.
 	group struct {
 		traits    []Trait
-		incidents incidents
+		crashes   []int // indices of the crashes that the traits explain, ascending
+		incidents int   // number of the incidents that the crashes belong to
 		suspects  []int // numbers of the suspects that have the traits, ascending
 	}
 
@@ -114,11 +112,11 @@
 	}
 }
 
-// deriveBlocks repeatedly takes the group of traits that explains incidents best. What it explains no
+// deriveBlocks repeatedly takes the group of traits that explains crashes best. What it explains no
 // longer counts against other traits.
 func (q *Quarantine) deriveBlocks() []Block {
 	tl := q.timeline()
-	explained := tl.explainedIncidents()
+	explained := tl.explainedCrashes()
 	var blocks []Block
 	for {
 		best := q.bestGroup(tl.groups(explained, q.cfg.Threshold))
@@ -126,12 +124,12 @@
 			break
 		}
 		ttl := blockTTL
-		if len(best.incidents) == q.cfg.Threshold {
+		if best.incidents == q.cfg.Threshold {
 			ttl = probationPeriod
 		}
 		blocks = append(blocks, tl.block(best.traits, ttl))
 		for t, list := range explained {
-			explained[t] = slices.DeleteFunc(list, func(i int) bool { return slices.Contains(best.incidents, i) })
+			explained[t] = slices.DeleteFunc(list, func(i int) bool { return slices.Contains(best.crashes, i) })
 		}
 	}
 	slices.SortFunc(blocks, func(a, b Block) int {
@@ -140,8 +138,8 @@
 	return blocks
 }
 
-// bestGroup returns the group that is the likely cause of its incidents, or nil. Groups that share
-// incidents are rivals. If there is no clear one among rivals, the next crash tells them apart; from
+// bestGroup returns the group that is the likely cause of its crashes, or nil. Groups that share
+// crashes are rivals. If there is no clear one among rivals, the next crash tells them apart; from
 // then on the one with the most incidents is taken.
 func (q *Quarantine) bestGroup(groups []group) *group {
 	for i := range groups {
@@ -150,22 +148,22 @@
 			return g
 		}
 	}
-	if len(groups) > 0 && len(groups[0].incidents) > q.cfg.Threshold {
+	if len(groups) > 0 && groups[0].incidents > q.cfg.Threshold {
 		return &groups[0]
 	}
 	return nil
 }
 
-// isRivalOf reports whether another group explains an incident that g explains.
+// isRivalOf reports whether another group explains a crash that g explains.
 func (g *group) isRivalOf(o *group) bool {
-	return g.traits[0] != o.traits[0] && countCommon(g.incidents, o.incidents) > 0
+	return g.traits[0] != o.traits[0] && countCommon(g.crashes, o.crashes) > 0
 }
 
 // isLikelierThan reports whether g is more likely to be the cause than o. If each suspect with the
 // one has the other too, it is the more special one, unless the other one explains wideMargin
 // incidents more: a widely shared trait is in some crashes by chance.
 func (g *group) isLikelierThan(o *group) bool {
-	margin := len(g.incidents) - len(o.incidents)
+	margin := g.incidents - o.incidents
 	switch common := countCommon(g.suspects, o.suspects); common {
 	case len(g.suspects):
 		return margin > -wideMargin
@@ -223,21 +221,22 @@
 	return tl
 }
 
-// explainedIncidents returns the incidents that each trait explains: those in which at least half
-// of the runners that crashed were serving it.
-func (tl *timeline) explainedIncidents() map[Trait]incidents {
-	out := map[Trait]incidents{}
+// explainedCrashes returns the crashes that each trait explains: those of runners that were serving it,
+// in incidents in which at least half of the runners that crashed were. Two crashes at the same moment
+// may have different causes.
+func (tl *timeline) explainedCrashes() map[Trait][]int {
+	out := map[Trait][]int{}
 	for from := 0; from < len(tl.crashes); {
 		to := from
-		runners := map[Trait]int{}
+		served := map[Trait][]int{}
 		for ; to < len(tl.crashes) && tl.incident[to] == tl.incident[from]; to++ {
 			for t := range tl.crashes[to].traits() {
-				runners[t]++
+				served[t] = append(served[t], to)
 			}
 		}
-		for t, n := range runners {
-			if 2*n >= to-from {
-				out[t] = append(out[t], tl.incident[from])
+		for t, list := range served {
+			if 2*len(list) >= to-from {
+				out[t] = append(out[t], list...)
 			}
 		}
 		from = to
@@ -259,28 +258,40 @@
 // groups returns the traits that explain at least a number of incidents. Groups with more incidents
 // come first, and among equals those with fewer suspects: if such a group is the wrong one, fewer
 // requests are refused, and the next crash shows it.
-func (tl *timeline) groups(explained map[Trait]incidents, atLeast int) []group {
+func (tl *timeline) groups(explained map[Trait][]int, atLeast int) []group {
 	var groups []group
 	byEvidence := map[string]int{} // index in groups
 	for _, t := range slices.Sorted(maps.Keys(explained)) {
-		if len(explained[t]) < atLeast {
+		incidents := tl.countIncidents(explained[t])
+		if incidents < atLeast {
 			continue
 		}
 		evidence := fmt.Sprint(explained[t], tl.suspects[t])
 		i, ok := byEvidence[evidence]
 		if !ok {
 			byEvidence[evidence] = len(groups)
-			groups = append(groups, group{traits: []Trait{t}, incidents: slices.Clone(explained[t]), suspects: tl.suspects[t]})
+			groups = append(groups, group{traits: []Trait{t}, crashes: slices.Clone(explained[t]), incidents: incidents, suspects: tl.suspects[t]})
 			continue
 		}
 		groups[i].traits = append(groups[i].traits, t)
 	}
 	slices.SortStableFunc(groups, func(a, b group) int {
-		return cmp.Or(cmp.Compare(len(b.incidents), len(a.incidents)), cmp.Compare(len(a.suspects), len(b.suspects)))
+		return cmp.Or(cmp.Compare(b.incidents, a.incidents), cmp.Compare(len(a.suspects), len(b.suspects)))
 	})
 	return groups
 }
 
+// countIncidents returns the number of incidents that crashes belong to, which are in ascending order.
+func (tl *timeline) countIncidents(crashes []int) int {
+	n := 0
+	for i, c := range crashes {
+		if i == 0 || tl.incident[c] != tl.incident[crashes[i-1]] {
+			n++
+		}
+	}
+	return n
+}
+
 // block returns the block of a group of traits, which ends some time after the last crash.
 func (tl *timeline) block(traits []Trait, ttl time.Duration) Block {
 	b := Block{Traits: traits}
