--- a/internal/cicadacmd/pause_test.go
+++ b/internal/cicadacmd/pause_test.go
@@ -11,8 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// TestPausedRouterResumesStreams pauses a router for longer than an engine may be silent. The rest of the
-// stream waits in its socket when it continues.
+// The router is paused for longer than an engine may be silent, while the engine completes a stream.
 func TestPausedRouterResumesStreams(t *testing.T) {
 	f := newFleet(t, 1)
 	p := f.routers[0]
--- a/internal/cicadanet/net.go
+++ b/internal/cicadanet/net.go
@@ -1,4 +1,4 @@
-// Package cicadanet creates TCP connections that detect an unresponsive peer.
+// Package cicadanet creates TCP connections that detect an unresponsive peer, and times a peer's silence.
 package cicadanet
 
 import (
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -478,8 +478,7 @@
 	}
 }
 
-// Two routers that saw the same trait answered learn of each other's clearance. One that starts later has
-// their reports only.
+// Two routers that saw the same trait answered learn of each other's clearance before a third one starts.
 func TestNewRouterRefusesWhatTwoOthersCleared(t *testing.T) {
 	t.Parallel()
 	for _, second := range []time.Duration{4 * time.Second, 5 * time.Second} {
--- a/internal/cicadasoak/pause_test.go
+++ b/internal/cicadasoak/pause_test.go
@@ -22,8 +22,7 @@
 	longStreamInterval = 50 * time.Millisecond
 )
 
-// TestPausedRouterStartsStreamsElsewhere pauses a router for longer than a runner may be silent. The
-// runners go on meanwhile, so their streams wait in its sockets when it continues.
+// The router is paused for longer than a runner may be silent, while its runners go on.
 func TestPausedRouterStartsStreamsElsewhere(t *testing.T) {
 	const streams = 24
 	binary := buildRouter(t)
@@ -62,8 +61,7 @@
 	}
 }
 
-// TestPausedRouterGivesUpTheStore pauses a router for longer than a response of the store may pause,
-// while it gets its configuration over a slow link.
+// The router is paused for longer than a response may be, while it reads its configuration over a slow link.
 func TestPausedRouterGivesUpTheStore(t *testing.T) {
 	binary := buildRouter(t)
 	s := &soak{t: t, verifier: newVerifier(), store: newStore(t, 1)}
@@ -77,7 +75,7 @@
 				close(began)
 			}
 			for range 15 {
-				fmt.Fprint(w, " ")
+				_, _ = fmt.Fprint(w, " ")
 				w.(http.Flusher).Flush()
 				time.Sleep(200 * time.Millisecond)
 			}
