A planned stop is no longer logged as a failure of a listener

At each planned stop the listener for relayed connections ends with net.ErrClosed, which was taken for a failure (an Error line at each stop, at times after "stopped", that points an engineer to nothing).

Change: the end of an own listener is none of its failures.

Remains: tasks of a router may outlive Stop for a moment; nothing waits for them.

--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -192,7 +192,7 @@
 }
 
 func (rt *Router) serveListener(s *http.Server, ln net.Listener) {
-	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		rt.cfg.Log.WithError(err).Error("HTTP listener failed")
 	}
 }
