Quarantine: a reported clearance is never withdrawn

Cause: a router withdrew what others already relied on.

Change: a router reports a clearance if the reports of others do not cover all crashes that it knows, and goes on doing so once it has. The flag of whose clearance it is goes; it follows from what others reported. A crash that is learned later makes a router report what it had left to others.

Cost: of routers that answer at the same moment several report the same clearance for as long as the crash is kept.

--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -139,8 +139,11 @@
 
 	// clearance states that answers to requests with a trait began at a time.
 	clearance struct {
-		at  time.Duration
-		own bool // reported by this router
+		at     time.Duration // latest known
+		others time.Duration // latest in the reports of other routers
+		// reported is set once a report of this router had it. All later ones have it too, as other
+		// routers rely on it.
+		reported bool
 	}
 )
 
@@ -271,7 +274,9 @@
 			if !ok || !q.isSuspected(t, q.cleared[t].at, began) {
 				continue
 			}
-			q.cleared[t] = clearance{at: began, own: true}
+			c := q.cleared[t]
+			c.at = began
+			q.cleared[t] = c
 			cleared, mustReport = true, mustReport || q.isReported(t)
 		}
 	}
--- a/internal/cicadaquarantine/report.go
+++ b/internal/cicadaquarantine/report.go
@@ -46,29 +46,41 @@
 	for t, ms := range report.Cleared {
 		q.mergeClearance(t, time.Duration(ms)*time.Millisecond, own)
 	}
-	return changed
+	return changed || q.hasNewClearance(report)
+}
+
+// hasNewClearance reports whether this router has to report a clearance of the suspects in a report that
+// it has not reported yet.
+func (q *Quarantine) hasNewClearance(report *Report) bool {
+	for i := range report.Crashes {
+		for _, s := range report.Crashes[i].all() {
+			if slices.ContainsFunc(s, func(t Trait) bool { return !q.cleared[t].reported && q.mustReportClearance(t) }) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
-// mergeClearance merges a clearance of another router. Of several that cover the same crashes only the
-// first is reported any more, and of two that do not, the last: each router gives way to another one, and
-// no two to each other.
+// mergeClearance merges a clearance of another router, or of an earlier process of this one.
 func (q *Quarantine) mergeClearance(t Trait, at time.Duration, own bool) {
 	c := q.cleared[t]
-	switch {
-	case own:
-		c.own = true
-	case !c.own:
-	case at < c.at && !q.isSuspected(t, at, c.at):
-		// If a crash in between becomes known, the answer counts again.
-		q.cleared[t] = clearance{at: at}
-		return
-	case at > c.at && q.isSuspected(t, c.at, at):
-		c.own = false
-	}
 	c.at = max(c.at, at)
+	if own {
+		c.reported = true
+	} else {
+		c.others = max(c.others, at)
+	}
 	q.cleared[t] = c
 }
 
+// mustReportClearance reports whether this router reports a clearance: it has done so before, or the
+// reports of others do not cover all crashes that it knows.
+func (q *Quarantine) mustReportClearance(t Trait) bool {
+	c := q.cleared[t]
+	return c.reported || q.isSuspected(t, c.others, c.at)
+}
+
 // Adopt makes this router report what others reported of the blocks, and all clearances. Routers do so
 // when the reports of those that have ended may be lost.
 func (q *Quarantine) Adopt() {
@@ -82,7 +94,7 @@
 		}
 	}
 	for t, c := range q.cleared {
-		c.own = true
+		c.reported = true
 		q.cleared[t] = c
 	}
 }
@@ -94,24 +106,30 @@
 	for _, c := range q.crashes {
 		c.ownReported = c.isOwn
 	}
-	return q.report(func(c *crash) (Suspects, bool) { return c.own, c.isOwn }, func(c clearance) bool { return c.own })
+	out := q.report(func(c *crash) (Suspects, bool) { return c.own, c.isOwn }, q.mustReportClearance)
+	for t := range out.Cleared {
+		c := q.cleared[t]
+		c.reported = true
+		q.cleared[t] = c
+	}
+	return out
 }
 
 // Evidence returns the evidence of all routers.
 func (q *Quarantine) Evidence() Report {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.report(func(c *crash) (Suspects, bool) { return c.suspects, true }, func(clearance) bool { return true })
+	return q.report(func(c *crash) (Suspects, bool) { return c.suspects, true }, func(Trait) bool { return true })
 }
 
 // report returns the crashes and clearances that are selected, without suspects that are cleared
 // of all their traits. The others keep all traits: routers may know different clearances.
-func (q *Quarantine) report(selectCrash func(*crash) (Suspects, bool), selectClearance func(clearance) bool) Report {
+func (q *Quarantine) report(selectCrash func(*crash) (Suspects, bool), selectClearance func(Trait) bool) Report {
 	out := Report{Cleared: map[Trait]int64{}}
 	size := 0
 	for t, first := range q.firstSuspicions() {
 		c := q.cleared[t]
-		if c.at <= first || !selectClearance(c) || size > maxReportBytes/2 {
+		if c.at <= first || !selectClearance(t) || size > maxReportBytes/2 {
 			continue
 		}
 		size += len(t) + crashBytes
