Logs tell the software version of a stream's runners, and what a caller takes up

To tell apart whether a stream is joined from two software versions within one response, over a caller's tries, or by a runner that changes under its id. The request line has the version that a stream began at, every run that it has events of, and the stream that the caller takes up; GET /state has each runner's version. The counter of resumed streams existed and was never increased; it counts them now. No decision depends on any of it.

--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -53,6 +53,9 @@
 		// PromptTokens and MaxOutputTokens bound the budget units that the request can use.
 		PromptTokens, MaxOutputTokens int64
 		PromptParts                   []cicadaplace.Part
+		// LastEventID is set if the caller takes up a broken stream: the id of the last event that it has.
+		// Resumes is then the ID of the request that brought the first event.
+		LastEventID, Resumes string
 	}
 
 	// RunnerHeaders holds the values that the router adds to the headers of a request to a runner.
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -27,6 +27,14 @@
 	pausedFor  time.Duration           // longest time for which this process did not run while it waited for a runner
 	cause      error                   // of the last failed attempt
 	block      *cicadaquarantine.Block // that ended the request; nil for none
+	streamRuns []streamRun             // in the order of their events
+}
+
+// streamRun is a run of a stream from which the caller got events.
+type streamRun struct {
+	Runner          string `json:"runner"`
+	SoftwareVersion string `json:"software"`
+	LastEventID     string `json:"after"` // id of the last event before those of this run; empty for the first
 }
 
 // maxPartsLogged bounds the prompt parts in a log line.
@@ -105,10 +113,29 @@
 	if res.abortErr != nil {
 		f["cut"] = res.abortErr.Error()
 	}
+	q.addStream(f)
 	q.addFailure(f, now)
 	rt.cfg.Log.WithFields(f).Info("request")
 }
 
+// maxIDLogged bounds an id of the caller's in a log line, in bytes.
+const maxIDLogged = 64
+
+// addStream adds which runs the events of a stream came from, and which stream the caller has taken up.
+func (q *request) addStream(f log.Fields) {
+	if len(q.streamRuns) > 0 {
+		f["software"] = q.streamRuns[0].SoftwareVersion
+	}
+	if len(q.streamRuns) > 1 {
+		f["runs"] = q.streamRuns
+	}
+	if q.info.LastEventID != "" || q.info.Resumes != "" {
+		f["after"], f["resumes"] = truncate(q.info.LastEventID, maxIDLogged), truncate(q.info.Resumes, maxIDLogged)
+	}
+}
+
+func truncate(text string, limit int) string { return text[:min(len(text), limit)] }
+
 // addFailure adds why the last attempt failed, and why the request is in quarantine.
 func (q *request) addFailure(f log.Fields, now time.Time) {
 	if q.cause != nil {
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -164,12 +164,25 @@
 		}
 	}
 	x.eventsSent++
+	x.recordRun(a)
 	if ev.id != "" {
 		x.lastEventID = ev.id
 	}
 	return nil
 }
 
+// recordRun records the run that an event came from.
+func (x *exchange) recordRun(a *attempt) {
+	id := a.placement.Runner().ID()
+	if n := len(x.streamRuns); n > 0 && x.streamRuns[n-1].Runner == id && x.streamRuns[n-1].SoftwareVersion == a.placement.SoftwareVersion() {
+		return
+	}
+	if len(x.streamRuns) > 0 {
+		x.rt.cfg.Metrics.Resumed.Add(1)
+	}
+	x.streamRuns = append(x.streamRuns, streamRun{Runner: id, SoftwareVersion: a.placement.SoftwareVersion(), LastEventID: x.lastEventID})
+}
+
 // abortCause returns the reason for which this router cancelled the attempt, if it did, and err
 // otherwise.
 func (x *exchange) abortCause(a *attempt, err error) error {
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -36,6 +36,9 @@
 		// Seq increases with each write of the entry.
 		Seq      int64
 		Draining bool `json:"Leaving"`
+		// SoftwareVersion is the version of the runner's software, or empty if it is not known. Versions
+		// have no order.
+		SoftwareVersion string `json:"Software,omitempty"`
 		// WarmupRemaining is how much longer the runner is slow after its start.
 		WarmupRemaining time.Duration `json:"WarmIn"`
 		// HoldRemaining is set in an entry relayed by another router: how much longer that router
@@ -238,6 +241,7 @@
 	Service             string `json:"service"`
 	Addr                string `json:"addr"`
 	DataCentre          string `json:"place"`
+	SoftwareVersion     string `json:"software"`
 	Draining            bool   `json:"leaving"`
 	Held                bool   `json:"held"` // in use although the entry was removed from the store
 	Evacuated           bool   `json:"evacuated"`
@@ -264,7 +268,7 @@
 		}
 		out = append(out, RunnerState{
 			Limit: limit,
-			ID:    r.entry.ID, Service: r.entry.Service, Addr: r.entry.Addr, DataCentre: r.entry.DataCentre,
+			ID:    r.entry.ID, Service: r.entry.Service, Addr: r.entry.Addr, DataCentre: r.entry.DataCentre, SoftwareVersion: r.entry.SoftwareVersion,
 			Draining: r.entry.Draining || r.draining, Held: r.isHeld(), Evacuated: b.evacuated[r.entry.DataCentre],
 			PausedMS: max(r.pausedUntil.Sub(now).Milliseconds(), 0), InFlight: r.inFlight, PendingPromptTokens: r.pendingTokens,
 			Running: r.reportedLoad.Running, Waiting: r.reportedLoad.Waiting,
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -85,6 +85,7 @@
 	Assignment struct {
 		balancer       *Balancer
 		runner         *Runner
+		version        string // of the runner's software
 		uncachedTokens int
 		started        bool
 		ended          bool
@@ -158,7 +159,7 @@
 	if !req.ForPeer {
 		b.cfg.Limits.TryAcquire(r.Key(), req.class(), now)
 	}
-	a := &Assignment{balancer: b, runner: r, assignedAt: now, estimateMillis: b.cost(r, req, preferred, now), cachedTokens: r.cachedTokens(req, preferred, now)}
+	a := &Assignment{balancer: b, runner: r, version: r.entry.SoftwareVersion, assignedAt: now, estimateMillis: b.cost(r, req, preferred, now), cachedTokens: r.cachedTokens(req, preferred, now)}
 	a.uncachedTokens = max(req.Tokens-a.cachedTokens, 0)
 	r.inFlight++
 	r.sinceReport++
@@ -337,6 +338,10 @@
 // Runner returns the assigned runner.
 func (a *Assignment) Runner() *Runner { return a.runner }
 
+// SoftwareVersion returns the version of the runner's software at the time of the assignment; empty if
+// it was not known.
+func (a *Assignment) SoftwareVersion() string { return a.version }
+
 // EstimateMillis returns the runner's cost at the time of the assignment, in milliseconds.
 func (a *Assignment) EstimateMillis() float64 { return a.estimateMillis }
 
