A broken stream goes on only at the software version that began it

What callers saw: a 200 and a whole body whose first events came from one software version of the service and the rest from another, with nothing to show it.

Cause: a router that continues a stream chooses among all runners of the service.

A stream whose version is not known, or whose runner's id came back with another version, is broken off, so that the caller may take it up. If no runner of the version is left, it is broken off at once.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -117,7 +117,7 @@
 	}
 	p, err := x.chooseWithRoom(ctx, &cicadaplace.Request{
 		Service: x.service.Name, Parts: x.info.PromptParts, Tokens: int(x.info.PromptTokens), Tried: x.tried,
-		Priority: x.priority(), Homes: x.homes(),
+		Priority: x.priority(), Homes: x.homes(), SoftwareVersion: x.requiredVersion(),
 	})
 	if err != nil {
 		return x.noRunnerResult(err), false
@@ -281,6 +281,14 @@
 	return homes
 }
 
+// requiredVersion returns the software version at which a stream must go on; empty if it has not begun.
+func (x *exchange) requiredVersion() string {
+	if len(x.streamRuns) == 0 {
+		return ""
+	}
+	return x.streamRuns[0].SoftwareVersion
+}
+
 func (x *exchange) priority() int {
 	if x.org != nil && x.org.Priority != nil {
 		return *x.org.Priority
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -80,8 +80,8 @@
 		last      *http.Request
 		cancelled chan struct{} // receives one value for each request whose context was cancelled
 		service   string
-		// dataCentre is the one in the runner's entry.
-		dataCentre string
+		// dataCentre and software, the version, are those in the runner's entry.
+		dataCentre, software string
 	}
 
 	fleet struct {
@@ -392,7 +392,7 @@
 func (f *fleet) publish() { f.store.put(tableDeploy, "config", f.doc) }
 
 func (f *fleet) addRunner(handler http.HandlerFunc) *runner {
-	r := &runner{id: fmt.Sprintf("r%d", len(f.runners)+1), handler: handler, cancelled: make(chan struct{}, 100), service: "svc", dataCentre: "p"}
+	r := &runner{id: fmt.Sprintf("r%d", len(f.runners)+1), handler: handler, cancelled: make(chan struct{}, 100), service: "svc", dataCentre: "p", software: "v1"}
 	r.Server = httptest.NewServer(r)
 	f.t.Cleanup(r.Close)
 	f.runners = append(f.runners, r)
@@ -402,13 +402,13 @@
 
 func (f *fleet) putEntry(r *runner, draining bool) {
 	f.store.put(tableRunners, r.id, cicadaplace.Entry{
-		ID: r.id, Service: r.service, Addr: r.Listener.Addr().String(), DataCentre: r.dataCentre, Slots: 8, Draining: draining,
+		ID: r.id, Service: r.service, Addr: r.Listener.Addr().String(), DataCentre: r.dataCentre, Slots: 8, Draining: draining, SoftwareVersion: r.software,
 	})
 }
 
 func (f *fleet) putEntryWithSlots(r *runner, slots int) {
 	f.store.put(tableRunners, r.id, cicadaplace.Entry{
-		ID: r.id, Service: r.service, Addr: r.Listener.Addr().String(), DataCentre: r.dataCentre, Slots: slots,
+		ID: r.id, Service: r.service, Addr: r.Listener.Addr().String(), DataCentre: r.dataCentre, Slots: slots, SoftwareVersion: r.software,
 	})
 }
 
--- a/internal/cicadaedge/placement.go
+++ b/internal/cicadaedge/placement.go
@@ -70,6 +70,8 @@
 		Homes    [][]string `json:"homes,omitempty"` // see cicadaplace.Request
 		// Brittle is set if the runners are: the rejections in a second that each tolerates.
 		Brittle *float64 `json:"brittle,omitempty"`
+		// SoftwareVersion is the only one that may run the request; empty for any.
+		SoftwareVersion string `json:"software,omitempty"`
 	}
 
 	placementReply struct {
@@ -111,7 +113,7 @@
 	}
 	assignment, err := s.balancer.Choose(&cicadaplace.Request{
 		Service: req.Service, Parts: req.Parts, Tokens: req.Tokens, Tried: req.Tried, DataCentre: req.DataCentre,
-		Excluded: req.Excluded, Homes: req.Homes, ForPeer: true, PlacesGroup: true,
+		Excluded: req.Excluded, Homes: req.Homes, SoftwareVersion: req.SoftwareVersion, ForPeer: true, PlacesGroup: true,
 	}, now)
 	var noRoom *cicadaplace.NoRoomError
 	if errors.As(err, &noRoom) {
@@ -231,7 +233,7 @@
 		Brittle: known,
 		Service: req.Service, Parts: req.Parts, Tokens: req.Tokens, Tried: req.Tried,
 		RemainingMillis: time.Until(deadline).Milliseconds(), DataCentre: c.rt.cfg.DataCentre,
-		Excluded: c.rt.balancer.UnusableIDs(req, time.Now()), Homes: req.Homes,
+		Excluded: c.rt.balancer.UnusableIDs(req, time.Now()), Homes: req.Homes, SoftwareVersion: req.SoftwareVersion,
 	}, &reply)
 	if err != nil {
 		var rpcErr *jrpc2.Error
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -73,7 +73,13 @@
 		x.recordBroken(a.placement)
 	}
 	// A response with a Content-Length cannot be continued by another run.
-	return result{abortErr: err}, x.route.Resumable && x.lastEventID != "" && a.resp.ContentLength < 0
+	return result{abortErr: err}, x.isContinuable() && a.resp.ContentLength < 0
+}
+
+// isContinuable reports whether another runner can go on with the stream. The software version that
+// began it must be known.
+func (x *exchange) isContinuable() bool {
+	return x.route.Resumable && x.lastEventID != "" && x.requiredVersion() != ""
 }
 
 // callerError is a failure to write to the caller.
@@ -95,7 +101,7 @@
 	stall := &cicadanet.SilenceTimer{}
 	defer func() { x.stopStallTimer(stall) }()
 	// Another runner cannot continue a stream without an event, so it is not given up before.
-	continuable := x.lastEventID != ""
+	continuable := x.isContinuable()
 	if continuable {
 		stall = x.startEventTimer(a, firstEventStallFactor*x.route.LatencyObjective)
 	}
@@ -122,7 +128,7 @@
 			return err
 		}
 		gap := eventGapStallFactor * x.route.EventIntervalObjective
-		if !continuable && x.lastEventID != "" {
+		if !continuable && x.isContinuable() {
 			continuable, stall = true, x.startEventTimer(a, gap)
 		}
 		stall.Reset(gap)
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -164,7 +164,7 @@
 func (r *Runner) DataCentre() string { return r.entry.DataCentre }
 
 // Apply adds or updates the runner of an entry. An entry with the same ID but another start time,
-// address, service or data centre replaces the runner. An older entry of the same start is ignored.
+// address, service, data centre or software version replaces the runner. An older entry of the same start is ignored.
 func (b *Balancer) Apply(e Entry, now time.Time) Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -177,8 +177,11 @@
 		if !old.isHeld() || e.HoldRemaining <= 0 {
 			old.heldUntil = e.heldUntil(now)
 		}
-		// The other fields are read without the lock and must not change.
+		// ID, Service, Addr, DataCentre and StartMillis are read without the lock and must not change.
 		old.entry.Draining, old.entry.Slots, old.entry.WarmupRemaining, old.entry.Seq = e.Draining, e.Slots, e.WarmupRemaining, e.Seq
+		if e.SoftwareVersion != "" {
+			old.entry.SoftwareVersion = e.SoftwareVersion
+		}
 		b.limitWarmup(old, e.WarmupRemaining, now)
 		return Change{id: e.ID, changed: changed}
 	}
@@ -210,8 +213,11 @@
 	return ok && d.entry.sameRunner(e) && e.Seq <= d.entry.Seq
 }
 
+// sameRunner reports whether two entries are of the same start of a runner. Routers of earlier builds
+// relay entries without a software version.
 func (e *Entry) sameRunner(other *Entry) bool {
-	return e.StartMillis == other.StartMillis && e.Addr == other.Addr && e.Service == other.Service && e.DataCentre == other.DataCentre
+	sameVersion := e.SoftwareVersion == other.SoftwareVersion || e.SoftwareVersion == "" || other.SoftwareVersion == ""
+	return sameVersion && e.StartMillis == other.StartMillis && e.Addr == other.Addr && e.Service == other.Service && e.DataCentre == other.DataCentre
 }
 
 // Find returns the runner with an id, or nil.
@@ -337,7 +343,7 @@
 		// Addition makes the digest independent of the order of the entries.
 		sum += xxhash.Sum64String(strings.Join([]string{
 			e.ID, e.Service, e.Addr, e.DataCentre, strconv.FormatInt(e.StartMillis, 10), strconv.Itoa(e.Slots),
-			strconv.FormatBool(e.Draining), strconv.FormatBool(r.isHeld()), strconv.FormatBool(e.WarmupRemaining > 0),
+			e.SoftwareVersion, strconv.FormatBool(e.Draining), strconv.FormatBool(r.isHeld()), strconv.FormatBool(e.WarmupRemaining > 0),
 		}, "\x00"))
 	}
 	return sum
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -67,6 +67,9 @@
 		Parts  []Part
 		Tokens int      // of the whole prompt
 		Tried  []string // ids of runners that earlier attempts used
+		// SoftwareVersion is the only version of the runners' software that may run the request; empty
+		// for any. What two versions write for one stream does not fit together.
+		SoftwareVersion string
 		// Excluded holds the ids of runners that the sending router must not use now.
 		Excluded   []string
 		Priority   int    // 0 is the most urgent
@@ -338,9 +341,16 @@
 // Runner returns the assigned runner.
 func (a *Assignment) Runner() *Runner { return a.runner }
 
-// SoftwareVersion returns the version of the runner's software at the time of the assignment; empty if
-// it was not known.
-func (a *Assignment) SoftwareVersion() string { return a.version }
+// SoftwareVersion returns the version of the software that runs the request. It is empty if it is not
+// known, or if the runner's id has returned with another version since the assignment.
+func (a *Assignment) SoftwareVersion() string {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	if r := a.balancer.byID[a.runner.entry.ID]; r != nil && r.entry.SoftwareVersion != a.version {
+		return ""
+	}
+	return a.version
+}
 
 // EstimateMillis returns the runner's cost at the time of the assignment, in milliseconds.
 func (a *Assignment) EstimateMillis() float64 { return a.estimateMillis }
--- a/internal/cicadaplace/exclude.go
+++ b/internal/cicadaplace/exclude.go
@@ -57,7 +57,7 @@
 
 // isExcluded reports whether the request cannot use r, apart from rate limits.
 func (b *Balancer) isExcluded(r *Runner, req *Request, ignoreEjection bool, now time.Time) bool {
-	return b.unavailability(r, now) != nil || b.isOutsideHomes(r, req) || slices.Contains(req.Tried, r.entry.ID) ||
+	return b.unavailability(r, now) != nil || b.isOutsideHomes(r, req) || r.hasOtherVersion(req) || slices.Contains(req.Tried, r.entry.ID) ||
 		!ignoreEjection && now.Before(r.ejectedUntil)
 }
 
@@ -67,12 +67,17 @@
 	return slices.ContainsFunc(req.Homes, func(homes []string) bool { return !slices.Contains(homes, region) })
 }
 
+// hasOtherVersion reports whether the request must not run on r's version of the software.
+func (r *Runner) hasOtherVersion(req *Request) bool {
+	return req.SoftwareVersion != "" && r.entry.SoftwareVersion != req.SoftwareVersion
+}
+
 // noRunnerError returns a PausedError if a runner is left that is only paused, and ErrNoRunner
 // otherwise.
 func (b *Balancer) noRunnerError(req *Request, now time.Time) error {
 	var soonest time.Duration
 	for _, r := range b.services[req.Service] {
-		if errors.Is(b.unavailability(r, now), ErrPaused) && !b.isOutsideHomes(r, req) {
+		if errors.Is(b.unavailability(r, now), ErrPaused) && !b.isOutsideHomes(r, req) && !r.hasOtherVersion(req) {
 			if d := r.pausedUntil.Sub(now); soonest == 0 || d < soonest {
 				soonest = d
 			}
--- a/internal/cicadaplace/exclude_test.go
+++ b/internal/cicadaplace/exclude_test.go
@@ -1,6 +1,7 @@
 package cicadaplace_test
 
 import (
+	"errors"
 	"fmt"
 	"sort"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
+	"github.com/google/go-cmp/cmp"
 )
 
 const (
@@ -120,3 +122,52 @@
 		t.Errorf("the runner got up to %g requests in one second after the evacuation, want some and at most %g", most, warmupRate*warmupExcess+warmupSlack)
 	}
 }
+
+func TestRequestStaysAtItsSoftwareVersion(t *testing.T) {
+	lb := newBalancer(0)
+	for i, version := range []string{"v1", "v2", ""} {
+		e := entry(i)
+		e.SoftwareVersion = version
+		lb.Apply(e, start)
+	}
+	req := prompt("shared", 1000, 10)
+	req.SoftwareVersion = "v2"
+	for range 5 {
+		if diff := cmp.Diff(entry(1).ID, choose(t, lb, req, start).Runner().ID()); diff != "" {
+			t.Errorf("runner (-want +got)\n%s", diff)
+		}
+	}
+	if _, err := lb.AssignTo(entry(0).ID, req, start); !errors.Is(err, cicadaplace.ErrNoRunner) {
+		t.Errorf("a runner of another version that another router chose: %v", err)
+	}
+	req.SoftwareVersion = "v3"
+	if lb.HasAlternative(req, start) {
+		t.Error("a request has an alternative at another version")
+	}
+	if _, err := lb.Choose(req, start); !errors.Is(err, cicadaplace.ErrNoRunner) {
+		t.Errorf("a request whose version has left: %v", err)
+	}
+}
+
+func TestRunnerThatReturnsWithAnotherSoftwareVersion(t *testing.T) {
+	lb := newBalancer(0)
+	e := entry(0)
+	e.SoftwareVersion = "v1"
+	lb.Apply(e, start)
+	before := choose(t, lb, prompt("shared", 1000, 10), start)
+	relayed := entry(0) // by a router of an earlier build
+	if c := lb.Apply(relayed, start); c.Changed() {
+		t.Error("an entry without a version replaces the runner")
+	}
+	if diff := cmp.Diff("v1", before.SoftwareVersion()); diff != "" {
+		t.Errorf("version after an entry without one (-want +got)\n%s", diff)
+	}
+	e.SoftwareVersion = "v2"
+	lb.Apply(e, start)
+	if diff := cmp.Diff("", before.SoftwareVersion()); diff != "" {
+		t.Errorf("version of a run from before the change (-want +got)\n%s", diff)
+	}
+	if diff := cmp.Diff("v2", choose(t, lb, prompt("shared", 1000, 10), start).SoftwareVersion()); diff != "" {
+		t.Errorf("version of a new run (-want +got)\n%s", diff)
+	}
+}
