A stream that its caller takes up goes on only at the software version that began it

What callers saw: a take-up answered 200 and run to its end at a runner of another software version than the one that wrote the first part. After all routers were killed at once in or after a release, many of them.

Cause: nothing read Resumes; a take-up was placed like a new stream. Class: a decision about a part of a stream without the state of the whole. Which version began a stream was known to one router at most, and to none after all were killed; what serves now is no evidence, as the older version may just have left.

Change: routers keep where streams began: in memory, and while a service had several versions within the life of a stream, in rows of the store. A history of a service's versions, written when they change, tells when no record is needed, and that a version has left. A stream whose version nothing tells is refused as not run, at once. A small version's runners are used although ejected, if over half of that version's are.

--- a/internal/cicadacmd/cmd_test.go
+++ b/internal/cicadacmd/cmd_test.go
@@ -100,7 +100,8 @@
 		"expvar": true, "github.com/apex/log": true, "log": true,
 	}
 	for _, pkg := range []string{
-		"cicadabudget", "cicadaledger", "cicadaroute", "cicadamember", "cicadadoc", "cicadadeploy", "cicadaplace", "cicadaretry", "cicadalimit", "cicadaquarantine",
+		"cicadabudget", "cicadaledger", "cicadaroute", "cicadamember", "cicadadoc", "cicadadeploy", "cicadaplace", "cicadaretry", "cicadalimit",
+		"cicadaquarantine", "cicadaresume",
 	} {
 		files, err := filepath.Glob("../" + pkg + "/*.go")
 		if err != nil || len(files) == 0 {
--- a/internal/cicadaedge/era.go
+++ b/internal/cicadaedge/era.go
@@ -82,6 +82,7 @@
 	if !first {
 		e.rt.requestAnnounce()
 		e.rt.rewriteCrashes()
+		e.rt.versions.changed.send()
 		e.rt.poolSyncer.wake()
 	}
 	return nil
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -160,6 +161,9 @@
 		class := cicadalimit.Class{Service: x.service.Name, Priority: x.priority()}
 		return refuse(RefuseRateLimited, x.rt.limits.RetryAfter(class, limited.Rate, time.Now()), err.Error())
 	}
+	if version := x.requiredVersion(); version != "" && !slices.Contains(x.rt.balancer.SoftwareVersions(x.service.Name, time.Now()), version) {
+		return refuse(RefuseNoRunner, 0, "no runner is left of the software version that began the stream")
+	}
 	return refuse(RefuseNoRunner, retryLater, err.Error())
 }
 
@@ -281,14 +285,6 @@
 	return homes
 }
 
-// requiredVersion returns the software version at which a stream must go on; empty if it has not begun.
-func (x *exchange) requiredVersion() string {
-	if len(x.streamRuns) == 0 {
-		return ""
-	}
-	return x.streamRuns[0].SoftwareVersion
-}
-
 func (x *exchange) priority() int {
 	if x.org != nil && x.org.Priority != nil {
 		return *x.org.Priority
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -305,6 +305,7 @@
 			d.PromptParts = append(d.PromptParts, cicadaplace.Part{ID: id, Tokens: int(d.PromptTokens) / 2})
 		}
 	}
+	d.LastEventID, d.Resumes = h.Get("X-After"), h.Get("X-Resumes")
 	return d, nil
 }
 
@@ -518,6 +519,12 @@
 	return n
 }
 
+// kill ends the node as if it were killed: it writes nothing any more.
+func (n *node) kill() {
+	n.store.down.Store(true)
+	n.stop()
+}
+
 func (n *node) stop() {
 	if !n.stopped.Swap(true) {
 		n.Stop()
--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -214,5 +214,6 @@
 	}
 	rt.removeMissingRunners(&changes, seen, "missing from another router's view", now)
 	rt.logRunnerChanges(&changes, "another router")
+	rt.versions.observe(now)
 	rt.peerRunnersAt.set(at)
 }
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -28,6 +28,8 @@
 	cause      error                   // of the last failed attempt
 	block      *cicadaquarantine.Block // that ended the request; nil for none
 	streamRuns []streamRun             // in the order of their events
+	// originSource is set if the caller takes up a stream.
+	originSource originSource
 }
 
 // streamRun is a run of a stream from which the caller got events.
@@ -123,8 +125,11 @@
 
 // addStream adds which runs the events of a stream came from, and which stream the caller has taken up.
 func (q *request) addStream(f log.Fields) {
-	if len(q.streamRuns) > 0 {
-		f["software"] = q.streamRuns[0].SoftwareVersion
+	if version := q.requiredVersion(); version != "" {
+		f["software"] = version
+	}
+	if q.originSource != "" {
+		f["originSource"] = q.originSource
 	}
 	if len(q.streamRuns) > 1 {
 		f["runs"] = q.streamRuns
--- /dev/null
+++ b/internal/cicadaedge/resume_test.go
@@ -0,0 +1,263 @@
+package cicadaedge_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/google/go-cmp/cmp"
+)
+
+// versionsRef is the row with the software versions of the service.
+var versionsRef = cicadastore.Ref{Table: "versions", Key: "svc"}
+
+// brokenStream is a stream that broke after three events.
+type brokenStream struct{ id, version string }
+
+// takeUp takes a stream up at a router, as its caller would.
+func (s *brokenStream) takeUp(t *testing.T, n *node) response {
+	t.Helper()
+	return call(t, n, "/resume/", map[string]string{"X-Resumes": s.id, "X-After": "3", "X-Parts": s.id + ",own"}, "")
+}
+
+// breakStreams begins streams at a router, all of which break, and returns them.
+func breakStreams(t *testing.T, n *node, count int) []brokenStream {
+	t.Helper()
+	var out []brokenStream
+	for i := range count {
+		id := fmt.Sprintf("%s-stream%d", t.Name(), i)
+		// Each prompt prefers another runner.
+		got := call(t, n, "/resume/", map[string]string{"X-Id": id, "X-Parts": id + ",own"}, "")
+		versions := versionsOf(got.body)
+		if got.err == nil || len(versions) != 1 {
+			t.Fatalf("stream %d did not break: status %d, versions %q, error %v", i, got.status, versions, got.err)
+		}
+		out = append(out, brokenStream{id: id, version: versions[0]})
+	}
+	return out
+}
+
+// addBreakable adds a runner whose new streams break after three events, and that goes on with others.
+func (f *fleet) addBreakable(version string) {
+	f.t.Helper()
+	f.addVersion(version, func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get("X-After") == "" {
+			breakVersion(version)(w, req)
+		}
+		serveVersion(version)(w, req)
+	})
+}
+
+// singleRun lets each request of the resumable route run at one runner only.
+func (f *fleet) singleRun() {
+	f.t.Helper()
+	for i := range f.doc.Routes {
+		f.doc.Routes[i].MaxRunners = 1
+	}
+	f.doc.Version++
+	f.publish()
+}
+
+// streamsWritten waits until the store tells where the streams began.
+func (f *fleet) streamsWritten(streams []brokenStream) {
+	f.t.Helper()
+	eventually(f.t, "the streams are in the store", func() bool {
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		bytes := 0
+		for ref, row := range f.store.rows {
+			if ref.Table == "streams" {
+				bytes += len(row.Value)
+			}
+		}
+		return bytes > 8*len(streams)
+	})
+	time.Sleep(400 * time.Millisecond) // the interval of the rows
+}
+
+func TestTakeUpGoesOnAtAnotherSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.singleRun()
+	for _, version := range []string{"v1", "v2", "v1", "v2"} {
+		f.addBreakable(version)
+	}
+	nodes := []*node{f.waitReady(f.startNode("n1")), f.waitReady(f.startNode("n2"))}
+	for i, stream := range breakStreams(t, nodes[0], 20) {
+		got := stream.takeUp(t, nodes[i%2])
+		if diff := cmp.Diff([]string{stream.version}, versionsOf(got.body)); diff != "" || got.err != nil {
+			t.Errorf("stream %d (-want +got), status %d, error %v:\n%s", i, got.status, got.err, diff)
+		}
+	}
+}
+
+// All routers are killed and come back, and the version of some streams has left or is about to.
+func TestTakeUpAfterAllRoutersWereKilledJoinsTwoSoftwareVersions(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name         string
+		gone         string // version whose runners leave while the routers are down
+		beforeUpdate bool   // the routers are killed right after the streams have begun
+	}{
+		{name: "both versions serve"},
+		{name: "the older version has left", gone: "v1"},
+		{name: "the newer version has left", gone: "v2"},
+		{name: "before the rows are written", gone: "v1", beforeUpdate: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.singleRun()
+			for _, version := range []string{"v1", "v2", "v1", "v2"} {
+				f.addBreakable(version)
+			}
+			first := f.waitReady(f.startNode("n1"))
+			eventually(t, "the store tells the versions", func() bool { return strings.Contains(string(f.store.get(versionsRef).Value), "v2") })
+			if tt.beforeUpdate {
+				first.store.down.Store(true)
+			}
+			streams := breakStreams(t, first, 20)
+			if !tt.beforeUpdate {
+				f.streamsWritten(streams)
+			}
+			first.kill()
+			f.runners = slices.DeleteFunc(f.runners, func(r *runner) bool {
+				if r.software == tt.gone {
+					f.store.removeRunner(r.id)
+				}
+				return r.software == tt.gone
+			})
+			n := f.waitReady(f.startNode("n1"))
+			whole := 0
+			for i, stream := range streams {
+				got := stream.takeUp(t, n)
+				if got.status == http.StatusServiceUnavailable {
+					continue
+				}
+				whole++
+				if diff := cmp.Diff([]string{stream.version}, versionsOf(got.body)); diff != "" {
+					t.Errorf("stream %d goes on at another version (-want +got), status %d, error %v:\n%s", i, got.status, got.err, diff)
+				}
+			}
+			want := 0
+			for _, stream := range streams {
+				if stream.version != tt.gone && !tt.beforeUpdate {
+					want++
+				}
+			}
+			if diff := cmp.Diff(want, whole); diff != "" {
+				t.Errorf("streams that go on (-want +got)\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestTakeUpAtTheOnlySoftwareVersionNeedsNoRecord(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.singleRun()
+	f.addBreakable("v1")
+	f.addBreakable("v1")
+	first := f.waitReady(f.startNode("n1", func(cfg *cicadaedge.Config) { cfg.FirstStart = true }))
+	eventually(t, "the store tells the versions", func() bool { return f.store.get(versionsRef).Version > 0 })
+	streams := breakStreams(t, first, 10)
+	first.kill()
+	n := f.waitReady(f.startNode("n1"))
+	for i, stream := range streams {
+		got := stream.takeUp(t, n)
+		if diff := cmp.Diff([]string{"v1"}, versionsOf(got.body)); diff != "" || got.err != nil {
+			t.Errorf("stream %d (-want +got), status %d, error %v:\n%s", i, got.status, got.err, diff)
+		}
+	}
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	for ref := range f.store.rows {
+		if ref.Table == "streams" {
+			t.Errorf("row %s although there is one version", ref.Key)
+		}
+	}
+}
+
+func TestTakeUpThatCannotBeDecidedIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.singleRun()
+	f.addBreakable("v1")
+	f.addBreakable("v2")
+	n := f.waitReady(f.startNode("n1"))
+	stream := breakStreams(t, n, 1)[0]
+	for name, header := range map[string]map[string]string{
+		"unknown request":               {"X-Resumes": "unknown", "X-After": "3"},
+		"no request":                    {"X-After": "3"},
+		"long id":                       {"X-Resumes": strings.Repeat("x", 8000), "X-After": "3"},
+		"request of another caller":     {"X-Resumes": stream.id, "X-After": "3", "X-Key": "k2"},
+		"last event of another request": {"X-Resumes": stream.id + "1", "X-After": "3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			got := call(t, n, "/resume/", header, "")
+			if got.status != http.StatusServiceUnavailable && name != "request of another caller" {
+				t.Errorf("status %d, body %q", got.status, got.body)
+			}
+			if versions := versionsOf(got.body); len(versions) > 0 {
+				t.Errorf("goes on at version %q", versions)
+			}
+			if took := time.Since(start); took > time.Second {
+				t.Errorf("refused after %s", took)
+			}
+		})
+	}
+	// A caller that has no event yet begins anew.
+	got := call(t, n, "/resume/", map[string]string{"X-Resumes": "unknown"}, "")
+	if diff := cmp.Diff(1, len(versionsOf(got.body))); diff != "" {
+		t.Errorf("versions of a new stream (-want +got), status %d:\n%s", got.status, diff)
+	}
+}
+
+func TestTakeUpWhileTheStoreIsSilent(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.singleRun()
+	f.addBreakable("v1")
+	f.addBreakable("v2")
+	own, other := f.waitReady(f.startNode("n1")), f.waitReady(f.startNode("n2"))
+	streams := breakStreams(t, own, 10)
+	own.store.down.Store(true)
+	other.store.down.Store(true)
+	for i, stream := range streams {
+		got := stream.takeUp(t, own)
+		if diff := cmp.Diff([]string{stream.version}, versionsOf(got.body)); diff != "" || got.err != nil {
+			t.Errorf("stream %d at the router that began it (-want +got), status %d, error %v:\n%s", i, got.status, got.err, diff)
+		}
+		got = stream.takeUp(t, other)
+		if diff := cmp.Diff(http.StatusServiceUnavailable, got.status); diff != "" || got.header.Get("Retry-After") == "" {
+			t.Errorf("stream %d at another router (-want +got), Retry-After %q:\n%s", i, got.header.Get("Retry-After"), diff)
+		}
+	}
+}
+
+func TestTakeUpAfterTheStoreWasRestored(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.singleRun()
+	f.store.takeBackup()
+	for _, version := range []string{"v1", "v2", "v1", "v2"} {
+		f.addBreakable(version)
+	}
+	first, other := f.waitReady(f.startNode("n1")), f.waitReady(f.startNode("n2"))
+	streams := breakStreams(t, first, 20)
+	f.streamsWritten(streams)
+	f.store.restore()
+	f.streamsWritten(streams)
+	for i, stream := range streams {
+		got := stream.takeUp(t, other)
+		if diff := cmp.Diff([]string{stream.version}, versionsOf(got.body)); diff != "" || got.err != nil {
+			t.Errorf("stream %d (-want +got), status %d, error %v:\n%s", i, got.status, got.err, diff)
+		}
+	}
+}
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -16,6 +16,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaresume"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaretry"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/pkg/errors"
@@ -85,6 +86,11 @@
 	blocksMu     sync.Mutex      // guards loggedBlocks
 	loggedBlocks map[string]bool // blocks whose begin was logged
 
+	// streams holds where the streams began that this router forwards.
+	streams    *cicadaresume.Streams
+	streamRows *streamRows
+	versions   *versionTracker
+
 	stopping     atomic.Bool
 	callerServer *http.Server
 	healthServer *http.Server
@@ -113,6 +119,7 @@
 		announceSignal: newSignal(),
 		crashSignal:    newSignal(),
 		quarantine:     cicadaquarantine.New(cicadaquarantine.Config{}),
+		streams:        cicadaresume.NewStreams(),
 	}
 	rt.dialer = newRunnerDialer(rt)
 	rt.transports = newRunnerTransports(cfg.Metrics, link, rt.dialer)
@@ -130,6 +137,8 @@
 	rt.peerClients = newPeerClients(rt)
 	rt.placementClient = newPlacementClient(rt)
 	rt.borrower = newBorrower(rt)
+	rt.streamRows = newStreamRows(rt)
+	rt.versions = newVersionTracker(rt)
 	rt.crashDetector = cicadacrash.NewDetector(cicadacrash.Config[*cicadaplace.Runner]{Go: rt.runTask, Check: rt.checkBroken})
 	return rt
 }
@@ -152,6 +161,8 @@
 	rt.runTask(func() { rt.poolSyncer.run(ctx) })
 	rt.runTask(func() { rt.announce(ctx) })
 	rt.runTask(func() { rt.reportCrashes(ctx) })
+	rt.runTask(func() { rt.versions.run(ctx) })
+	rt.runTask(func() { rt.streamRows.run(ctx) })
 	if rt.cfg.PeerListener != nil {
 		rt.runTask(func() { rt.servePeers(ctx) })
 		rt.runTask(func() { rt.pollPeers(ctx) })
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -10,6 +10,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaresume"
 	"github.com/pkg/errors"
 )
 
@@ -56,6 +57,9 @@
 		attempts       int                    // number of times that the request was sent to a runner
 		answerRecorded bool                   // the quarantine knows that the request was answered
 		requestTrait   cicadaquarantine.Trait // see hash; empty until it is needed
+		streamID       cicadaresume.StreamID  // of the stream, or of the one that the caller takes up
+		// origin is where the stream began that the caller takes up; nil if it takes up none.
+		origin *cicadaresume.Origin
 
 		requestRecord
 	}
@@ -111,11 +115,19 @@
 	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
+	if f := q.findOrigin(ctx); f != nil {
+		return result{refusal: f}
+	}
 	q.rt.retries.CountRequest(q.service.Name, q.arrivedAt)
 	if f := q.reserve(ctx); f != nil {
 		return result{refusal: f}
 	}
-	res := (&exchange{request: q}).run(ctx)
+	x := &exchange{request: q}
+	if q.isTakenUp() {
+		x.lastEventID = q.info.LastEventID
+	}
+	res := x.run(ctx)
+	q.recordStreamEnd(&res)
 	q.settle()
 	return res
 }
@@ -146,10 +158,7 @@
 	if q.org = q.deployment.OrganisationByKey(q.info.APIKey); q.org == nil && q.deployment.RequiresKey() && !q.route.Public {
 		return q.rt.refuseIfCurrent(RefuseUnknownKey, "the key is not known")
 	}
-	name := q.route.SelectService(q.info.ID)
-	if q.service = q.deployment.Service(name); q.service == nil {
-		q.service = &cicadadeploy.Service{Name: name}
-	}
+	q.setService(q.route.SelectService(q.info.ID))
 	q.deadline = q.arrivedAt.Add(requestTimeout(q.info.Timeout, q.route.Timeout))
 	return nil
 }
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -187,6 +187,9 @@
 		x.rt.cfg.Metrics.Resumed.Add(1)
 	}
 	x.streamRuns = append(x.streamRuns, streamRun{Runner: id, SoftwareVersion: a.placement.SoftwareVersion(), LastEventID: x.lastEventID})
+	if len(x.streamRuns) == 1 {
+		x.recordBegin()
+	}
 }
 
 // abortCause returns the reason for which this router cancelled the attempt, if it did, and err
--- a/internal/cicadaedge/tables.go
+++ b/internal/cicadaedge/tables.go
@@ -111,6 +111,7 @@
 	rt.cfg.Log.WithField("version", doc.Version).WithField("before", before).WithField("from", source).
 		WithField("routes", len(doc.Routes)).WithField("organisations", len(doc.Organisations)).Info("configuration applied")
 	rt.poolSyncer.wake()
+	rt.versions.observe(time.Now())
 }
 
 // applyWarmups sets the rates at which runners may get requests while they warm up.
@@ -158,6 +159,7 @@
 		rt.transports.remove(r)
 	}
 	rt.logRunnerChanges(&changes, "store")
+	rt.versions.observe(now)
 }
 
 // applyRunner applies the entry of one runner, from the store or from another router.
@@ -262,5 +264,6 @@
 	rt.retries.SetRouters(n)
 	rt.balancer.SetRouters(n)
 	rt.transports.setRouters(n)
+	rt.streamRows.setRouters(n)
 	rt.poolSyncer.routerCount.Store(int64(n))
 }
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -11,6 +11,7 @@
 package cicadaplace
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -227,6 +228,21 @@
 	return b.byID[id]
 }
 
+// SoftwareVersions returns the versions of the software of a service's runners, draining ones included,
+// in ascending order. A runner whose version is not known has an empty one.
+func (b *Balancer) SoftwareVersions(service string, now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, r := range b.services[service] {
+		if version := r.entry.SoftwareVersion; !slices.Contains(out, version) && !b.isExpired(r, now) {
+			out = append(out, version)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Reinstate forgets the failures of a runner, because they were not its own.
 func (b *Balancer) Reinstate(r *Runner) {
 	b.mu.Lock()
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -122,7 +122,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := b.services[req.Service]
-	ignoreEjection := b.tooManyEjected(list, now)
+	ignoreEjection := b.tooManyEjected(list, req, now)
 	var best *Runner
 	var bestCost, limitedRate float64
 	noRoom := false
@@ -162,7 +162,10 @@
 	if !req.ForPeer {
 		b.cfg.Limits.TryAcquire(r.Key(), req.class(), now)
 	}
-	a := &Assignment{balancer: b, runner: r, version: r.entry.SoftwareVersion, assignedAt: now, estimateMillis: b.cost(r, req, preferred, now), cachedTokens: r.cachedTokens(req, preferred, now)}
+	a := &Assignment{
+		balancer: b, runner: r, version: r.entry.SoftwareVersion, assignedAt: now,
+		estimateMillis: b.cost(r, req, preferred, now), cachedTokens: r.cachedTokens(req, preferred, now),
+	}
 	a.uncachedTokens = max(req.Tokens-a.cachedTokens, 0)
 	r.inFlight++
 	r.sinceReport++
@@ -323,11 +326,12 @@
 	return n
 }
 
-// tooManyEjected reports whether more than maxEjectedShare of the runners are ejected.
-func (b *Balancer) tooManyEjected(list []*Runner, now time.Time) bool {
+// tooManyEjected reports whether more than maxEjectedShare of the runners that the request may use are
+// ejected.
+func (b *Balancer) tooManyEjected(list []*Runner, req *Request, now time.Time) bool {
 	ejected, total := 0, 0
 	for _, r := range list {
-		if b.unavailability(r, now) != nil {
+		if b.unavailability(r, now) != nil || r.hasOtherVersion(req) {
 			continue
 		}
 		total++
