--- a/internal/cicadaresume/history.go
+++ b/internal/cicadaresume/history.go
@@ -46,7 +46,7 @@
 			v.GoneMillis, changed = 0, true
 		case !used && v.GoneMillis == 0:
 			v.GoneMillis, changed = now.Milliseconds(), true
-		case !used && now-millis(v.GoneMillis) > historyPeriods*period:
+		case !used && !v.goneWithin(historyPeriods*period, now):
 			changed = true
 			continue
 		}
@@ -81,12 +81,12 @@
 // Only returns the software version if all streams that began at the service within the period before
 // now began at the same one. The versions that the caller knows runners to have are considered too.
 func (h *History) Only(inUse []string, period, now time.Duration) (string, bool) {
-	if h.SinceMillis > 0 && now-millis(h.SinceMillis) < period {
+	if h.SinceMillis > 0 && now.Milliseconds()-h.SinceMillis < period.Milliseconds() {
 		return "", false
 	}
 	versions := slices.Clone(inUse)
 	for _, v := range h.Versions {
-		if v.GoneMillis == 0 || now-millis(v.GoneMillis) < period {
+		if v.GoneMillis == 0 || v.goneWithin(period, now) {
 			versions = append(versions, v.Version)
 		}
 	}
@@ -121,4 +121,7 @@
 	return s.GoneMillis
 }
 
-func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// goneWithin reports whether the version left within the period before now.
+func (s *SeenVersion) goneWithin(period, now time.Duration) bool {
+	return now.Milliseconds()-s.GoneMillis < period.Milliseconds()
+}
--- a/internal/cicadaresume/resume_test.go
+++ b/internal/cicadaresume/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -184,6 +185,19 @@
 	}
 }
 
+func TestHistoryWithAbsurdTimes(t *testing.T) {
+	for _, gone := range []int64{math.MaxInt64, math.MinInt64, math.MaxInt64 - 1} {
+		h := cicadaresume.History{Versions: []cicadaresume.SeenVersion{{Version: "v1"}, {Version: "v2", GoneMillis: gone}}}
+		if version, ok := h.Only([]string{"v1"}, period, at(100)); ok {
+			t.Errorf("only version %q with a version that left at %d ms", version, gone)
+		}
+	}
+	h := cicadaresume.History{SinceMillis: math.MaxInt64, Versions: []cicadaresume.SeenVersion{{Version: "v1"}}}
+	if version, ok := h.Only([]string{"v1"}, period, at(100)); ok {
+		t.Errorf("only version %q with a history that has not begun", version)
+	}
+}
+
 // A row may come from another writer.
 func TestRowThatIsNotWhole(t *testing.T) {
 	row := cicadaresume.Row{Origins: []cicadaresume.OriginRow{{StreamIDs: []byte{1, 2, 3}}, {StreamIDs: make([]byte, 12)}}}
--- a/internal/cicadasoak/soak_test.go
+++ b/internal/cicadasoak/soak_test.go
@@ -64,7 +64,7 @@
 
 	// router is a router process with its later restarts.
 	router struct {
-		name, callerAddr, settingsFile, binary, logFile string
+		name, callerAddr, readyAddr, settingsFile, binary, logFile string
 
 		mu        sync.Mutex // guards the fields below, held during a fault
 		cmd       *exec.Cmd
@@ -94,13 +94,13 @@
 func (s *soak) addRouter(binary, dir string) {
 	name := fmt.Sprintf("n%d", len(s.routers))
 	r := &router{
-		name: name, callerAddr: freeAddr(s.t), binary: binary,
+		name: name, callerAddr: freeAddr(s.t), readyAddr: freeAddr(s.t), binary: binary,
 		settingsFile: filepath.Join(dir, name+".yaml"), logFile: filepath.Join(dir, name+".log"),
 	}
 	text := fmt.Sprintf("NodeName: %s\nIp: 127.0.0.1\nZone: z\nListen: {Front: %q, Ready: %q, Control: %q}\nBootstrap: true\n"+
 		"BeatIntervalMs: 1200\nLimits: {MemoryMb: 134, MaxFds: 2000}\nPlatform: {Address: %q}\n"+
 		"Bounds: {GraceS: 6, ConfigMs: 2000, StretchMs: 5000, BudgetWindowS: 10, RetryBudgetRatio: 0.2, RetrySlack: 56}\n",
-		name, r.callerAddr, freeAddr(s.t), freeAddr(s.t), s.store.addr())
+		name, r.callerAddr, r.readyAddr, freeAddr(s.t), s.store.addr())
 	if err := os.WriteFile(r.settingsFile, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/cicadasoak/store_test.go
+++ b/internal/cicadasoak/store_test.go
@@ -197,11 +197,21 @@
 	if err != nil {
 		panic(err)
 	}
+	s.putRaw(table, key, data)
+}
+
+func (s *store) putRaw(table, key string, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.apply(&transaction{SetKeys: []row{{Table: table, Key: key, Value: data}}})
 }
 
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(&transaction{Remove: []row{{Table: table, Key: key}}})
+}
+
 func (s *store) apply(in *transaction) {
 	s.revision++
 	for _, c := range in.SetKeys {
