Requests in progress at the end of a planned stop get an answer

As reported by other operators: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end. The first half cannot happen here: 2.5 s after the signal no connection is accepted and none that is open is read any more (TestRequestsLateInAPlannedStopEndWithoutAnAnswer: 180 requests, each 0.4 s of a stop of 6 s, on connections that were in use, open and unused, or new; to calls that may run once and others; of 50 ms and of 2 s; passes without this change). What is sent later is closed unread.

The second half could: a request that was taken early and whose runner is still at work at the end got a closed connection. Shown by TestRequestInProgressAtTheEndOfAPlannedStopGetsNoAnswer, which failed. Cause: the server's shutdown gives up at the stop deadline, and the process ends under the handlers. Change: 100 ms before that deadline the requests in progress are ended: 503 stopping if nothing was sent, 504 if it may have run; a stream that has begun is broken off, as before.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -107,7 +107,7 @@
 // try makes one attempt. It returns the result and whether another runner may be tried.
 func (x *exchange) try(ctx context.Context) (result, bool) {
 	now := time.Now()
-	if remaining := x.deadline.Sub(now); remaining <= deadlineHeadroom {
+	if remaining := x.deadline.Sub(now); remaining <= deadlineHeadroom || x.rt.requests.Err() != nil {
 		return x.timeoutResult(), false
 	}
 	if f := x.quarantineRefusal(); f != nil {
@@ -168,10 +168,14 @@
 }
 
 func (x *exchange) isTimeout(err error) bool {
-	return errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(x.deadline)
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errStopping) || !time.Now().Before(x.deadline)
 }
 
+// timeoutResult returns the result of a request that ends at its deadline or in a planned stop.
 func (x *exchange) timeoutResult() result {
+	if err := context.Cause(x.rt.requests); err != nil {
+		return x.stopResult(err)
+	}
 	if x.headerSent {
 		return result{abortErr: context.DeadlineExceeded}
 	}
@@ -181,6 +185,17 @@
 	return refuse(RefuseTooLate, retrySoon, "the time limit passed before the request was sent")
 }
 
+func (x *exchange) stopResult(err error) result {
+	switch {
+	case x.headerSent:
+		return result{abortErr: err}
+	case x.mayHaveRun:
+		return refuse(FailedTimeout, 0, "the router stopped before the runner answered")
+	default:
+		return refuse(RefuseStopping, retrySoon, "the router stopped before the request was sent")
+	}
+}
+
 // send sends the request and returns when the response header has arrived.
 func (x *exchange) send(ctx context.Context, p *placement) (*attempt, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/cicadaedge/limit.go
+++ b/internal/cicadaedge/limit.go
@@ -61,7 +61,7 @@
 // becameUnavailable reports whether an attempt was cancelled because its runner became unavailable
 // while the request waited for a connection.
 func becameUnavailable(err error) bool {
-	for _, cause := range []error{errRateLimited, cicadaplace.ErrDraining, cicadaplace.ErrEvacuated, cicadaplace.ErrPaused, errQuarantined} {
+	for _, cause := range []error{errRateLimited, cicadaplace.ErrDraining, cicadaplace.ErrEvacuated, cicadaplace.ErrPaused, errQuarantined, errStopping} {
 		if errors.Is(err, cause) {
 			return true
 		}
--- a/internal/cicadaedge/refusal.go
+++ b/internal/cicadaedge/refusal.go
@@ -27,6 +27,7 @@
 	RefuseTooLate          RefusalKind = "tooLate"         // (*) the deadline passed before it was sent
 	RefuseQuarantined      RefusalKind = "quarantined"     // (*) requests like it crash runners
 	RefuseStreamUnknown    RefusalKind = "streamUnknown"   // (*) it is not known at which software version the stream began
+	RefuseStopping         RefusalKind = "stopping"        // (*) this router stopped before the request was sent
 	RefuseBusy             RefusalKind = "busy"            // (*) this router has reached its own limits
 	FailedUpstream         RefusalKind = "upstreamFailed"  // sent, but no complete response was received
 	FailedTimeout          RefusalKind = "upstreamTimeout" // sent, but no complete response arrived in time
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -28,6 +28,8 @@
 	drainDelay = 2500 * time.Millisecond
 	// killMargin is the time kept free between the end of a planned stop and the kill.
 	killMargin = 500 * time.Millisecond
+	// finalAnswerMargin is the time kept free in a planned stop for the answers to requests that it ends.
+	finalAnswerMargin = 100 * time.Millisecond
 	// defaultIdleTimeout applies to idle connections until a configuration sets another value.
 	defaultIdleTimeout = 60 * time.Second
 	// defaultHeaderTimeout bounds the reading of request headers.
@@ -91,7 +93,10 @@
 	streamRows *streamRows
 	versions   *versionTracker
 
-	stopping     atomic.Bool
+	stopping atomic.Bool
+	// requests is cancelled at the end of a planned stop, which ends the requests in progress.
+	requests     context.Context
+	endRequests  context.CancelCauseFunc
 	callerServer *http.Server
 	healthServer *http.Server
 	cancel       context.CancelFunc
@@ -121,6 +126,7 @@
 		quarantine:     cicadaquarantine.New(cicadaquarantine.Config{}),
 		streams:        cicadaresume.NewStreams(),
 	}
+	rt.requests, rt.endRequests = context.WithCancelCause(context.Background())
 	rt.dialer = newRunnerDialer(rt)
 	rt.transports = newRunnerTransports(cfg.Metrics, link, rt.dialer)
 	rt.relayServer = &relayServer{rt: rt}
@@ -300,6 +306,8 @@
 	rt.cfg.Log.WithField("inFlight", rt.cfg.Metrics.InFlight.String()).Info("stop")
 	rt.accounts.Drain()
 	rt.poolSyncer.wake()
+	endTimer := time.AfterFunc(time.Until(deadline)-finalAnswerMargin, func() { rt.endRequests(errStopping) })
+	defer endTimer.Stop()
 	time.Sleep(min(drainDelay, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -113,8 +113,8 @@
 	if f := q.quarantineRefusal(); f != nil {
 		return result{refusal: f}
 	}
-	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
-	defer cancel()
+	ctx, cancel := q.context()
+	defer cancel(nil)
 	if f := q.findOrigin(ctx); f != nil {
 		return result{refusal: f}
 	}
@@ -132,6 +132,18 @@
 	return res
 }
 
+// context returns a context that ends with the caller, the deadline, or a planned stop of the router.
+func (q *request) context() (context.Context, context.CancelCauseFunc) {
+	ctx, cancelDeadline := context.WithDeadline(q.r.Context(), q.deadline)
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(q.rt.requests, func() { cancel(errStopping) })
+	return ctx, func(cause error) {
+		stop()
+		cancel(cause)
+		cancelDeadline()
+	}
+}
+
 // resolve determines the route, organisation and deadline of the request, or returns a refusal.
 func (q *request) resolve() *refusal {
 	var err error
