Test: an older router places what is left of a stream at another software version

The build before asks for no version when it places. Its choice is rejected and the router that forwards the stream chooses itself.

--- a/internal/cicadaedge/upgrade_test.go
+++ b/internal/cicadaedge/upgrade_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
@@ -134,3 +135,36 @@
 		t.Errorf("runner (-want +got)\n%s", diff)
 	}
 }
+
+// Older routers place what is left of a stream, and know nothing of software versions.
+func TestOlderRouterPlacesAStreamAtAnotherSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	first, other := f.addVersion("v1", breakVersion("v1")), f.addVersion("v2", serveVersion("v2"))
+	f.addVersion("v1", serveVersion("v1"))
+	type oldRequest struct {
+		Tried []string `json:"tried"`
+	}
+	var placed atomic.Int64
+	methods := handler.Map{"place": handler.New(func(_ context.Context, req oldRequest) map[string]any {
+		if len(req.Tried) == 0 {
+			return map[string]any{"place": placed.Add(1), "runner": first.id}
+		}
+		return map[string]any{"place": placed.Add(1), "runner": other.id}
+	})}
+	const older = 4
+	for i := range older {
+		f.startOlderRouter(fmt.Sprint("older", i), methods)
+	}
+	host := f.waitReady(f.startNode("n1", func(cfg *cicadaedge.Config) { cfg.Runtime.RetryBudget.Slack = 1000 }))
+	eventually(t, "the host knows the older ones", func() bool { return host.RouterCount() == older+1 })
+	for i := range 5 {
+		got := call(t, host, "/resume/", map[string]string{"X-Tokens": "10,10", "X-Parts": fmt.Sprintf("shared%d,own", i)}, "")
+		if diff := cmp.Diff([]string{"v1"}, versionsOf(got.body)); diff != "" || got.err != nil {
+			t.Errorf("stream %d (-want +got), error %v:\n%s", i, got.err, diff)
+		}
+	}
+	if placed.Load() == 0 {
+		t.Error("no request was placed by an older router")
+	}
+}
