Brittle runners do not fall over when all routers are apart

What callers and operators would see: while many routers are cut from each other and the runners are brittle, these fall over again and again (LIMIT). The red test: 73 routers, four runners of six slots, 72 falls in 5 s (2 are allowed).

Cause: routers that do not reach each other each place for all. A rejection shows each of them how many of its requests there was room for; from then on this room grows by a tenth of the tolerated rejections a second, in each router, and all begin at the same moment. So the sum grows 73 times as fast, and its steps coincide. Evidence: in the simulation the falls come in waves 3.5 s apart, when the rooms reach the next whole request.

Ruled out: the share of slots (a third of one for each router): with the growth off nothing falls over.

Change: if the runner runs more than this router has there, others place too, and the growth is divided by all routers. It differs from router to router.

--- a/internal/cicadaplace/brittle.go
+++ b/internal/cicadaplace/brittle.go
@@ -23,6 +23,8 @@
 	// roomGrowth is how fast the room that a runner is taken to have grows after a rejection: requests in a
 	// second, for each rejection in a second that is tolerated.
 	roomGrowth = 0.1
+	// growthSpread is the number of speeds at which the room grows while other routers place too.
+	growthSpread = 1024
 	// settlingPeriod is the time until the requests have ended that routers sent before they knew that
 	// the runners are brittle. Until then, a rejection says little about the room for those of this router.
 	settlingPeriod = time.Second
@@ -143,7 +145,7 @@
 	if r.roomSeenAt.Before(st.since) {
 		return slots
 	}
-	return min(slots, r.roomSeen+roomGrowth*st.rejections*now.Sub(r.roomSeenAt).Seconds())
+	return min(slots, r.roomSeen+r.roomGrowth*roomGrowth*st.rejections*now.Sub(r.roomSeenAt).Seconds())
 }
 
 // surelyFits reports whether one more request is within the share of this router.
@@ -195,13 +197,27 @@
 	if now.Sub(st.since) < settlingPeriod {
 		return
 	}
-	seen := float64(r.inFlight * b.groups(r))
-	if running := float64(r.reportedLoad.Running); now.Sub(r.reportedAt) < rejectionPause && (running < seen || !r.placesGroup) {
-		// A router that places counts its own requests only: others may place too, while they do not reach it.
-		seen = running
-	}
+	seen, growth := float64(r.inFlight*b.groups(r)), 1.0
+	if running := float64(r.reportedLoad.Running); now.Sub(r.reportedAt) < rejectionPause {
+		if running > seen {
+			growth = b.sharedGrowth(now)
+		}
+		if running < seen || !r.placesGroup {
+			// A router that places counts its own requests only: others may place too, while they do not reach it.
+			seen = running
+		}
+	}
+	r.roomGrowth = growth
 	r.roomSeen, r.roomSeenAt = min(seen, r.room(st, now)), now
 }
 
+// sharedGrowth returns the part of this router in the growth of a runner's room while others place too.
+// All routers may, as far as it knows. Routers that were rejected at the same time get different parts, so
+// that they do not try again at the same time.
+func (b *Balancer) sharedGrowth(now time.Time) float64 {
+	spread := (1 + float64(mix(uint64(now.UnixNano()))%growthSpread)/growthSpread) / 2
+	return spread / float64(max(b.routers, 1))
+}
+
 // groups returns the number of groups of a runner's service.
 func (b *Balancer) groups(r *Runner) int { return groupCount(len(b.services[r.entry.Service])) }
