--- a/internal/cicadapeer/conn.go
+++ b/internal/cicadapeer/conn.go
@@ -91,5 +91,5 @@
 	})
 }
 
-// dialTimeout limits connecting to a peer, including the TLS handshake.
+// dialTimeout limits the TCP connection to a peer.
 const dialTimeout = 700 * time.Millisecond
