Take-ups of unnamed streams are not taken for one stream

What callers would see: a take-up without Resumes, or with several of them, that goes on at the version of another such stream of the same organisation. Cause: they were all kept under the empty id.

Change: a stream that is not named is kept under the id of the request that takes it up, and goes on only if the service had one version. Several values of Resumes name none. The history is not read if this router sees two versions. TestTakeUpsOfUnnamedStreamsAreTakenForOneStream fails without it.

--- a/internal/cicadaedge/resume.go
+++ b/internal/cicadaedge/resume.go
@@ -45,9 +45,8 @@
 	if !q.isTakenUp() {
 		return nil
 	}
-	began := q.info.Resumes
-	q.streamID = cicadaresume.NewStreamID(q.organisationName(), began)
-	if began != "" {
+	if began := q.info.Resumes; began != "" {
+		q.streamID = cicadaresume.NewStreamID(q.organisationName(), began)
 		q.setService(q.route.SelectService(began))
 	}
 	origin, source := q.lookUpOrigin(ctx)
@@ -72,23 +71,32 @@
 	if origin, ok := q.rt.streams.Find(q.streamID); ok {
 		return origin, originOwn
 	}
+	if version, ok := q.onlyVersion(ctx); ok {
+		return cicadaresume.Origin{Service: q.service.Name, SoftwareVersion: version}, originOnlyVersion
+	}
+	if q.info.Resumes == "" {
+		return cicadaresume.Origin{}, originUnknown
+	}
+	return q.findInRows(ctx)
+}
+
+// onlyVersion returns the software version of the service if, by the history in the store, the stream
+// cannot have begun at another one. While the store does not answer, what this router knows decides for
+// a moment.
+func (q *request) onlyVersion(ctx context.Context) (string, bool) {
+	if len(q.rt.balancer.SoftwareVersions(q.service.Name, time.Now())) > 1 {
+		return "", false
+	}
 	history, err := q.rt.streamRows.history(ctx, q.service.Name)
 	now := time.Now()
-	var only string
-	var ok bool
 	switch {
 	case err == nil:
-		only, ok = q.rt.versions.onlyOf(q.service.Name, &history, now)
+		return q.rt.versions.onlyOf(q.service.Name, &history, now)
 	case !errors.Is(err, errNoHistory) && q.rt.runnersAge(now) < maxViewAge:
-		only, ok = q.rt.versions.only(q.service.Name, now)
-	}
-	if ok {
-		return cicadaresume.Origin{Service: q.service.Name, SoftwareVersion: only}, originOnlyVersion
-	}
-	if q.info.Resumes == "" {
-		return cicadaresume.Origin{}, originUnknown
+		return q.rt.versions.only(q.service.Name, now)
+	default:
+		return "", false
 	}
-	return q.findInRows(ctx)
 }
 
 // findInRows looks the stream up in the rows of other processes, twice if they do not have it yet.
--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -219,6 +219,27 @@
 	}
 }
 
+// Callers that do not name their stream take up different ones.
+func TestTakeUpsOfUnnamedStreamsAreTakenForOneStream(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.singleRun()
+	f.addBreakable("v1")
+	n := f.waitReady(f.startNode("n1", func(cfg *cicadaedge.Config) { cfg.FirstStart = true }))
+	eventually(t, "the store tells the versions", func() bool { return f.store.get(versionsRef).Version > 0 })
+	unnamed := map[string]string{"X-After": "3"}
+	if got := call(t, n, "/resume/", unnamed, ""); len(versionsOf(got.body)) != 1 || got.err != nil {
+		t.Errorf("take-up at the only version: status %d, error %v", got.status, got.err)
+	}
+	f.addBreakable("v2")
+	f.waitReady(n)
+	for range 3 {
+		if diff := cmp.Diff(http.StatusServiceUnavailable, call(t, n, "/resume/", unnamed, "").status); diff != "" {
+			t.Errorf("take-up with two versions (-want +got)\n%s", diff)
+		}
+	}
+}
+
 func TestTakeUpWhileTheStoreIsSilent(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
