A runner that changed its software version as it was asked does not take a stream up

What callers would see: a take-up answered by a runner whose id has come back with another version between the choice and the answer. Cause: the check of the version when a response arrives was made only if events of the same response had been sent. TestTakeUpGoesOnAtARunnerThatChangedItsSoftwareVersion fails without the change.

The run of an event is recorded once an attempt, as each event took the balancer's lock.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -57,6 +57,7 @@
 		resp      *http.Response
 		info      ResponseInfo
 		cancel    context.CancelCauseFunc
+		eventSent bool // an event was forwarded
 	}
 
 	// sendError is a failure before a response was received.
@@ -185,6 +186,7 @@
 	return refuse(RefuseTooLate, retrySoon, "the time limit passed before the request was sent")
 }
 
+// stopResult returns the result of a request that a planned stop ends.
 func (x *exchange) stopResult(err error) result {
 	switch {
 	case x.headerSent:
--- a/internal/cicadaedge/response.go
+++ b/internal/cicadaedge/response.go
@@ -26,7 +26,7 @@
 		return x.handleUnusable(a, errNotSealed)
 	case x.headerSent && (status != http.StatusOK || mediaType(a.resp) != x.mediaType):
 		return x.handleUnusable(a, errors.Errorf("the runner did not resume: status %d, type %q", status, mediaType(a.resp)))
-	case x.headerSent && a.placement.SoftwareVersion() != x.requiredVersion():
+	case x.requiredVersion() != "" && a.placement.SoftwareVersion() != x.requiredVersion():
 		return x.handleUnusable(a, errors.New("the runner's software version has changed"))
 	case status >= http.StatusInternalServerError && x.route.CanRunAgain() && x.allowRetry():
 		x.retryCounted = true
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -177,16 +177,18 @@
 	return nil
 }
 
-// recordRun records the run that an event came from.
+// recordRun records the run that an event came from, with the first event of each attempt.
 func (x *exchange) recordRun(a *attempt) {
-	id := a.placement.Runner().ID()
-	if n := len(x.streamRuns); n > 0 && x.streamRuns[n-1].Runner == id && x.streamRuns[n-1].SoftwareVersion == a.placement.SoftwareVersion() {
+	if a.eventSent {
 		return
 	}
+	a.eventSent = true
 	if len(x.streamRuns) > 0 {
 		x.rt.cfg.Metrics.Resumed.Add(1)
 	}
-	x.streamRuns = append(x.streamRuns, streamRun{Runner: id, SoftwareVersion: a.placement.SoftwareVersion(), LastEventID: x.lastEventID})
+	x.streamRuns = append(x.streamRuns, streamRun{
+		Runner: a.placement.Runner().ID(), SoftwareVersion: a.placement.SoftwareVersion(), LastEventID: x.lastEventID,
+	})
 	if len(x.streamRuns) == 1 {
 		x.recordBegin()
 	}
--- a/internal/cicadaedge/versions_test.go
+++ b/internal/cicadaedge/versions_test.go
@@ -149,3 +149,35 @@
 		t.Errorf("versions in the stream (-want +got), error %v:\n%s", got.err, diff)
 	}
 }
+
+// The runner that takes a stream up has restarted with another version under its id, before it answers.
+func TestTakeUpGoesOnAtARunnerThatChangedItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.singleRun()
+	answer := make(chan struct{})
+	var r *runner
+	r = f.addVersion("v1", func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get("X-After") == "" {
+			breakVersion("v1")(w, req)
+		}
+		r.runs.Add(1)
+		<-answer
+		serveVersion("v2")(w, req)
+	})
+	n := f.waitReady(f.startNode("n1"))
+	stream := breakStreams(t, n, 1)[0]
+	done := make(chan response)
+	go func() { done <- stream.takeUp(t, n) }()
+	eventually(t, "the runner has the request", func() bool { return r.runs.Load() > 0 })
+	r.software = "v2"
+	f.putEntry(r, false)
+	eventually(t, "the router knows the new version", func() bool {
+		runners := n.Runners()
+		return len(runners) == 1 && runners[0].SoftwareVersion == "v2"
+	})
+	close(answer)
+	if got := <-done; len(versionsOf(got.body)) > 0 {
+		t.Errorf("the stream goes on at version %q, status %d", versionsOf(got.body), got.status)
+	}
+}
