--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/google/go-cmp/cmp"
 )
@@ -163,7 +162,7 @@
 	f.singleRun()
 	f.addBreakable("v1")
 	f.addBreakable("v1")
-	first := f.waitReady(f.startNode("n1", func(cfg *cicadaedge.Config) { cfg.FirstStart = true }))
+	first := f.waitReady(f.startNode("n1"))
 	eventually(t, "the store tells the versions", func() bool { return f.store.get(versionsRef).Version > 0 })
 	streams := breakStreams(t, first, 10)
 	first.kill()
@@ -225,7 +224,7 @@
 	f := newFleet(t)
 	f.singleRun()
 	f.addBreakable("v1")
-	n := f.waitReady(f.startNode("n1", func(cfg *cicadaedge.Config) { cfg.FirstStart = true }))
+	n := f.waitReady(f.startNode("n1"))
 	eventually(t, "the store tells the versions", func() bool { return f.store.get(versionsRef).Version > 0 })
 	unnamed := map[string]string{"X-After": "3"}
 	if got := call(t, n, "/resume/", unnamed, ""); len(versionsOf(got.body)) != 1 || got.err != nil {
