A take-up whose software version leaves is not told to come back

Cause: draining runners counted as such that may serve it. They never do: the refusal now has no Retry-After, so that the caller asks from the start. TestTakeUpWhoseSoftwareVersionLeavesIsToldToComeBack fails without it.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/url"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -162,7 +161,7 @@
 		class := cicadalimit.Class{Service: x.service.Name, Priority: x.priority()}
 		return refuse(RefuseRateLimited, x.rt.limits.RetryAfter(class, limited.Rate, time.Now()), err.Error())
 	}
-	if version := x.requiredVersion(); version != "" && !slices.Contains(x.rt.balancer.SoftwareVersions(x.service.Name, time.Now()), version) {
+	if version := x.requiredVersion(); version != "" && !x.rt.balancer.Serves(x.service.Name, version, time.Now()) {
 		return refuse(RefuseNoRunner, 0, "no runner is left of the software version that began the stream")
 	}
 	return refuse(RefuseNoRunner, retryLater, err.Error())
--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/google/go-cmp/cmp"
 )
@@ -218,6 +219,25 @@
 	}
 }
 
+// A release replaces all runners of the version that began the stream. Coming back later is in vain.
+func TestTakeUpWhoseSoftwareVersionLeavesIsToldToComeBack(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.singleRun()
+	f.addBreakable("v1")
+	n := f.waitReady(f.startNode("n1"))
+	stream := breakStreams(t, n, 1)[0]
+	f.addBreakable("v2")
+	f.putEntry(f.runners[0], true)
+	eventually(t, "the router knows that the first runner leaves", func() bool {
+		return slices.ContainsFunc(n.Runners(), func(r cicadaplace.RunnerState) bool { return r.Draining }) && len(n.Runners()) == 2
+	})
+	got := stream.takeUp(t, n)
+	if diff := cmp.Diff([]any{http.StatusServiceUnavailable, ""}, []any{got.status, got.header.Get("Retry-After")}); diff != "" {
+		t.Errorf("status and Retry-After (-want +got)\n%s", diff)
+	}
+}
+
 // Callers that do not name their stream take up different ones.
 func TestTakeUpsOfUnnamedStreamsAreTakenForOneStream(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -19,6 +19,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
+	"github.com/pkg/errors"
 )
 
 // removedEntryTTL is how long the last entry of a removed runner is kept. It is much longer than
@@ -244,6 +245,15 @@
 	return out
 }
 
+// Serves reports whether a service has runners with a version of the software that are not about to leave.
+func (b *Balancer) Serves(service, version string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.services[service], func(r *Runner) bool {
+		return r.entry.SoftwareVersion == version && !errors.Is(b.unavailability(r, now), ErrDraining)
+	})
+}
+
 // Reinstate forgets the failures of a runner, because they were not its own.
 func (b *Balancer) Reinstate(r *Runner) {
 	b.mu.Lock()
