A planned stop leaves the answers of the requests that it ends more time

The time for these answers is 250 ms in place of 100, within the last sixth of a grace of 4.5 s and more.

--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -29,7 +29,7 @@
 	// killMargin is the time kept free between the end of a planned stop and the kill.
 	killMargin = 500 * time.Millisecond
 	// finalAnswerMargin is the time kept free in a planned stop for the answers to requests that it ends.
-	finalAnswerMargin = 100 * time.Millisecond
+	finalAnswerMargin = 250 * time.Millisecond
 	// defaultIdleTimeout applies to idle connections until a configuration sets another value.
 	defaultIdleTimeout = 60 * time.Second
 	// defaultHeaderTimeout bounds the reading of request headers.
