--- a/internal/cicadapeer/client.go
+++ b/internal/cicadapeer/client.go
@@ -39,10 +39,6 @@
 	Client struct {
 		cfg    ClientConfig
 		dialer *net.Dialer
-		// open ends when the client is closed, which ends its dials.
-		open  context.Context
-		close context.CancelFunc
-		dials sync.WaitGroup
 
 		mu     sync.Mutex // guards the fields below
 		conns  map[string]*peerConn
@@ -50,37 +46,23 @@
 	}
 
 	peerConn struct {
-		mu           sync.Mutex // guards the fields below
+		mu           sync.Mutex // guards the fields below; held while dialling
 		rpc          *jrpc2.Client
-		pending      *pendingDial // nil if there is none
 		dialFailedAt time.Time
 		usedAt       time.Time
 	}
-
-	// pendingDial is a dial in progress. It goes on if the calls that wait for it end.
-	pendingDial struct {
-		done chan struct{} // closed at its end, after which the fields below are valid
-		rpc  *jrpc2.Client
-		err  error
-	}
 )
 
 // NewClient returns a client without connections.
 func NewClient(cfg ClientConfig) *Client {
-	c := &Client{cfg: cfg, dialer: NewDialer(), conns: make(map[string]*peerConn)}
-	c.open, c.close = context.WithCancel(context.Background())
-	return c
+	return &Client{cfg: cfg, dialer: NewDialer(), conns: make(map[string]*peerConn)}
 }
 
 // Close closes all connections.
 func (c *Client) Close() {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	c.close()
-	c.dials.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for _, p := range c.conns {
 		p.mu.Lock()
 		p.disconnect()
@@ -132,12 +114,11 @@
 func call[R any](ctx context.Context, c *Client, addr, method string, params any) (*R, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	p, rpc, dialled, err := c.connect(ctx, addr)
+	p, rpc, err := c.connect(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	c.cfg.Calls.Add(method, 1)
-	sentAt := time.Now()
 	var out R
 	err = rpc.CallResult(ctx, method, params, &out)
 	var rpcErr *jrpc2.Error
@@ -149,82 +130,49 @@
 	case ctx.Err() == nil && errors.As(err, &rpcErr):
 		return nil, errors.Wrapf(ErrRefused, "%s %s: %v", addr, method, err)
 	}
-	// After a timeout the connection may be broken without a TCP error, so it is not reused. A call that
-	// waited for the handshake may have had little time left, and the connection has just worked.
-	if !dialled || time.Since(sentAt) > dialTimeout {
-		p.closeIfCurrent(rpc)
-	}
+	// After a timeout the connection may be broken without a TCP error, so it is not reused.
+	p.closeIfCurrent(rpc)
 	return nil, errors.Wrapf(ErrUnreachable, "%s %s: %v", addr, method, err)
 }
 
-// connect returns the connection to a peer, and whether the call had to wait for it.
-func (c *Client) connect(ctx context.Context, addr string) (p *peerConn, rpc *jrpc2.Client, dialled bool, err error) {
+func (c *Client) connect(ctx context.Context, addr string) (*peerConn, *jrpc2.Client, error) {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		return nil, nil, false, errors.Wrap(ErrUnreachable, "peer client is closed")
+		return nil, nil, errors.Wrap(ErrUnreachable, "peer client is closed")
 	}
 	c.closeIdle(time.Now())
-	p = c.conns[addr]
-	if p == nil {
+	p, ok := c.conns[addr]
+	if !ok {
 		p = &peerConn{}
 		c.conns[addr] = p
 	}
-	dial, rpc, err := c.connection(p, addr)
 	c.mu.Unlock()
-	if err != nil || rpc != nil {
-		return p, rpc, false, err
-	}
-	select {
-	case <-dial.done:
-		if dial.err != nil {
-			return nil, nil, true, errors.Wrapf(ErrUnreachable, "%s: %v", addr, dial.err)
-		}
-		return p, dial.rpc, true, nil
-	case <-ctx.Done():
-		return nil, nil, true, errors.Wrapf(ErrUnreachable, "%s: %v", addr, context.Cause(ctx))
-	}
-}
-
-// connection returns the connection to a peer, or the dial that will establish it. The caller holds c.mu.
-func (c *Client) connection(p *peerConn, addr string) (*pendingDial, *jrpc2.Client, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.usedAt = time.Now()
-	switch {
-	case p.rpc != nil && !p.rpc.IsStopped():
-		return nil, p.rpc, nil
-	case p.pending != nil:
-		return p.pending, nil, nil
-	case time.Since(p.dialFailedAt) < redialInterval:
+	if p.rpc != nil && !p.rpc.IsStopped() {
+		return p, p.rpc, nil
+	}
+	if time.Since(p.dialFailedAt) < redialInterval {
 		return nil, nil, errors.Wrapf(ErrUnreachable, "%s: not redialled so soon after a failed dial", addr)
 	}
-	dial := &pendingDial{done: make(chan struct{})}
-	p.pending = dial
-	c.dials.Go(func() { c.runDial(p, dial, addr) })
-	return dial, nil, nil
-}
-
-func (c *Client) runDial(p *peerConn, dial *pendingDial, addr string) {
-	defer close(dial.done)
-	dial.rpc, dial.err = c.dial(addr)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pending = nil
-	if dial.err != nil {
+	rpc, err := c.dial(ctx, addr)
+	if err != nil {
 		p.dialFailedAt = time.Now()
-		return
+		return nil, nil, errors.Wrapf(ErrUnreachable, "%s: %v", addr, err)
 	}
-	p.rpc = dial.rpc
+	p.rpc = rpc
+	return p, rpc, nil
 }
 
-func (c *Client) dial(addr string) (*jrpc2.Client, error) {
-	conn, err := c.dialer.DialContext(c.open, "tcp", addr)
+func (c *Client) dial(ctx context.Context, addr string) (*jrpc2.Client, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(c.open, handshakeTimeout)
-	defer cancel()
 	tc := tls.Client(&countingConn{Conn: conn, received: c.cfg.BytesReceived, sent: c.cfg.BytesSent}, c.cfg.Identity.tlsConfig())
 	if err := tc.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
--- a/internal/cicadapeer/conn.go
+++ b/internal/cicadapeer/conn.go
@@ -91,5 +91,5 @@
 	})
 }
 
-// dialTimeout limits the TCP connection to a peer.
+// dialTimeout limits connecting to a peer, including the TLS handshake.
 const dialTimeout = 700 * time.Millisecond
--- a/internal/cicadapeer/server.go
+++ b/internal/cicadapeer/server.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// handshakeTimeout limits the TLS handshake of a connection, at both ends.
+	// handshakeTimeout limits the TLS handshake of an incoming connection.
 	handshakeTimeout = 2 * time.Second
 	// maxConcurrentCalls limits the calls in progress on one connection.
 	maxConcurrentCalls = 64
