A version that only an ended router's old view still has does not stay in a history

What operators would see: rows of streams written every 250 ms for good, and take-ups that need them, after a release is over. Cause: a router whose view lags writes a version as in use again that has just left, and is killed before it corrects that; the others write only when their own view changes. Found in the read-through.

Change: while a service had several versions within the life of a stream, routers compare the history with their view each 5 s. TestVersionInTheHistoryThatNoRunnerHasNeverLeaves fails without it.

--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -219,6 +219,20 @@
 	}
 }
 
+// Another router wrote a view of the runners that was out of date, and ended.
+func TestVersionInTheHistoryThatNoRunnerHasNeverLeaves(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.addBreakable("v1")
+	f.addBreakable("v2")
+	f.waitReady(f.startNode("n1"))
+	eventually(t, "the store tells the versions", func() bool { return strings.Contains(string(f.store.get(versionsRef).Value), "v2") })
+	f.store.putRaw(versionsRef.Table, versionsRef.Key, []byte(`{"versions":[{"version":"v0"},{"version":"v1"},{"version":"v2"}]}`))
+	eventually(t, "the version is written as gone", func() bool {
+		return strings.Contains(string(f.store.get(versionsRef).Value), `{"version":"v0","goneMillis":`)
+	})
+}
+
 // A release replaces all runners of the version that began the stream. Coming back later is in vain.
 func TestTakeUpWhoseSoftwareVersionLeavesIsToldToComeBack(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaedge/version_history.go
+++ b/internal/cicadaedge/version_history.go
@@ -21,6 +21,9 @@
 	// versionStagger is the delay from one router's write of a history to the next one's, on average. All
 	// routers see a new version at about the same time, and one of them has to write it.
 	versionStagger = 2 * time.Millisecond
+	// versionRecheckInterval is the time between two comparisons with the store while a service had
+	// several versions.
+	versionRecheckInterval = 5 * time.Second
 	// maxVersionConflicts bounds the tries to write a history that others write as well.
 	maxVersionConflicts = 5
 	// A stream with its take-ups lasts no longer than streamLifeFactor times the longest timeout of the
@@ -66,13 +69,22 @@
 	}
 }
 
-// run writes the histories when the versions change, until ctx ends.
+// run writes the histories when the versions change, until ctx ends. While a service had several, it
+// compares them now and then: another router may have written an older view, and ended.
 func (t *versionTracker) run(ctx context.Context) {
 	for {
+		recheck := time.NewTimer(versionRecheckInterval)
 		select {
 		case <-ctx.Done():
-			return
 		case <-t.changed:
+		case <-recheck.C:
+			if t.allSingle(time.Now()) {
+				continue
+			}
+		}
+		recheck.Stop()
+		if ctx.Err() != nil {
+			return
 		}
 		sleep(ctx, rand.N(time.Duration(t.rt.peers.count())*versionStagger))
 		for _, service := range t.rt.resumableServices() {
@@ -87,6 +99,14 @@
 	}
 }
 
+// allSingle reports whether each service had a single version for the life of a stream.
+func (t *versionTracker) allSingle(now time.Time) bool {
+	return !slices.ContainsFunc(t.rt.resumableServices(), func(service string) bool {
+		_, only := t.only(service, now)
+		return !only
+	})
+}
+
 // sync brings a service's history in the store up to date.
 func (t *versionTracker) sync(ctx context.Context, service string) error {
 	for range maxVersionConflicts {
