Writes of where streams began stay within a rate of all routers when streams break

By reading: a router wrote its rows as often as each 40 ms while streams break, so 410 routers in a release with many failures could make 10,000 writes a second, of 800 that the store takes for everything. The time between such writes now grows with the number of routers (500 a second of all). Up to 20 routers nothing changes.

--- a/internal/cicadaedge/stream_rows.go
+++ b/internal/cicadaedge/stream_rows.go
@@ -20,12 +20,12 @@
 	// tableStreams has rows of each process, one for each bucket: a cicadaresume.Row.
 	tableStreams = "streams"
 	// All routers together write their rows streamWritesPerSecond times a second at most, and each at
-	// intervals of minStreamInterval at least.
-	streamWritesPerSecond = 250
-	minStreamInterval     = 250 * time.Millisecond
-	// streamFlushGap is the time between two writes if a stream has broken, which its caller may take
-	// up at once.
-	streamFlushGap = 40 * time.Millisecond
+	// intervals of minStreamInterval at least. If streams break, which their callers may take up at once,
+	// it is streamFlushesPerSecond and minFlushInterval.
+	streamWritesPerSecond  = 250
+	minStreamInterval      = 250 * time.Millisecond
+	streamFlushesPerSecond = 500
+	minFlushInterval       = 40 * time.Millisecond
 	// streamSweepInterval is how often expired streams are removed from the rows.
 	streamSweepInterval = 5 * time.Second
 	// All routers together look up streams streamLookupsPerSecond times a second at most, and each
@@ -85,13 +85,13 @@
 			sleep(ctx, announceRetryDelay)
 			s.began.send()
 		}
-		sleep(ctx, streamFlushGap)
+		sleep(ctx, s.interval(streamFlushesPerSecond, minFlushInterval))
 	}
 }
 
 // awaitInterval waits until the rows may be written again, or a stream breaks.
 func (s *streamRows) awaitInterval(ctx context.Context) {
-	timer := time.NewTimer(max(minStreamInterval, time.Duration(s.rt.peers.count())*time.Second/streamWritesPerSecond))
+	timer := time.NewTimer(s.interval(streamWritesPerSecond, minStreamInterval))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -100,6 +100,12 @@
 	}
 }
 
+// interval returns the time between two writes of this router so that all together make at most the given
+// number a second.
+func (s *streamRows) interval(perSecond int, least time.Duration) time.Duration {
+	return max(least, time.Duration(s.rt.peers.count())*time.Second/time.Duration(perSecond))
+}
+
 // write writes the rows that have changed. Services with a single version need none.
 func (s *streamRows) write(ctx context.Context) error {
 	now := time.Now()
