--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -123,7 +123,7 @@
 		// it rejected one at roomSeenAt.
 		rejectedAt, nextRisk time.Time
 		roomSeen             float64
-		roomGrowth           float64 // part of this router in the growth of the room; zero before a rejection
+		growthPart           float64 // part of this router in the growth of that number
 		roomSeenAt           time.Time
 		placesGroup          bool // the last request was one that this router placed for all
 
--- a/internal/cicadaplace/brittle.go
+++ b/internal/cicadaplace/brittle.go
@@ -145,7 +145,7 @@
 	if r.roomSeenAt.Before(st.since) {
 		return slots
 	}
-	return min(slots, r.roomSeen+r.roomGrowth*roomGrowth*st.rejections*now.Sub(r.roomSeenAt).Seconds())
+	return min(slots, r.roomSeen+r.growthPart*roomGrowth*st.rejections*now.Sub(r.roomSeenAt).Seconds())
 }
 
 // surelyFits reports whether one more request is within the share of this router.
@@ -207,7 +207,7 @@
 			seen = running
 		}
 	}
-	r.roomGrowth = growth
+	r.growthPart = growth
 	r.roomSeen, r.roomSeenAt = min(seen, r.room(st, now)), now
 }
 
