A stream whose caller waits long does not go on at the next software version

What callers would see: a stream of a caller that waits longer than twice the longest timeout of the routes, with a few tries, joined from two versions after a release. Cause: the life of a stream, for which other versions are remembered, followed from the routes' timeouts alone (10 s at least); a caller's tries together may last longer. Change: a minute at least, and as long as the caller that takes the stream up still waits. TestTakeUpOfALongStreamGoesOnAtTheNextSoftwareVersion fails without it. Cost: rows are written for a minute after a release in place of 24 s (routes of 12 s).

--- a/internal/cicadaedge/resume.go
+++ b/internal/cicadaedge/resume.go
@@ -91,8 +91,9 @@
 	now := time.Now()
 	switch {
 	case err == nil:
-		return q.rt.versions.onlyOf(q.service.Name, &history, now)
-	case !errors.Is(err, errNoHistory) && q.rt.runnersAge(now) < maxViewAge:
+		// A caller that still waits longer than usual may have begun earlier.
+		return q.rt.versions.onlyOf(q.service.Name, &history, max(q.rt.streamLife(), q.info.Timeout), now)
+	case !errors.Is(err, errNoHistory) && q.info.Timeout <= q.rt.streamLife() && q.rt.runnersAge(now) < maxViewAge:
 		return q.rt.versions.only(q.service.Name, now)
 	default:
 		return "", false
--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -236,6 +236,22 @@
 	})
 }
 
+// The caller of a long stream waits longer than those that the routes are made for.
+func TestTakeUpOfALongStreamGoesOnAtTheNextSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.addVersion("v2", serveVersion("v2"))
+	left := time.Now().Add(-70 * time.Second).UnixMilli()
+	f.store.putRaw(versionsRef.Table, versionsRef.Key, fmt.Appendf(nil, `{"versions":[{"version":"v1","goneMillis":%d},{"version":"v2"}]}`, left))
+	n := f.waitReady(f.startNode("n1"))
+	for patience, want := range map[string]int{"5000": http.StatusOK, "90000": http.StatusServiceUnavailable} {
+		got := call(t, n, "/resume/", map[string]string{"X-Resumes": "stream" + patience, "X-After": "3", "X-Patience": patience}, "")
+		if diff := cmp.Diff(want, got.status); diff != "" {
+			t.Errorf("caller that waits %s ms (-want +got)\n%s", patience, diff)
+		}
+	}
+}
+
 // A release replaces all runners of the version that began the stream. Coming back later is in vain.
 func TestTakeUpWhoseSoftwareVersionLeavesIsToldToComeBack(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaedge/version_history.go
+++ b/internal/cicadaedge/version_history.go
@@ -29,7 +29,7 @@
 	// A stream with its take-ups lasts no longer than streamLifeFactor times the longest timeout of the
 	// routes, and minStreamLife at least.
 	streamLifeFactor = 2
-	minStreamLife    = 10 * time.Second
+	minStreamLife    = time.Minute
 )
 
 var (
@@ -205,16 +205,16 @@
 	if !ok {
 		return "", false
 	}
-	return t.onlyOf(service, &history, now)
+	return t.onlyOf(service, &history, t.rt.streamLife(), now)
 }
 
-// onlyOf is like only, with a history that was just read.
-func (t *versionTracker) onlyOf(service string, history *cicadaresume.History, now time.Time) (string, bool) {
+// onlyOf is like only, with a history that was just read, for streams that began within a time.
+func (t *versionTracker) onlyOf(service string, history *cicadaresume.History, life time.Duration, now time.Time) (string, bool) {
 	shared, ok := t.rt.clock.SharedTime(now)
 	if era, _, _, _ := t.rt.eraTracker.state(); !ok || history.Era != era {
 		return "", false
 	}
-	return history.Only(t.rt.balancer.SoftwareVersions(service, now), t.rt.streamLife(), shared)
+	return history.Only(t.rt.balancer.SoftwareVersions(service, now), life, shared)
 }
 
 // resumableServices returns the services whose streams may be resumed.
