Read-through: the id of the first request under a name of its own; bounds at the heads of their files

RequestInfo.Resumes had the platform's word for the id of the request that brought a stream's first event. It is FirstRequestID, and firstRequest in logs. No behaviour changes but for that key.

--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -54,8 +54,8 @@
 		PromptTokens, MaxOutputTokens int64
 		PromptParts                   []cicadaplace.Part
 		// LastEventID is set if the caller takes up a broken stream: the id of the last event that it has.
-		// Resumes is then the ID of the request that brought the first event.
-		LastEventID, Resumes string
+		// FirstRequestID is then the ID of the request that brought the first event.
+		LastEventID, FirstRequestID string
 	}
 
 	// RunnerHeaders holds the values that the router adds to the headers of a request to a runner.
--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -305,7 +305,7 @@
 			d.PromptParts = append(d.PromptParts, cicadaplace.Part{ID: id, Tokens: int(d.PromptTokens) / 2})
 		}
 	}
-	d.LastEventID, d.Resumes = h.Get("X-After"), h.Get("X-Resumes")
+	d.LastEventID, d.FirstRequestID = h.Get("X-After"), h.Get("X-Resumes")
 	return d, nil
 }
 
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -39,8 +39,12 @@
 	LastEventID     string `json:"after"` // id of the last event before those of this run; empty for the first
 }
 
-// maxPartsLogged bounds the prompt parts in a log line.
-const maxPartsLogged = 16
+const (
+	// maxPartsLogged bounds the prompt parts in a log line.
+	maxPartsLogged = 16
+	// maxIDLogged bounds an id that the caller set in a log line, in bytes.
+	maxIDLogged = 64
+)
 
 // sharedParts returns the parts that other requests may share, which are all but the last one.
 func sharedParts(parts []cicadaplace.Part) []cicadaplace.Part { return parts[:max(len(parts)-1, 0)] }
@@ -120,9 +124,6 @@
 	rt.cfg.Log.WithFields(f).Info("request")
 }
 
-// maxIDLogged bounds an id of the caller's in a log line, in bytes.
-const maxIDLogged = 64
-
 // addStream adds which runs the events of a stream came from, and which stream the caller has taken up.
 func (q *request) addStream(f log.Fields) {
 	if version := q.requiredVersion(); version != "" {
@@ -134,8 +135,8 @@
 	if len(q.streamRuns) > 1 {
 		f["runs"] = q.streamRuns
 	}
-	if q.info.LastEventID != "" || q.info.Resumes != "" {
-		f["after"], f["resumes"] = truncate(q.info.LastEventID, maxIDLogged), truncate(q.info.Resumes, maxIDLogged)
+	if q.info.LastEventID != "" || q.info.FirstRequestID != "" {
+		f["after"], f["firstRequest"] = truncate(q.info.LastEventID, maxIDLogged), truncate(q.info.FirstRequestID, maxIDLogged)
 	}
 }
 
--- a/internal/cicadaedge/resume.go
+++ b/internal/cicadaedge/resume.go
@@ -45,7 +45,7 @@
 	if !q.isTakenUp() {
 		return nil
 	}
-	if began := q.info.Resumes; began != "" {
+	if began := q.info.FirstRequestID; began != "" {
 		q.streamID = cicadaresume.NewStreamID(q.organisationName(), began)
 		q.setService(q.route.SelectService(began))
 	}
@@ -74,7 +74,7 @@
 	if version, ok := q.onlyVersion(ctx); ok {
 		return cicadaresume.Origin{Service: q.service.Name, SoftwareVersion: version}, originOnlyVersion
 	}
-	if q.info.Resumes == "" {
+	if q.info.FirstRequestID == "" {
 		return cicadaresume.Origin{}, originUnknown
 	}
 	return q.findInRows(ctx)
--- a/internal/cicadaedge/stream_rows.go
+++ b/internal/cicadaedge/stream_rows.go
@@ -39,6 +39,8 @@
 	streamRetryDelay = 80 * time.Millisecond
 	// expiredRowSlack is how much longer a row of another process is kept than the streams in it.
 	expiredRowSlack = 5 * time.Second
+	// maxExpiredRows bounds the rows of other processes that one transaction deletes.
+	maxExpiredRows = 32
 )
 
 // streamRows writes where the streams of this router began, and looks up those of others.
@@ -152,9 +154,6 @@
 // bucketPrefix begins the keys of a bucket's rows.
 func bucketPrefix(bucket int) string { return fmt.Sprintf("%02x/", bucket) }
 
-// maxExpiredRows bounds the rows of other processes that one transaction deletes.
-const maxExpiredRows = 32
-
 func (s *streamRows) takeExpired() []cicadastore.Ref {
 	s.mu.Lock()
 	defer s.mu.Unlock()
