Test: a take-up of another organisation's stream was refused for its key, whatever became of the stream

TestTakeUpThatCannotBeDecidedIsRefusedAtOnce used a key that no organisation has, and excused the status. The key is another organisation's now, and the answer has to be the same as for an unknown stream. It fails if organisations share the ids of streams.

--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/google/go-cmp/cmp"
@@ -189,22 +190,23 @@
 func TestTakeUpThatCannotBeDecidedIsRefusedAtOnce(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
+	f.doc.Organisations = append(f.doc.Organisations, cicadadeploy.Organisation{Name: "other", Keys: []string{"k2"}})
 	f.singleRun()
 	f.addBreakable("v1")
 	f.addBreakable("v2")
 	n := f.waitReady(f.startNode("n1"))
 	stream := breakStreams(t, n, 1)[0]
 	for name, header := range map[string]map[string]string{
-		"unknown request":               {"X-Resumes": "unknown", "X-After": "3"},
-		"no request":                    {"X-After": "3"},
-		"long id":                       {"X-Resumes": strings.Repeat("x", 8000), "X-After": "3"},
-		"request of another caller":     {"X-Resumes": stream.id, "X-After": "3", "X-Key": "k2"},
-		"last event of another request": {"X-Resumes": stream.id + "1", "X-After": "3"},
+		"unknown request":                 {"X-Resumes": "unknown", "X-After": "3"},
+		"no request":                      {"X-After": "3"},
+		"long id":                         {"X-Resumes": strings.Repeat("x", 8000), "X-After": "3"},
+		"request of another organisation": {"X-Resumes": stream.id, "X-After": "3", "X-Key": "k2"},
+		"last event of another request":   {"X-Resumes": stream.id + "1", "X-After": "3"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			start := time.Now()
 			got := call(t, n, "/resume/", header, "")
-			if got.status != http.StatusServiceUnavailable && name != "request of another caller" {
+			if got.status != http.StatusServiceUnavailable {
 				t.Errorf("status %d, body %q", got.status, got.body)
 			}
 			if versions := versionsOf(got.body); len(versions) > 0 {
