Resumable streams begin at a new software version only when all routers can know it

Callers could see a stream joined from two versions: a router that does not reach the store took a broken stream up at the only version that it knew, by its own view of up to 2 s ago. Another router had seen a new version meanwhile and begun the stream there. The same with a view that is behind while the history in the store, which is written after the version is first used, can be read.

The test fails before, in 3 of 3 runs ('stream 0 of version v2 goes on at [v1]').

Cause: the begin of a stream and the decision about its take-up rest on two views of the runners, and nothing bounds how far these are apart. Class: evidence of absence from a view without an age.

Now a version begins resumable streams 3 s after a router first saw it, unless no runner of a version known for longer can be used; and a view older than 3 s is no evidence that there is one version only, also not together with the history. Versions that a router sees at its start are settled at once. Ruled out: writing the history before the first use (unbounded while the store is slow), and no decision at all while the store is silent (callers of the only version would be refused for each outage).

--- a/internal/cicadaedge/placement.go
+++ b/internal/cicadaedge/placement.go
@@ -72,6 +72,8 @@
 		Brittle *float64 `json:"brittle,omitempty"`
 		// SoftwareVersion is the only one that may run the request; empty for any.
 		SoftwareVersion string `json:"software,omitempty"`
+		// Resumable is set for a stream that may go on at another runner.
+		Resumable bool `json:"resumable,omitempty"`
 	}
 
 	placementReply struct {
@@ -113,7 +115,8 @@
 	}
 	assignment, err := s.balancer.Choose(&cicadaplace.Request{
 		Service: req.Service, Parts: req.Parts, Tokens: req.Tokens, Tried: req.Tried, DataCentre: req.DataCentre,
-		Excluded: req.Excluded, Homes: req.Homes, SoftwareVersion: req.SoftwareVersion, ForPeer: true, PlacesGroup: true,
+		Excluded: req.Excluded, Homes: req.Homes, SoftwareVersion: req.SoftwareVersion, Resumable: req.Resumable,
+		ForPeer: true, PlacesGroup: true,
 	}, now)
 	var noRoom *cicadaplace.NoRoomError
 	if errors.As(err, &noRoom) {
@@ -234,6 +237,7 @@
 		Service: req.Service, Parts: req.Parts, Tokens: req.Tokens, Tried: req.Tried,
 		RemainingMillis: time.Until(deadline).Milliseconds(), DataCentre: c.rt.cfg.DataCentre,
 		Excluded: c.rt.balancer.UnusableIDs(req, time.Now()), Homes: req.Homes, SoftwareVersion: req.SoftwareVersion,
+		Resumable: req.Resumable,
 	}, &reply)
 	if err != nil {
 		var rpcErr *jrpc2.Error
--- a/internal/cicadaedge/resume.go
+++ b/internal/cicadaedge/resume.go
@@ -6,14 +6,15 @@
 	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaresume"
 	"github.com/pkg/errors"
 )
 
 const (
-	// maxViewAge is the age of this router's view of the runners up to which it tells, while the store does
-	// not answer, which software versions there are.
-	maxViewAge = 2 * time.Second
+	// maxViewAge is the age of this router's view of the runners up to which it tells at which software
+	// versions streams have begun. Routers use later versions for new streams only after that time.
+	maxViewAge = cicadaplace.VersionSettlingPeriod
 	// maxStreamLife bounds the time for which it is kept where a stream began.
 	maxStreamLife = 5 * time.Minute
 	// completedStreamLife is the time for which it is kept where a complete stream began. Its last events
@@ -33,11 +34,14 @@
 // originSource is how it is known at which software version a stream began.
 type originSource string
 
-// isTakenUp reports whether the caller takes up a broken stream.
-func (q *request) isTakenUp() bool {
-	return q.info.LastEventID != "" && q.route.Kind == cicadadeploy.KindStream && q.route.Resumable
+// mayResume reports whether the request is a stream that may go on at another runner.
+func (q *request) mayResume() bool {
+	return q.route.Kind == cicadadeploy.KindStream && q.route.Resumable
 }
 
+// isTakenUp reports whether the caller takes up a broken stream.
+func (q *request) isTakenUp() bool { return q.info.LastEventID != "" && q.mayResume() }
+
 // findOrigin determines at which software version a stream began that the caller takes up. If that is not
 // known, the request is refused, as its runner might continue what another version wrote.
 func (q *request) findOrigin(ctx context.Context) *refusal {
@@ -84,16 +88,17 @@
 // cannot have begun at another one. While the store does not answer, what this router knows decides for
 // a moment.
 func (q *request) onlyVersion(ctx context.Context) (string, bool) {
-	if len(q.rt.balancer.SoftwareVersions(q.service.Name, time.Now())) > 1 {
+	now := time.Now()
+	if q.rt.runnersAge(now) >= maxViewAge || len(q.rt.balancer.SoftwareVersions(q.service.Name, now)) > 1 {
 		return "", false
 	}
 	history, err := q.rt.streamRows.history(ctx, q.service.Name)
-	now := time.Now()
+	now = time.Now()
 	switch {
 	case err == nil:
 		// A caller that still waits longer than usual may have begun earlier.
 		return q.rt.versions.onlyOf(q.service.Name, &history, max(q.rt.streamLife(), q.info.Timeout), now)
-	case !errors.Is(err, errNoHistory) && q.info.Timeout <= q.rt.streamLife() && q.rt.runnersAge(now) < maxViewAge:
+	case !errors.Is(err, errNoHistory) && q.info.Timeout <= q.rt.streamLife():
 		return q.rt.versions.only(q.service.Name, now)
 	default:
 		return "", false
--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -40,7 +40,7 @@
 	t.Helper()
 	var out []brokenStream
 	for i := range count {
-		id := fmt.Sprintf("%s-stream%d", t.Name(), i)
+		id := fmt.Sprintf("%s-stream%d-%d", t.Name(), i, nextID.Add(1))
 		// Each prompt prefers another runner.
 		got := call(t, n, "/resume/", map[string]string{"X-Id": id, "X-Parts": id + ",own"}, "")
 		versions := versionsOf(got.body)
@@ -330,3 +330,32 @@
 		stream.checkGoesOn(t, other)
 	}
 }
+
+// Another router has seen a new version, and this one does not reach the store.
+func TestTakeUpGoesOnAtTheOldSoftwareVersionWhereTheNewOneIsNotKnown(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.singleRun()
+	f.addBreakable("v1")
+	f.addBreakable("v1")
+	first, other := f.waitReady(f.startNode("n1", firstStart)), f.waitReady(f.startNode("n2", firstStart))
+	eventually(t, "the store tells the versions", func() bool { return f.store.get(versionsRef).Version > 0 })
+	breakStreams(t, first, 1)[0].checkGoesOn(t, other)
+	other.store.down.Store(true)
+	f.addBreakable("v2")
+	f.addBreakable("v2")
+	f.waitReady(first)
+	begun := map[string]int{}
+	for end := time.Now().Add(2 * cicadaplace.VersionSettlingPeriod); time.Now().Before(end); {
+		for i, stream := range breakStreams(t, first, 5) {
+			begun[stream.version]++
+			got := stream.takeUp(t, other)
+			if versions := versionsOf(got.body); len(versions) > 0 && versions[0] != stream.version {
+				t.Fatalf("stream %d of version %s goes on at %q, status %d, error %v", i, stream.version, versions, got.status, got.err)
+			}
+		}
+	}
+	if begun["v1"] == 0 || begun["v2"] == 0 {
+		t.Errorf("streams that began, by version: %v", begun)
+	}
+}
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -76,6 +76,8 @@
 		mu       sync.Mutex // guards the fields below
 		byID     map[string]*Runner
 		services map[string][]*Runner // unordered
+		// versionsSeen holds, by service, when the versions of the software were first seen that runners have.
+		versionsSeen map[string]map[string]time.Time
 		// storeDownSince is the start of the current store outage; zero if there is none.
 		storeDownSince time.Time
 		// holdUntil is the time until which runners stay in use after their entries are removed,
@@ -149,6 +151,7 @@
 	}
 	return &Balancer{
 		cfg: cfg, byID: map[string]*Runner{}, services: map[string][]*Runner{}, removed: map[string]removedEntry{}, brittle: map[string]*brittleState{},
+		versionsSeen: map[string]map[string]time.Time{},
 	}
 }
 
@@ -182,8 +185,10 @@
 		}
 		// ID, Service, Addr, DataCentre and StartMillis are read without the lock and must not change.
 		old.entry.Draining, old.entry.Slots, old.entry.WarmupRemaining, old.entry.Seq = e.Draining, e.Slots, e.WarmupRemaining, e.Seq
-		if e.SoftwareVersion != "" {
+		if e.SoftwareVersion != "" && old.entry.SoftwareVersion == "" {
 			old.entry.SoftwareVersion = e.SoftwareVersion
+			b.recordVersion(old, now)
+			b.forgetVersion(e.Service, "")
 		}
 		b.limitWarmup(old, e.WarmupRemaining, now)
 		return Change{id: e.ID, changed: changed}
@@ -199,9 +204,29 @@
 	b.limitWarmup(r, e.WarmupRemaining, now)
 	b.byID[e.ID] = r
 	b.services[e.Service] = append(b.services[e.Service], r)
+	b.recordVersion(r, now)
 	return Change{id: e.ID, removed: old, changed: true}
 }
 
+// recordVersion records that a runner has its version of the software.
+func (b *Balancer) recordVersion(r *Runner, now time.Time) {
+	versions := b.versionsSeen[r.entry.Service]
+	if versions == nil {
+		versions = map[string]time.Time{}
+		b.versionsSeen[r.entry.Service] = versions
+	}
+	if _, ok := versions[r.entry.SoftwareVersion]; !ok {
+		versions[r.entry.SoftwareVersion] = now
+	}
+}
+
+// forgetVersion forgets when a version of a service's software was first seen, if no runner has it any more.
+func (b *Balancer) forgetVersion(service, version string) {
+	if !slices.ContainsFunc(b.services[service], func(r *Runner) bool { return r.entry.SoftwareVersion == version }) {
+		delete(b.versionsSeen[service], version)
+	}
+}
+
 // isStale reports whether an entry is older than one that is known, as after a restore of the
 // store from a backup. If the start time is not known, this cannot be decided: a smaller Seq may
 // also be that of the runner's next start.
@@ -327,13 +352,8 @@
 	if b.byID[r.entry.ID] == r {
 		delete(b.byID, r.entry.ID)
 	}
-	list := b.services[r.entry.Service]
-	for i, other := range list {
-		if other == r {
-			b.services[r.entry.Service] = append(list[:i], list[i+1:]...)
-			return
-		}
-	}
+	b.services[r.entry.Service] = slices.DeleteFunc(b.services[r.entry.Service], func(other *Runner) bool { return other == r })
+	b.forgetVersion(r.entry.Service, r.entry.SoftwareVersion)
 }
 
 // Entries returns the entries of all runners in use, for other routers.
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -46,6 +46,10 @@
 	// maxEjectedShare is the share of a service's runners that may be ejected. If more runners
 	// fail, the cause is probably not the runners, and ejections are ignored.
 	maxEjectedShare = 0.5
+
+	// VersionSettlingPeriod is the time for which this router knows a new version of a service's software
+	// before resumable streams begin at it. A router whose view of the runners is younger knows it too.
+	VersionSettlingPeriod = 3 * time.Second
 )
 
 // ErrNoRunner is returned if the service has no runner that the request may use.
@@ -70,6 +74,8 @@
 		// SoftwareVersion is the only version of the runners' software that may run the request; empty
 		// for any. What two versions write for one stream does not fit together.
 		SoftwareVersion string
+		// Resumable reports whether the request is a stream that may go on at another runner.
+		Resumable bool
 		// Excluded holds the ids of runners that the sending router must not use now.
 		Excluded   []string
 		Priority   int    // 0 is the most urgent
@@ -331,7 +337,7 @@
 func (b *Balancer) tooManyEjected(list []*Runner, req *Request, now time.Time) bool {
 	ejected, total := 0, 0
 	for _, r := range list {
-		if b.unavailability(r, now) != nil || r.hasOtherVersion(req) {
+		if b.unavailability(r, now) != nil || r.hasOtherVersion(req) || b.isUnsettled(r, req, now) {
 			continue
 		}
 		total++
--- a/internal/cicadaplace/exclude.go
+++ b/internal/cicadaplace/exclude.go
@@ -57,8 +57,41 @@
 
 // isExcluded reports whether the request cannot use r, apart from rate limits.
 func (b *Balancer) isExcluded(r *Runner, req *Request, ignoreEjection bool, now time.Time) bool {
-	return b.unavailability(r, now) != nil || b.isOutsideHomes(r, req) || r.hasOtherVersion(req) || slices.Contains(req.Tried, r.entry.ID) ||
-		!ignoreEjection && now.Before(r.ejectedUntil)
+	return !b.isUsable(r, req, ignoreEjection, now) || b.isUnsettled(r, req, now)
+}
+
+// isUsable reports whether the request can use r, apart from rate limits and from other routers that may
+// not know r's version.
+func (b *Balancer) isUsable(r *Runner, req *Request, ignoreEjection bool, now time.Time) bool {
+	return b.unavailability(r, now) == nil && !b.isOutsideHomes(r, req) && !r.hasOtherVersion(req) && !slices.Contains(req.Tried, r.entry.ID) &&
+		(ignoreEjection || !now.Before(r.ejectedUntil))
+}
+
+// isUnsettled reports whether a resumable stream must not begin at r, because other routers may not know
+// r's version yet. It may if the request can use no runner with a settled version.
+func (b *Balancer) isUnsettled(r *Runner, req *Request, now time.Time) bool {
+	if !req.Resumable || req.SoftwareVersion != "" || b.isSettled(r, now) {
+		return false
+	}
+	return slices.ContainsFunc(b.services[req.Service], func(other *Runner) bool {
+		return b.isSettled(other, now) && b.isUsable(other, req, true, now)
+	})
+}
+
+// isSettled reports whether r's version of the software has been known for the settling period. Those that
+// were known first, as after a start of this router, are settled at once.
+func (b *Balancer) isSettled(r *Runner, now time.Time) bool {
+	versions := b.versionsSeen[r.entry.Service]
+	seenAt := versions[r.entry.SoftwareVersion]
+	if now.Sub(seenAt) >= VersionSettlingPeriod {
+		return true
+	}
+	for _, other := range versions {
+		if other.Before(seenAt) {
+			return false
+		}
+	}
+	return true
 }
 
 // isOutsideHomes reports whether the request must not reach r's region.
--- a/internal/cicadaplace/exclude_test.go
+++ b/internal/cicadaplace/exclude_test.go
@@ -171,3 +171,46 @@
 		t.Errorf("version of a new run (-want +got)\n%s", diff)
 	}
 }
+
+func TestResumableStreamBeginsAtAVersionThatOtherRoutersDoNotKnow(t *testing.T) {
+	const soon = cicadaplace.VersionSettlingPeriod - time.Millisecond
+	type runner struct {
+		version  string
+		seen     time.Duration
+		draining bool
+	}
+	later := []runner{{version: "v1"}, {version: "v2", seen: time.Hour}}
+	drained := []runner{{version: "v1", draining: true}, {version: "v2", seen: time.Hour}}
+	for _, tt := range []struct {
+		name    string
+		runners []runner
+		tried   []string
+		plain   bool // the request is no resumable stream
+		at      time.Duration
+		want    string // version of the chosen runner
+	}{
+		{name: "a version that is new", runners: later, at: time.Hour + soon, want: "v1"},
+		{name: "a version that has settled", runners: drained, at: 2 * time.Hour, want: "v2"},
+		{name: "a request that is not resumed", runners: later, tried: []string{"r00"}, plain: true, at: time.Hour, want: "v2"},
+		{name: "the older version drains", runners: drained, at: time.Hour, want: "v2"},
+		{name: "the older version was tried", runners: later, tried: []string{"r00"}, at: time.Hour, want: "v2"},
+		{name: "this router has just started", runners: []runner{{version: "v1", draining: true}, {version: "v2"}}, at: time.Millisecond, want: "v2"},
+		{name: "two new versions", runners: append([]runner{{version: "v3", seen: time.Hour + time.Second}}, later...), at: time.Hour + time.Second, want: "v1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			lb := cicadaplace.NewBalancer(cicadaplace.Config{DataCentre: "p"})
+			for i, r := range tt.runners {
+				e := entry(i)
+				e.SoftwareVersion, e.Draining = r.version, r.draining
+				lb.Apply(e, start.Add(r.seen))
+			}
+			for i := range 20 {
+				req := prompt(fmt.Sprint("shared", i), 1000, 10)
+				req.Resumable, req.Tried = !tt.plain, tt.tried
+				if diff := cmp.Diff(tt.want, choose(t, lb, req, start.Add(tt.at)).SoftwareVersion()); diff != "" {
+					t.Fatalf("version (-want +got)\n%s", diff)
+				}
+			}
+		})
+	}
+}
