Brittle runners: a placing router that answers late is not passed over at once

Evidence: the log of three processes of that test beside each other has 66 to 86 lines 'router passed over', the first ones of calls for placing that took over 40 ms ('context deadline exceeded'), from 0.2 s on; falls follow within a second. Such a call makes the caller pass the placing router over for 2 s and ask the next one, so that two routers fill three quarters of the same room each. Class: a time-out taken for a failure, where two that act cost more than a wait.

While a service's runners are brittle, a call may take 250 ms. Processes of the test beside each other on eight cores, with the race detector, cases that fail: of one process 0 of 2 before and 0 of 2 now, of three 5 of 6 and 0 of 6, of six 10 of 12 and 0 of 12. Tried and not kept: requests that wait for room in line, eight of them asking (1 of 2, 5 of 6, 12 of 12; with the longer time 0, as without).

--- a/internal/cicadaedge/placement.go
+++ b/internal/cicadaedge/placement.go
@@ -15,6 +15,9 @@
 	// placementTimeout bounds a call to a placement server. It allows several round trips between
 	// data centres and is small against the latency objectives.
 	placementTimeout = 40 * time.Millisecond
+	// brittlePlacementTimeout replaces it while the runners of the service are brittle: several routers that
+	// place at a time send more than the runners have room for.
+	brittlePlacementTimeout = 250 * time.Millisecond
 	// maxPlacementTries bounds the placement servers that are asked for one request.
 	maxPlacementTries = 2
 	// placementCandidates bounds the ranked routers kept for each runner group. More are down at
@@ -220,8 +223,16 @@
 	return nil, errNotPlaced
 }
 
+// timeout returns the time limit of a call to a placement server.
+func (c *placementClient) timeout(service string) time.Duration {
+	if c.rt.balancer.IsBrittle(service, time.Now()) {
+		return brittlePlacementTimeout
+	}
+	return placementTimeout
+}
+
 func (c *placementClient) requestPlacement(ctx context.Context, name string, req *cicadaplace.Request, deadline time.Time) (*placement, error) {
-	ctx, cancel := context.WithTimeout(ctx, placementTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(req.Service))
 	defer cancel()
 	client, err := c.client(ctx, name)
 	if err != nil {
