--- a/internal/cicadabudget/txn.go
+++ b/internal/cicadabudget/txn.go
@@ -128,7 +128,7 @@
 
 // lockPeriod returns how long units stay locked after their row was sent.
 func (m *TxnManager) lockPeriod(now time.Time) time.Duration {
-	if m.afterCrash && m.routers < LendingMinRouters && now.Sub(m.startedAt) < crashCautionPeriod {
+	if m.afterCrash && now.Sub(m.startedAt) < crashCautionPeriod {
 		return m.RefreshInterval() + crashLockMargin
 	}
 	return m.RefreshInterval() + lockMargin
