--- a/internal/cicadabudget/power_loss_test.go
+++ b/internal/cicadabudget/power_loss_test.go
@@ -247,9 +247,37 @@
 		if before += lost; i > 0 && lost > mostLost {
 			t.Errorf("power loss %d loses %d units, want at most %d", i+1, lost, mostLost)
 		}
-		t.Logf("power loss %d: %d units lost", i+1, lost)
 	}
 	if f.used > powerLossBudget {
 		t.Errorf("%d units were used of a budget of %d", f.used, powerLossBudget)
 	}
 }
+
+func TestUnitsStayLockedLongerAfterAPlannedStop(t *testing.T) {
+	const short, long = time.Second, 3 * time.Second
+	f := newPowerLossFleet(t)
+	lockPeriod := func() time.Duration { return time.Duration(f.hosts[0].row.LockMillis) * time.Millisecond }
+	f.simulate(3 * time.Second)
+	if p := lockPeriod(); p == 0 || p > short {
+		t.Errorf("first process locks units for %v, want at most %v", p, short)
+	}
+	f.start("after a crash")
+	f.simulate(3 * time.Second)
+	if p := lockPeriod(); p < long {
+		t.Errorf("process after a crash locks units for %v, want %v or more", p, long)
+	}
+	f.now = f.now.Add(time.Hour)
+	f.simulate(time.Second)
+	if p := lockPeriod(); p == 0 || p > short {
+		t.Errorf("an hour after a crash units are locked for %v, want at most %v", p, short)
+	}
+	for _, h := range f.hosts {
+		h.accs.Drain()
+		h.commitUpdates()
+	}
+	f.start("after a planned stop")
+	f.simulate(3 * time.Second)
+	if p := lockPeriod(); p == 0 || p > short {
+		t.Errorf("process after a planned stop locks units for %v, want at most %v", p, short)
+	}
+}
--- a/internal/cicadabudget/txn.go
+++ b/internal/cicadabudget/txn.go
@@ -42,6 +42,7 @@
 	// A TxnManager must be used by one goroutine only.
 	TxnManager struct {
 		boot       string // boot ID of this process; row numbers of other boot IDs are unrelated
+		afterCrash bool   // an earlier process on this host ended without returning its units
 		era        uint64 // of the store; applies to all fields below
 		startedAt  time.Time
 		accs       *Accounts
@@ -58,7 +59,6 @@
 		// inherited is what this process takes over from its predecessor's row.
 		inherited       map[string]Units
 		predecessor     *Predecessor
-		afterCrash      bool // an earlier process on this host ended without returning its units
 		takeoverPending bool // the predecessor's row has locked units and was not yet read in a transaction
 		clock           storeClock
 	}
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -118,7 +118,7 @@
 	}
 	p, err := x.chooseWithRoom(ctx, &cicadaplace.Request{
 		Service: x.service.Name, Parts: x.info.PromptParts, Tokens: int(x.info.PromptTokens), Tried: x.tried,
-		Priority: x.priority(), Homes: x.homes(), SoftwareVersion: x.requiredVersion(), Resumable: x.mayResume(),
+		Priority: x.priority(), Homes: x.homes(), SoftwareVersion: x.requiredVersion(), Resumable: x.isResumable(),
 	})
 	if err != nil {
 		return x.noRunnerResult(err), false
--- a/internal/cicadaedge/placement.go
+++ b/internal/cicadaedge/placement.go
@@ -223,8 +223,8 @@
 	return nil, errNotPlaced
 }
 
-// timeout returns the time limit of a call to a placement server.
-func (c *placementClient) timeout(service string) time.Duration {
+// callTimeout returns the time limit of a call to a placement server.
+func (c *placementClient) callTimeout(service string) time.Duration {
 	if c.rt.balancer.IsBrittle(service, time.Now()) {
 		return brittlePlacementTimeout
 	}
@@ -232,7 +232,7 @@
 }
 
 func (c *placementClient) requestPlacement(ctx context.Context, name string, req *cicadaplace.Request, deadline time.Time) (*placement, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout(req.Service))
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout(req.Service))
 	defer cancel()
 	client, err := c.client(ctx, name)
 	if err != nil {
--- a/internal/cicadaedge/resume.go
+++ b/internal/cicadaedge/resume.go
@@ -34,13 +34,13 @@
 // originSource is how it is known at which software version a stream began.
 type originSource string
 
-// mayResume reports whether the request is a stream that may go on at another runner.
-func (q *request) mayResume() bool {
+// isResumable reports whether the request is a stream that may go on at another runner.
+func (q *request) isResumable() bool {
 	return q.route.Kind == cicadadeploy.KindStream && q.route.Resumable
 }
 
 // isTakenUp reports whether the caller takes up a broken stream.
-func (q *request) isTakenUp() bool { return q.info.LastEventID != "" && q.mayResume() }
+func (q *request) isTakenUp() bool { return q.info.LastEventID != "" && q.isResumable() }
 
 // findOrigin determines at which software version a stream began that the caller takes up. If that is not
 // known, the request is refused, as its runner might continue what another version wrote.
--- a/internal/cicadaedge/stall.go
+++ b/internal/cicadaedge/stall.go
@@ -16,7 +16,7 @@
 	if !x.route.CanRunAgain() || attempt >= x.route.MaxRunners {
 		return &cicadanet.SilenceTimer{}
 	}
-	req := &cicadaplace.Request{Service: x.service.Name, Tried: slices.Clone(x.tried), SoftwareVersion: x.requiredVersion(), Resumable: x.mayResume()}
+	req := &cicadaplace.Request{Service: x.service.Name, Tried: slices.Clone(x.tried), SoftwareVersion: x.requiredVersion(), Resumable: x.isResumable()}
 	return cicadanet.NewSilenceTimer(d, func() bool {
 		now := time.Now()
 		if !x.rt.balancer.HasAlternative(req, now) || !x.rt.retries.Allow(x.service.Name, now) {
