--- a/internal/cicadabudget/lockup.go
+++ b/internal/cicadabudget/lockup.go
@@ -7,7 +7,7 @@
 	// period; most store outages are no longer than that. lenderReleasePeriod replaces it where
 	// units come from lenders, and is the time for which a lender's holdings are planned to
 	// last.
-	directReleasePeriod = 4 * time.Second
+	directReleasePeriod = 6 * time.Second
 	lenderReleasePeriod = 9 * time.Second
 )
 
