--- a/review/cicadareview/store.go
+++ b/review/cicadareview/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -32,6 +33,15 @@
 		rows     map[rowKey]row
 		history  []row
 		changed  chan struct{}
+		era      uint64 // number of restores
+		silent   bool   // calls get no answer
+	}
+
+	// Backup is a copy of the store's rows.
+	Backup struct {
+		revision uint64
+		rows     map[rowKey]row
+		history  []row
 	}
 
 	rowKey struct{ table, key string }
@@ -67,7 +77,7 @@
 	mux.HandleFunc("GET /cicadadyke/rows-get", s.handleGet)
 	mux.HandleFunc("GET /cicadadyke/rows-feed", s.handleFeed)
 	mux.HandleFunc("POST /cicadadyke/rows-tx", s.handleTx)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	s.server = &http.Server{Handler: s.answering(mux), ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(ln) }() // it ends with the process
 	return s, nil
 }
@@ -75,6 +85,49 @@
 // Addr returns the address of the store.
 func (s *Store) Addr() string { return s.listener.Addr().String() }
 
+// answering wraps a handler: while the store is silent, calls are not performed and get no answer.
+func (s *Store) answering(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		silent := s.silent
+		s.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// SetSilent sets whether the store answers.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// Backup returns a copy of the rows.
+func (s *Store) Backup() *Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Backup{revision: s.revision, rows: maps.Clone(s.rows), history: slices.Clone(s.history)}
+}
+
+// Restore begins an era with the rows of a backup. What the operator and the runners wrote since is
+// written again.
+func (s *Store) Restore(b *Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.rows
+	s.revision, s.rows, s.history = b.revision, maps.Clone(b.rows), slices.Clone(b.history)
+	s.era++
+	for key, r := range before {
+		if key.table == "op" || key.table == "servers" {
+			s.apply(&transaction{SetKeys: []row{{Table: r.Table, Key: r.Key, Value: r.Value}}})
+		}
+	}
+}
+
 // Put writes a row, as the operator and the runners do.
 func (s *Store) Put(table, key string, value any) error {
 	data, err := json.Marshal(value)
@@ -117,6 +170,11 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		if since > s.revision {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if out := s.changesLocked(q.Get("Table"), since); len(out) > 0 {
 			s.writeReply(w, http.StatusOK, out, false)
 			s.mu.Unlock()
@@ -194,6 +252,7 @@
 		rows = []row{}
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(rowsReply{ // the caller has left if it fails
 		Rows: rows, Truncated: truncated, SchemaVersion: s.revision, NowMs: float64(time.Since(s.startedAt).Microseconds()) / 1000,
