--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,5 +1,5 @@
-// Command 1 shows that a tenant's requests run beyond its prepaid total: what runs for callers that leave
-// before the answer has begun to arrive at the router is not counted.
+// Command 1 shows that streams end as complete before their last event: they go through another router,
+// which is killed, and come without length or chunks.
 package main
 
 import (
@@ -13,95 +13,74 @@
 )
 
 const (
-	prepaid      = 400_000
-	promptTokens = 17_020
-	maxOutput    = 120
-	stride       = 3 // output tokens in an event
-	// prefillTime is how long the engine reads a prompt. With its end the run begins.
-	prefillTime   = 336 * time.Millisecond
-	eventInterval = 25 * time.Millisecond
-	// maxGap is after which gap a caller leaves: eight pauses of 400 ms, or four objectives of 800 ms.
-	maxGap   = 3200 * time.Millisecond
-	deadline = 12 * time.Second
-	// freezeTime is the longest freeze of the site.
-	freezeTime = 4 * time.Second
-	// batch is the number of requests at the first moment, followUps that of the later ones.
-	batch     = 16
-	followUps = 24
+	promptTokens  = 1460
+	events        = 57
+	stride        = 3 // output tokens in an event
+	eventInterval = 50 * time.Millisecond
+	deadline      = 15 * time.Second
+	streams       = 3
+	// hangTime is how long the connections of the first router to the runner hang. It asks another router
+	// after 100 ms.
+	hangTime = 60 * time.Millisecond
+	// streamInterval is the time from there to the next stream.
+	streamInterval = 100 * time.Millisecond
+	// killDelay is the time from the last stream to the kill.
+	killDelay = time.Second
 	apiKey    = "key-of-the-tenant"
-	zone      = "salle-levis"
+	zone      = "sala-norte"
 )
 
-// engine records which requests it got and ran.
+// engine records which streams it made.
 type engine struct {
 	c *cicadareview.Case
 
-	mu      sync.Mutex // guards the fields below
-	arrived int
-	ran     map[string]bool
-}
-
-func (e *engine) arrivals() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.arrived
-}
-
-func (e *engine) runs() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.ran)
+	mu   sync.Mutex     // guards made
+	made map[string]int // number of events, by request
 }
 
+// serve answers without length or chunks: the answer ends with its connection.
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
-	e.mu.Lock()
-	e.arrived++
-	e.mu.Unlock()
-	e.c.Add("request %s reaches the engine", id)
-	select {
-	case <-time.After(prefillTime):
-	case <-r.Context().Done():
-		e.c.Add("request %s is dropped before its run", id)
+	e.c.Add("request %s reaches the engine and runs", id)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
 		return
 	}
-	e.mu.Lock()
-	e.ran[id] = true
-	e.mu.Unlock()
-	e.c.Add("the engine runs %s", id)
-	w.Header().Set("Response-Seal", "s")
-	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range maxOutput / stride {
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, id)
-		if err := http.NewResponseController(w).Flush(); err != nil {
-			return
-		}
-		select {
-		case <-time.After(eventInterval):
-		case <-r.Context().Done():
-			e.c.Add("the run of %s ends, its connection is closed", id)
+	defer func() { _ = conn.Close() }() // the end of the answer
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	if _, err := fmt.Fprintf(conn, head, id); err != nil {
+		return
+	}
+	for i := range events {
+		if _, err := fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", i+1, id); err != nil {
+			e.c.Add("the connection of %s broke after event %d", id, i)
 			return
 		}
+		e.mu.Lock()
+		e.made[id] = i + 1
+		e.mu.Unlock()
+		time.Sleep(eventInterval)
 	}
+	e.c.Add("the engine has made all events of %s", id)
 }
 
 func deployment() *cicadareview.Deployment {
 	return &cicadareview.Deployment{
 		Version: 1,
 		Routes: []cicadareview.Route{{
-			Name: "batch-recon", Host: cicadareview.Host, Prefix: "/recon/", Kind: "streaming", Service: "cicada-pool", DeadlineMs: 12000,
-			LatencyTargetMs: 800, GapTargetMs: 400, Priority: 1, MaxAttempts: 1, Affinity: true,
+			Name: "memo-draft", Host: cicadareview.Host, Prefix: "/memo/", Kind: "streaming", Service: "cicada-pool", DeadlineMs: 15000,
+			LatencyTargetMs: 600, GapTargetMs: 400, Priority: 2, MaxAttempts: 1, Affinity: true,
 		}},
 		Services: []cicadareview.Service{{
 			Name: "cicada-pool", HealthPath: "/health", MaxConns: 370, Engine: &cicadareview.Engine{Slots: 64, KvCapacity: 534_721, Stride: stride},
 		}},
 		Limits:  cicadareview.StandardLimits(),
-		Tenants: []cicadareview.Tenant{{Name: "canton", ApiKeys: []string{apiKey}, Prepaid: prepaid}},
+		Tenants: []cicadareview.Tenant{{Name: "canton", ApiKeys: []string{apiKey}, Prepaid: 4_000_000}},
 	}
 }
 
 // start starts the store, an engine and two routers.
-func start(c *cicadareview.Case) (*engine, []*cicadareview.Router, error) {
+func start(c *cicadareview.Case) (*cicadareview.QueueListener, []*cicadareview.Router, error) {
 	store, err := cicadareview.NewStore()
 	if err != nil {
 		return nil, nil, err
@@ -109,8 +88,14 @@
 	if err := store.Put("op", "config", deployment()); err != nil {
 		return nil, nil, err
 	}
-	e := &engine{c: c, ran: map[string]bool{}}
-	if _, err := cicadareview.StartRunner(store, &cicadareview.RunnerConfig{ID: "i-1", Service: "cicada-pool", Zone: zone, Slots: 64, Serve: e.serve}); err != nil {
+	ln, err := cicadareview.NewQueueListener()
+	if err != nil {
+		return nil, nil, err
+	}
+	e := &engine{c: c, made: map[string]int{}}
+	if _, err := cicadareview.StartRunner(store, &cicadareview.RunnerConfig{
+		ID: "i-1", Service: "cicada-pool", Zone: zone, Slots: 64, Serve: e.serve, Listener: ln,
+	}); err != nil {
 		return nil, nil, err
 	}
 	var routers []*cicadareview.Router
@@ -121,57 +106,58 @@
 		}
 		routers = append(routers, r)
 	}
-	return e, routers, c.AwaitReady()
+	return ln, routers, c.AwaitReady()
 }
 
 func call(id string) *cicadareview.Call {
 	return &cicadareview.Call{
-		ID: id, Method: http.MethodPost, Path: "/recon/1", Key: apiKey, Body: []byte("prompt"), Deadline: deadline, MaxGap: maxGap,
+		ID: id, Method: http.MethodPost, Path: "/memo/1", Key: apiKey, Body: []byte("prompt"), Deadline: deadline,
 		Headers: map[string]string{
-			"Model": "m", "Token-Count": fmt.Sprintf("%d,%d", promptTokens, maxOutput), "Deadline-Ms": fmt.Sprint(deadline.Milliseconds()),
-			"Prompt-Prefix": "5c1e07a2:13300," + id + ":3720",
+			"Model": "m", "Token-Count": fmt.Sprintf("%d,%d", promptTokens, events*stride), "Deadline-Ms": fmt.Sprint(deadline.Milliseconds()),
+			"Prompt-Prefix": "5c1e07a2:350," + id + ":1110",
 		},
 	}
 }
 
 func run(c *cicadareview.Case) (bool, error) {
-	e, routers, err := start(c)
+	ln, routers, err := start(c)
 	if err != nil {
 		return false, err
 	}
-	var group sync.WaitGroup
-	var mu sync.Mutex
-	delivered := 0
-	send := func(id string) {
-		a := c.Do(routers[0], call(id))
-		mu.Lock()
-		defer mu.Unlock()
-		delivered += a.Events() * stride
-	}
-	for i := range batch {
-		group.Go(func() { send(fmt.Sprintf("a%07x", i)) })
+	// The first request of a tenant may wait for its tokens.
+	if a := c.Do(routers[0], call("warm-up")); a.Events() != events {
+		return false, fmt.Errorf("the first stream has %d events: %w", a.Events(), a.Err)
 	}
-	for end := time.Now().Add(maxGap); e.arrivals() < batch && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
+	time.Sleep(time.Second)
+	var group sync.WaitGroup
+	answers := make([]*cicadareview.Answer, streams)
+	for i := range streams {
+		if c.Trouble {
+			if err := ln.Hang(); err != nil {
+				return false, err
+			}
+			c.Add("connections of %s to the runner hang", routers[0].Name)
+		}
+		group.Go(func() { answers[i] = c.Do(routers[0], call(fmt.Sprintf("c%07x", i))) })
+		time.Sleep(hangTime)
+		ln.Release()
+		time.Sleep(streamInterval)
 	}
-	c.Say("%d of %d requests have reached the engine, %d run", e.arrivals(), batch, e.runs())
 	if c.Trouble {
-		if err := c.Signal(routers[0], syscall.SIGSTOP); err != nil {
-			return false, err
-		}
-		time.Sleep(freezeTime)
-		if err := c.Signal(routers[0], syscall.SIGCONT); err != nil {
+		time.Sleep(killDelay)
+		if err := c.Signal(routers[1], syscall.SIGKILL); err != nil {
 			return false, err
 		}
 	}
 	group.Wait()
-	time.Sleep(time.Second)
-	for i := range followUps {
-		send(fmt.Sprintf("b%07x", i))
+	short := 0
+	for _, a := range answers {
+		if a.Status == http.StatusOK && a.Complete && a.Events() < events {
+			short++
+		}
 	}
-	used := e.runs()*promptTokens + delivered
-	c.Say("%d requests ran, %d tokens of prompts and %d delivered tokens: %d of %d prepaid", e.runs(), e.runs()*promptTokens, delivered, used, prepaid)
-	return used > prepaid, nil
+	c.Say("%d of %d streams ended as complete before their last event", short, streams)
+	return short > 0, nil
 }
 
 func main() { cicadareview.Main(run) }
--- a/review/cicadareview/queue.go
+++ b/review/cicadareview/queue.go
@@ -1,6 +1,7 @@
 package cicadareview
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -77,8 +78,9 @@
 	l.released, l.fillers = make(chan struct{}), nil
 	l.mu.Unlock()
 	// The Accept that is in progress takes one filler, and the queue holds another one.
+	dialer := &net.Dialer{Timeout: fillTimeout}
 	for {
-		conn, err := net.DialTimeout("tcp", l.Addr().String(), fillTimeout)
+		conn, err := dialer.DialContext(context.Background(), "tcp", l.Addr().String())
 		var netErr net.Error
 		if errors.As(err, &netErr) && netErr.Timeout() {
 			return nil
--- a/review/cicadareview/router.go
+++ b/review/cicadareview/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -174,9 +173,6 @@
 // Pid returns the id of the router's process.
 func (r *Router) Pid() int { return r.cmd.Process.Pid }
 
-// Ended returns a channel that is closed when the router's process has ended.
-func (r *Router) Ended() <-chan struct{} { return r.ended }
-
 // close ends all routers.
 func (c *Case) close() {
 	for _, r := range c.routers {
@@ -186,9 +182,6 @@
 	}
 }
 
-// Dial connects to a router as a caller does.
-func (r *Router) Dial() (net.Conn, error) { return net.DialTimeout("tcp", r.Front, time.Second) }
-
 // EnforceMemory kills the router when it exceeds its memory, as the platform does.
 func (c *Case) EnforceMemory(r *Router, megabytes int) {
 	go func() {
--- a/review/cicadareview/store.go
+++ b/review/cicadareview/store.go
@@ -3,8 +3,8 @@
 package cicadareview
 
 import (
+	"context"
 	"encoding/json"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -33,15 +33,6 @@
 		rows     map[rowKey]row
 		history  []row
 		changed  chan struct{}
-		era      uint64 // number of restores
-		silent   bool   // calls get no answer
-	}
-
-	// Backup is a copy of the store's rows.
-	Backup struct {
-		revision uint64
-		rows     map[rowKey]row
-		history  []row
 	}
 
 	rowKey struct{ table, key string }
@@ -77,7 +68,7 @@
 	mux.HandleFunc("GET /cicadadyke/rows-get", s.handleGet)
 	mux.HandleFunc("GET /cicadadyke/rows-feed", s.handleFeed)
 	mux.HandleFunc("POST /cicadadyke/rows-tx", s.handleTx)
-	s.server = &http.Server{Handler: s.answering(mux), ReadHeaderTimeout: time.Minute}
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(ln) }() // it ends with the process
 	return s, nil
 }
@@ -85,49 +76,6 @@
 // Addr returns the address of the store.
 func (s *Store) Addr() string { return s.listener.Addr().String() }
 
-// answering wraps a handler: while the store is silent, calls are not performed and get no answer.
-func (s *Store) answering(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		silent := s.silent
-		s.mu.Unlock()
-		if silent {
-			<-r.Context().Done()
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// SetSilent sets whether the store answers.
-func (s *Store) SetSilent(silent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent = silent
-}
-
-// Backup returns a copy of the rows.
-func (s *Store) Backup() *Backup {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return &Backup{revision: s.revision, rows: maps.Clone(s.rows), history: slices.Clone(s.history)}
-}
-
-// Restore begins an era with the rows of a backup. What the operator and the runners wrote since is
-// written again.
-func (s *Store) Restore(b *Backup) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	before := s.rows
-	s.revision, s.rows, s.history = b.revision, maps.Clone(b.rows), slices.Clone(b.history)
-	s.era++
-	for key, r := range before {
-		if key.table == "op" || key.table == "servers" {
-			s.apply(&transaction{SetKeys: []row{{Table: r.Table, Key: r.Key, Value: r.Value}}})
-		}
-	}
-}
-
 // Put writes a row, as the operator and the runners do.
 func (s *Store) Put(table, key string, value any) error {
 	data, err := json.Marshal(value)
@@ -170,11 +118,6 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		if since > s.revision {
-			s.mu.Unlock()
-			w.WriteHeader(http.StatusGone)
-			return
-		}
 		if out := s.changesLocked(q.Get("Table"), since); len(out) > 0 {
 			s.writeReply(w, http.StatusOK, out, false)
 			s.mu.Unlock()
@@ -252,11 +195,14 @@
 		rows = []row{}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(rowsReply{ // the caller has left if it fails
 		Rows: rows, Truncated: truncated, SchemaVersion: s.revision, NowMs: float64(time.Since(s.startedAt).Microseconds()) / 1000,
 	})
 }
 
-func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+func listen() (net.Listener, error) { return listenOn("127.0.0.1:0") }
+
+func listenOn(addr string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr)
+}
