Relays: the end of a relay is not that of the runner's response

Cause: a relay passed the runner's bytes on without a frame of its own. The kernel ends the connections of a killed process in order, which the other router took for the end of the response. A planned stop of the relay did the same.

Ruled out: a reset of the runner that is passed on as an orderly end, and a broken chunked response that ends properly; tests of both passed before.

Change: the runner's bytes go through the relay in chunks; the last one is written only when the runner has closed its connection. Without it a read fails with io.ErrUnexpectedEOF. Routers of the build before get a connection that is reset unless the runner closes its own, and their relays' end counts as a break.

--- a/internal/cicadaedge/relay_client.go
+++ b/internal/cicadaedge/relay_client.go
@@ -55,12 +55,6 @@
 		relay        string    // name of the router that reached the runner last
 		relayed      bool      // connections go through other routers
 	}
-
-	// relayedConn is a connection to a runner through another router.
-	relayedConn struct {
-		net.Conn
-		relay string
-	}
 )
 
 func newRunnerDialer(rt *Router) *runnerDialer {
@@ -118,15 +112,16 @@
 			if err != nil {
 				return nil, errors.Wrapf(err, "through router %s", p.name)
 			}
+			conn.relay = p.name
 			d.recordRelay(r, p.name)
-			return &relayedConn{Conn: conn, relay: p.name}, nil
+			return conn, nil
 		})
 	}
 	return out
 }
 
 // dialThrough connects to a runner through the router at addr, by HTTP CONNECT.
-func dialThrough(ctx context.Context, addr string, r *cicadaplace.Runner) (net.Conn, error) {
+func dialThrough(ctx context.Context, addr string, r *cicadaplace.Runner) (*relayedConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	conn, err := cicadanet.NewDialer(dialTimeout).DialContext(ctx, "tcp", addr)
@@ -134,7 +129,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the exchange below; it returns the error
-	err = requestRelay(conn, r)
+	relayed, err := requestRelay(conn, r)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -142,29 +137,30 @@
 		_ = conn.Close() // the cause is returned
 		return nil, err
 	}
-	return conn, nil
+	return relayed, nil
 }
 
-func requestRelay(conn net.Conn, r *cicadaplace.Runner) error {
+func requestRelay(conn net.Conn, r *cicadaplace.Runner) (*relayedConn, error) {
 	req := &http.Request{
-		Method: http.MethodConnect, URL: &url.URL{Opaque: r.Addr()}, Host: r.Addr(), Header: http.Header{relayRunnerHeader: {r.ID()}},
+		Method: http.MethodConnect, URL: &url.URL{Opaque: r.Addr()}, Host: r.Addr(),
+		Header: http.Header{relayRunnerHeader: {r.ID()}, relayFramingHeader: {chunkedFraming}},
 	}
 	if err := req.Write(conn); err != nil {
-		return err
+		return nil, err
 	}
 	br := bufio.NewReader(conn)
 	resp, err := http.ReadResponse(br, req) //nolint:bodyclose // the response to CONNECT has no body
 	switch {
 	case err != nil:
-		return err
+		return nil, err
 	case resp.StatusCode == http.StatusBadGateway:
-		return errRunnerEnded
+		return nil, errRunnerEnded
 	case resp.StatusCode != http.StatusOK:
-		return errors.Errorf("the router answered with status %d", resp.StatusCode)
+		return nil, errors.Errorf("the router answered with status %d", resp.StatusCode)
 	case br.Buffered() > 0:
-		return errors.New("the runner sent data before a request")
+		return nil, errors.New("the runner sent data before a request")
 	}
-	return nil
+	return newRelayedConn(conn, br, resp), nil
 }
 
 func (d *runnerDialer) path(r *cicadaplace.Runner) *runnerPath {
--- a/internal/cicadaedge/relay_server.go
+++ b/internal/cicadaedge/relay_server.go
@@ -15,7 +15,7 @@
 const (
 	// relayIdleCheck is how often a stopping router checks whether its relayed connections have ended.
 	relayIdleCheck = 20 * time.Millisecond
-	relayAccepted  = "HTTP/1.1 200 OK\r\n\r\n"
+	relayAccepted  = "HTTP/1.1 200 OK\r\n"
 )
 
 // relayServer connects other routers to runners that they do not reach themselves.
@@ -55,9 +55,10 @@
 		w.WriteHeader(status)
 		return
 	}
+	framed := r.Header.Get(relayFramingHeader) == chunkedFraming
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err == nil {
-		_, err = conn.Write([]byte(relayAccepted))
+		err = acceptRelay(conn, framed)
 	}
 	if err != nil {
 		s.rt.cfg.Log.WithError(err).Debug("router that asked for a connection to a runner has left")
@@ -65,7 +66,20 @@
 		return
 	}
 	s.rt.cfg.Metrics.RelayedForOthers.Add(1)
-	relay(conn, runnerConn)
+	pair := &relayPair{router: conn, runner: runnerConn, framed: framed}
+	if err := pair.run(); err != nil {
+		s.rt.cfg.Log.WithField("runner", r.Header.Get(relayRunnerHeader)).WithError(err).Debug("relayed connection broke")
+	}
+}
+
+// acceptRelay tells the other router that its connection reaches the runner.
+func acceptRelay(conn net.Conn, framed bool) error {
+	header := relayAccepted
+	if framed {
+		header += relayFramingHeader + ": " + chunkedFraming + "\r\n"
+	}
+	_, err := io.WriteString(conn, header+"\r\n")
+	return err
 }
 
 // mayConnect reports whether this router connects others to a runner. It does not if it would not
@@ -82,30 +96,3 @@
 		sleep(ctx, relayIdleCheck)
 	}
 }
-
-// relay passes on what router and runner send until one of them closes. A connection that the runner
-// reset is reset for the router too: a response without length would look complete otherwise.
-func relay(router, runner net.Conn) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_, _ = io.Copy(runner, router) // routers close only connections that they gave up
-		_ = runner.Close()
-	}()
-	_, err := io.Copy(router, runner)
-	if tcp, ok := tcpConn(router); ok && err != nil {
-		_ = tcp.SetLinger(0)
-	}
-	_ = router.Close()
-	_ = runner.Close()
-	<-done
-}
-
-// tcpConn returns the TCP connection of a connection to another router.
-func tcpConn(conn net.Conn) (*net.TCPConn, bool) {
-	if c, ok := conn.(*peerConn); ok {
-		conn = c.Conn
-	}
-	tcp, ok := conn.(*net.TCPConn)
-	return tcp, ok
-}
