Budgets: what was sent for a caller that has left counts

Cause: when a caller left before the header of its response had arrived, the request counted as not run, although it had been sent, and its whole reservation came back. The function returned for that reason before it recorded the run.

Ruled out: units of a frozen router given to another one, and a reservation settled twice; neither occurs in the case, and TestBookNeverOverspends covers both.

Change: that bytes were sent is recorded before the reason of the end is looked at. The line of a request has usedUnits, what counts of the reserved units.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -315,6 +315,7 @@
 	if !errors.As(err, &failed) {
 		failed = &sendError{cause: err, sent: true}
 	}
+	x.mayHaveRun = x.mayHaveRun || failed.sent
 	if x.r.Context().Err() != nil {
 		x.rt.placementClient.finish(p, cicadaplace.CallerCancelled)
 		return result{callerGone: true}, false
@@ -330,7 +331,6 @@
 		}
 		return refuse(RefuseNoRunner, retrySoon, "the runner was not reached: "+err.Error()), true
 	}
-	x.mayHaveRun = true
 	x.finishAttempt(p, cicadaplace.Failed, err)
 	if !x.isTimeout(err) && !errors.Is(err, errStalled) {
 		x.recordBroken(p)
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -79,7 +79,7 @@
 	}
 	f := log.Fields{
 		"requestId": q.info.ID, "outcome": outcome, "status": status, "millis": now.Sub(q.arrivedAt).Milliseconds(),
-		"attempts": q.attempts, "runner": q.runnerID, "units": int64(q.reserved), "events": q.eventsSent,
+		"attempts": q.attempts, "runner": q.runnerID, "units": int64(q.reserved), "usedUnits": int64(q.used), "events": q.eventsSent,
 		"estimateMillis": int64(q.estimateMillis), "cachedTokens": q.cachedTokens, "promptTokens": q.info.PromptTokens,
 		"bodyMillis": q.bodyWait.Milliseconds(),
 	}
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -51,6 +51,7 @@
 		deadline   time.Time
 
 		reserved       cicadabudget.Units
+		used           cicadabudget.Units // what counts of reserved, once the request has ended
 		hasReservation bool
 		eventsSent     int64                  // number of events sent to the caller
 		mayHaveRun     bool                   // a runner may have worked on the request
@@ -353,11 +354,10 @@
 	if !q.hasReservation {
 		return
 	}
-	var used int64
 	if q.mayHaveRun {
-		used = q.info.PromptTokens + min(q.info.MaxOutputTokens, q.eventsSent*q.tokensPerEvent())
+		q.used = cicadabudget.Units(q.info.PromptTokens + min(q.info.MaxOutputTokens, q.eventsSent*q.tokensPerEvent()))
 	}
-	q.rt.accounts.Settle(q.org.Name, q.reserved, cicadabudget.Units(used), time.Now())
+	q.rt.accounts.Settle(q.org.Name, q.reserved, q.used, time.Now())
 }
 
 func (q *request) tokensPerEvent() int64 {
