A runner whose process has ended does not complete its responses

Cause: a response without length or chunks ends with its connection, and the kernel ends the connections of a process that is gone in order.

Ruled out: late second answers (no foreign text), relays (none in use), resets read as ends (no violation from runners that reset).

Change: the end of such a response counts once its runner was found to accept connections, by the check that was made for crashes anyway. If the runner has ended, or refuses and no other router can tell, the response is broken: resumed, retried, cut or answered 502 as its route allows. Draining runners are checked too; their end is no crash.

--- a/internal/cicadacrash/detector.go
+++ b/internal/cicadacrash/detector.go
@@ -20,8 +20,10 @@
 		Suspects   cicadaquarantine.Suspects
 		RequestIDs []string
 		Relayed    bool // one of them at least was sent through another router
-		// IfAlive are called by the caller if the runner turns out to be alive.
-		IfAlive []func()
+		Leaving    bool // the runner was about to end, so that its end is no crash
+		// OnResult are called by the caller with the outcome of the check: nil if the runner accepts
+		// connections.
+		OnResult []func(err error)
 	}
 
 	// Config configures a Detector of runners that are identified by an R.
@@ -77,5 +79,6 @@
 	b.Relayed = b.Relayed || o.Relayed
 	b.Suspects.Begun = append(b.Suspects.Begun, o.Suspects.Begun...)
 	b.Suspects.Waiting = append(b.Suspects.Waiting, o.Suspects.Waiting...)
-	b.IfAlive = append(b.IfAlive, o.IfAlive...)
+	b.Leaving = b.Leaving || o.Leaving
+	b.OnResult = append(b.OnResult, o.OnResult...)
 }
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -123,34 +124,52 @@
 // recordBroken records that the connection of an attempt broke before the response was complete.
 func (x *exchange) recordBroken(p *placement) { x.checkRunner(p) }
 
-// checkRunner finds out whether the runner of an attempt whose connection ended has crashed. If not,
-// it calls ifAlive.
-func (x *exchange) checkRunner(p *placement, ifAlive ...func()) {
-	now := time.Now()
-	if errors.Is(x.rt.balancer.Unavailability(p.Runner(), now), cicadaplace.ErrDraining) {
-		// It was about to end, whatever it served.
-		return
-	}
+// checkRunner finds out whether the runner of an attempt whose connection ended has crashed. It calls
+// onResult with the outcome, which is nil if the runner accepts connections.
+func (x *exchange) checkRunner(p *placement, onResult ...func(err error)) {
+	b := &cicadacrash.Broken{At: time.Now(), RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", OnResult: onResult}
 	suspect := []cicadaquarantine.Suspect{x.allTraits()}
-	var suspects cicadaquarantine.Suspects
 	switch {
+	case errors.Is(x.rt.balancer.Unavailability(p.Runner(), b.At), cicadaplace.ErrDraining):
+		// It was about to end, whatever it served.
+		if b.Leaving = true; len(onResult) == 0 {
+			return
+		}
 	case x.headerAt.IsZero():
-		suspects.Waiting = suspect
-	case now.Sub(x.headerAt) < soundAnswerPeriod:
-		suspects.Begun = suspect
+		b.Suspects.Waiting = suspect
+	case b.At.Sub(x.headerAt) < soundAnswerPeriod:
+		b.Suspects.Begun = suspect
 	}
-	x.rt.crashDetector.Add(p.Runner(), &cicadacrash.Broken{At: now, Suspects: suspects, RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", IfAlive: ifAlive})
+	x.rt.crashDetector.Add(p.Runner(), b)
 }
 
-// recordEnd records the end of a response. If it is the end of the connection, it may also be that of
-// the runner.
-func (x *exchange) recordEnd(a *attempt) {
+// confirmEnd returns an error if a response that ends with its connection may not be complete: the
+// connections of a runner whose process is gone end in the same way. It records a complete response.
+func (x *exchange) confirmEnd(a *attempt) error {
 	if !endsAtClose(a.resp) {
-		x.recordAnswer()
-		return
+		if a.resp.StatusCode < http.StatusBadRequest {
+			x.recordAnswer()
+		}
+		return nil
 	}
 	traits, began := x.traits(), x.headerAt
-	x.checkRunner(a.placement, func() { x.rt.recordAnswer(traits, began) })
+	result := make(chan error, 1)
+	x.checkRunner(a.placement, func(err error) {
+		if err == nil && a.resp.StatusCode < http.StatusBadRequest {
+			x.rt.recordAnswer(traits, began)
+		}
+		result <- err
+	})
+	ctx := a.resp.Request.Context()
+	select {
+	case err := <-result:
+		if errors.Is(err, errRunnerEnded) || errors.Is(err, errRunnerUnknown) {
+			return &uncertainEndError{cause: err}
+		}
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
 }
 
 // recordAnswer records that the request was answered without crashing its runner.
--- a/internal/cicadaedge/raw_runner_test.go
+++ b/internal/cicadaedge/raw_runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -36,14 +37,20 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	return f.addRawRunnerOn(ln, serve)
+}
+
+// addRawRunnerOn is addRawRunner with a listener, which may end before the test.
+func (f *fleet) addRawRunnerOn(ln net.Listener, serve func(c *rawConn, req *http.Request) bool) *rawRunner {
+	f.t.Helper()
 	f.t.Cleanup(func() {
-		if err := ln.Close(); err != nil {
+		if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 			f.t.Error(err)
 		}
 	})
 	r := &rawRunner{id: fmt.Sprintf("raw%d", len(f.runners)+1)}
 	f.runners = append(f.runners, nil)
-	f.store.put(tableRunners, r.id, cicadaplace.Entry{ID: r.id, Service: "svc", Addr: ln.Addr().String(), DataCentre: "p", Slots: 8})
+	f.store.put(tableRunners, r.id, cicadaplace.Entry{ID: r.id, Service: "svc", Addr: ln.Addr().String(), DataCentre: "p", Slots: 8, SoftwareVersion: "v1"})
 	go func() {
 		for {
 			conn, err := ln.Accept()
--- a/internal/cicadaedge/response.go
+++ b/internal/cicadaedge/response.go
@@ -75,6 +75,9 @@
 	if err == nil && a.resp.ContentLength >= 0 && int64(body.length) != a.resp.ContentLength && x.r.Method != http.MethodHead {
 		err = io.ErrUnexpectedEOF
 	}
+	if err == nil {
+		err = x.confirmEnd(a)
+	}
 	if err != nil {
 		if x.r.Context().Err() != nil {
 			x.rt.placementClient.finish(a.placement, cicadaplace.CallerCancelled)
@@ -84,12 +87,11 @@
 			x.finishAttempt(a.placement, cicadaplace.Failed, err)
 			return x.timeoutResult(), false
 		}
-		x.recordBroken(a.placement)
+		if isBrokenByRunner(err) {
+			x.recordBroken(a.placement)
+		}
 		return x.handleUnusable(a, err)
 	}
-	if a.resp.StatusCode < http.StatusBadRequest {
-		x.recordEnd(a)
-	}
 	x.firstByteAt = time.Now()
 	x.finishForwarded(a)
 	x.writeHeader(a, int64(body.length))
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -54,10 +54,12 @@
 		// Each stream has an event, and a runner that ends sends none.
 		err = io.ErrUnexpectedEOF
 	}
+	if err == nil {
+		err = x.confirmEnd(a)
+	}
 	var callerErr *callerError
 	switch {
 	case err == nil:
-		x.recordEnd(a)
 		x.finishAttempt(a.placement, cicadaplace.Answered, nil)
 		return result{}, false
 	case errors.As(err, &callerErr) || x.r.Context().Err() != nil:
@@ -69,13 +71,20 @@
 	}
 	x.cause = err
 	x.finishAttempt(a.placement, cicadaplace.Failed, err)
-	if !errors.Is(err, errStalled) && !errors.Is(err, errStreamTooLong) && !errors.Is(err, errEventTooLarge) {
+	if isBrokenByRunner(err) {
 		x.recordBroken(a.placement)
 	}
 	// A response with a Content-Length cannot be continued by another run.
 	return result{abortErr: err}, x.isContinuable() && a.resp.ContentLength < 0
 }
 
+// isBrokenByRunner reports whether a response ended because of its runner, and that runner is still to be
+// checked.
+func isBrokenByRunner(err error) bool {
+	var uncertain *uncertainEndError
+	return !errors.Is(err, errStalled) && !errors.Is(err, errStreamTooLong) && !errors.Is(err, errEventTooLarge) && !errors.As(err, &uncertain)
+}
+
 // isContinuable reports whether another runner can go on with the stream. The software version that
 // began it must be known.
 func (x *exchange) isContinuable() bool {
@@ -135,10 +144,19 @@
 	}
 }
 
+// uncertainEndError is the failure of a response that ended with its connection, if its runner may have
+// ended with it.
+type uncertainEndError struct{ cause error }
+
+// Error implements error.
+func (e *uncertainEndError) Error() string {
+	return "the response ended with its connection and may not be complete: " + e.cause.Error()
+}
+
 // endsAtClose reports whether a response ends only when its connection closes, which also happens
 // if the runner ends.
 func endsAtClose(resp *http.Response) bool {
-	return resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked")
+	return resp.Body != http.NoBody && resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked")
 }
 
 // streamLimit returns the maximum size of the stream of one attempt, in bytes.
