Soak: ends of runners, responses without length, late second answers, repeats

Runners end and come back as a killed process does, send a quarter of their responses without length or chunks, reset some of these, and may answer twice, the second time late. A fourth route may be resumed, half of the callers belong to an organisation whose budget lasts. Checked in addition: repeats in each window, and the input of every request that ran (before: of complete answers).

--- a/internal/cicadasoak/runner_test.go
+++ b/internal/cicadasoak/runner_test.go
@@ -1,11 +1,13 @@
 package cicadasoak_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -34,14 +36,18 @@
 	runnerDisconnects            // runs the request and closes the connection without a response
 	runnerDuplicates             // sends the previous response again before the next one
 	runnerFloods                 // sends an endless response
+	runnerUnframed               // sends responses that end with their connections
+	runnerResets                 // resets such a response in its middle
+	runnerStutters               // sends each response twice, the second time late
+	runnerCrashes                // its connections end and new ones are refused
 	runnerModeCount
 )
 
 type (
 	// runner is an upstream that records its requests and can advertise a rate limit.
 	runner struct {
-		*httptest.Server
-		id       string
+		t        *testing.T
+		id, addr string
 		verifier *verifier
 
 		mu           sync.Mutex // guards the fields below
@@ -52,6 +58,14 @@
 		notifiedAt   map[string]time.Time // first response with the limit, by router
 		arrivals     []arrival
 		lastResponse string
+		server       *http.Server
+		conns        map[net.Conn]bool // open connections
+	}
+
+	// runnerListener keeps the accepted connections of a runner, as the kernel does.
+	runnerListener struct {
+		net.Listener
+		runner *runner
 	}
 
 	// arrival is a request from a router that had received the limit.
@@ -62,15 +76,67 @@
 )
 
 func newRunner(t *testing.T, id string, v *verifier, s *store) *runner {
-	r := &runner{id: id, verifier: v, rnd: rand.New(rand.NewPCG(uint64(len(id)), 3)), notifiedAt: map[string]time.Time{}}
-	r.Server = httptest.NewServer(r)
-	t.Cleanup(r.CloseClientConnections)
+	r := &runner{
+		t: t, id: id, addr: freeAddr(t), verifier: v, rnd: rand.New(rand.NewPCG(uint64(len(id)), 3)),
+		notifiedAt: map[string]time.Time{}, conns: map[net.Conn]bool{},
+	}
+	r.start()
+	t.Cleanup(r.kill)
 	s.putRow("servers", id, map[string]any{
-		"Service": "svc", "Address": r.Listener.Addr().String(), "Zone": "z", "Version": "1", "Slots": 16, "State": "ready", "Seq": 1,
+		"Service": "svc", "Address": r.addr, "Zone": "z", "Version": "1", "Slots": 16, "State": "ready", "Seq": 1,
 	})
 	return r
 }
 
+// Accept waits for the next connection.
+func (l *runnerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.runner.mu.Lock()
+		defer l.runner.mu.Unlock()
+		l.runner.conns[conn] = true
+	}
+	return conn, err
+}
+
+// start makes the runner accept connections.
+func (r *runner) start() {
+	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", r.addr)
+	if err != nil {
+		r.t.Error(err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
+	srv := r.server
+	go func() { _ = srv.Serve(&runnerListener{ln, r}) }() // ends with the runner
+}
+
+// kill ends the listener and all connections, as the kernel does for a killed process.
+func (r *runner) kill() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.server.Close() // its connections end below
+	for conn := range r.conns {
+		_ = conn.Close() // it may have ended
+	}
+	r.conns = map[net.Conn]bool{}
+}
+
+// fault puts the runner into a mode for some time.
+func (r *runner) fault(mode runnerMode, d time.Duration) {
+	if mode == runnerCrashes {
+		r.kill()
+		time.Sleep(d)
+		r.start()
+		return
+	}
+	r.setMode(mode)
+	time.Sleep(d)
+	r.setMode(runnerHealthy)
+}
+
 func (r *runner) setMode(mode runnerMode) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -112,7 +178,7 @@
 }
 
 // recordArrival records a request and returns the mode for it. In every mode a random half of
-// the requests is treated as by a healthy runner.
+// the requests is treated as by a healthy runner, which sends a quarter of its responses unframed.
 func (r *runner) recordArrival(w http.ResponseWriter, req *http.Request) runnerMode {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -127,10 +193,14 @@
 		}
 		w.Header().Set("Server-Limit", strconv.FormatFloat(*r.limit, 'f', -1, 64))
 	}
+	mode := r.mode
 	if r.rnd.IntN(2) == 0 {
-		return runnerHealthy
+		mode = runnerHealthy
+	}
+	if mode == runnerHealthy && r.rnd.IntN(4) == 0 {
+		mode = runnerUnframed
 	}
-	return r.mode
+	return mode
 }
 
 // ServeHTTP serves one request.
@@ -141,6 +211,7 @@
 		return
 	}
 	w.Header().Set("Request-Id", id)
+	r.verifier.recordArrival(id)
 	mode := r.recordArrival(w, req)
 	if mode == runnerRefuses {
 		w.Header().Set("Not-Executed", "1")
@@ -164,16 +235,22 @@
 		}
 		return
 	case runnerDuplicates:
-		if kindOf(req.URL.Path) != streaming {
+		if !kindOf(req.URL.Path).isStream() {
 			r.writeDuplicate(w, id)
 			return
 		}
+	case runnerUnframed, runnerResets:
+		r.writeUnframed(w, req, id, mode == runnerResets)
+		return
+	case runnerStutters:
+		r.stutter(w, req, id)
+		return
 	}
 	r.writeResponse(w, req, id, mode == runnerTruncates)
 }
 
 func (r *runner) writeResponse(w http.ResponseWriter, req *http.Request, id string, truncate bool) {
-	if kindOf(req.URL.Path) != streaming {
+	if !kindOf(req.URL.Path).isStream() {
 		if truncate {
 			w.Header().Set("Content-Length", "1000")
 		}
@@ -181,7 +258,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range streamEvents {
+	for i := firstEvent(req); i < streamEvents; i++ {
 		fmt.Fprintf(w, "%s", streamEvent(id, i+1))
 		w.(http.Flusher).Flush()
 		time.Sleep(20 * time.Millisecond)
@@ -192,6 +269,87 @@
 	}
 }
 
+// firstEvent returns the number of events that the caller has of a stream.
+func firstEvent(req *http.Request) int {
+	n, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	if err != nil || !kindOf(req.URL.Path).isStream() {
+		return 0
+	}
+	return n
+}
+
+// rawHeader returns the header of a response without its framing. Like all responses it states the
+// runner's limit: one without it tells routers that the limit has ended.
+func rawHeader(w http.ResponseWriter, req *http.Request) string {
+	header := "HTTP/1.1 200 OK\r\nRequest-Id: " + req.Header.Get("Request-Id") + "\r\nResponse-Seal: s\r\n"
+	if limit := w.Header().Get("Server-Limit"); limit != "" {
+		header += "Server-Limit: " + limit + "\r\n"
+	}
+	if kindOf(req.URL.Path).isStream() {
+		header += "Content-Type: text/event-stream\r\n"
+	}
+	return header
+}
+
+// rawBody returns the parts of the body of a response, in the order in which they are made.
+func rawBody(req *http.Request, id string) []string {
+	if !kindOf(req.URL.Path).isStream() {
+		text := responseBody(id)
+		return []string{text[:len(text)/2], text[len(text)/2:]}
+	}
+	var parts []string
+	for i := firstEvent(req); i < streamEvents; i++ {
+		parts = append(parts, streamEvent(id, i+1))
+	}
+	return parts
+}
+
+// writeUnframed sends a response that ends with its connection, or resets it in its middle.
+func (r *runner) writeUnframed(w http.ResponseWriter, req *http.Request, id string, reset bool) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "%sConnection: close\r\n\r\n", rawHeader(w, req))
+	parts := rawBody(req, id)
+	for i, part := range parts {
+		if reset && i == (len(parts)+1)/2 {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "%s", part)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// stutter sends a response and, some time later, the same once more. The next request on the connection
+// is answered after that.
+func (r *runner) stutter(w http.ResponseWriter, req *http.Request, id string) {
+	body := strings.Join(rawBody(req, id), "")
+	response := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", rawHeader(w, req), len(body), body)
+	conn, br, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprint(conn, response)
+	r.mu.Lock()
+	delay := time.Duration(r.rnd.IntN(300)) * time.Millisecond
+	r.mu.Unlock()
+	time.Sleep(delay)
+	_, _ = fmt.Fprint(conn, response)
+	next, err := http.ReadRequest(br.Reader)
+	if err != nil {
+		return
+	}
+	nextID := next.Header.Get("Request-Id")
+	r.verifier.recordArrival(nextID)
+	r.verifier.recordRun(nextID)
+	body = strings.Join(rawBody(next, nextID), "")
+	_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", rawHeader(w, next), len(body), body)
+}
+
 // writeDuplicate sends the runner's previous response again, followed by the right one. Like all
 // responses they state the runner's limit: one without it tells routers that the limit has ended.
 func (r *runner) writeDuplicate(w http.ResponseWriter, id string) {
--- a/internal/cicadasoak/soak_test.go
+++ b/internal/cicadasoak/soak_test.go
@@ -26,6 +26,7 @@
 const (
 	host          = "svc.example"
 	apiKey        = "k"
+	abundantKey   = "a" // of an organisation whose budget lasts
 	promptTokens  = 20
 	prepaidTokens = 15_000
 	// recoveryTime is the time without faults at the end, after which all routers must serve.
@@ -45,6 +46,7 @@
 	faultDurationFlag = flag.Duration("soak-span", 20*time.Second, "duration of the fault injection for each seed")
 	keepLogsFlag      = flag.Bool("soak-keep", false, "keep the logs of passing seeds too")
 	routerCountFlag   = flag.Int("soak-routers", 6, "number of router processes")
+	callerCountFlag   = flag.Int("soak-callers", 3, "number of callers for each router process")
 )
 
 type (
@@ -99,8 +101,8 @@
 	}
 	text := fmt.Sprintf("NodeName: %s\nIp: 127.0.0.1\nZone: z\nListen: {Front: %q, Ready: %q, Control: %q}\nBootstrap: true\n"+
 		"BeatIntervalMs: 1200\nLimits: {MemoryMb: 134, MaxFds: 2000}\nPlatform: {Address: %q}\n"+
-		"Bounds: {GraceS: 6, ConfigMs: 2000, StretchMs: 5000, BudgetWindowS: 10, RetryBudgetRatio: 0.2, RetrySlack: 56}\n",
-		name, r.callerAddr, r.readyAddr, freeAddr(s.t), s.store.addr())
+		"Bounds: {GraceS: 6, ConfigMs: 2000, StretchMs: 5000, BudgetWindowS: %g, RetryBudgetRatio: %g, RetrySlack: %d}\n",
+		name, r.callerAddr, r.readyAddr, freeAddr(s.t), s.store.addr(), retryWindow.Seconds(), retryRatio, retrySlack)
 	if err := os.WriteFile(r.settingsFile, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -160,17 +162,24 @@
 			"LatencyTargetMs": 500, "GapTargetMs": 300, "Service": "svc", "MaxAttempts": attempts,
 		}
 	}
+	resumableRoute := route(resumable, "streaming", 3)
+	resumableRoute["CanResume"] = true
 	s.store.putRow("op", "config", map[string]any{
-		"Version":  1,
-		"Routes":   []any{route(atMostOnce, "non_idempotent", 2), route(idempotent, "idempotent", 3), route(streaming, "streaming", 2)},
+		"Version": 1,
+		"Routes": []any{
+			route(atMostOnce, "non_idempotent", 2), route(idempotent, "idempotent", 3), route(streaming, "streaming", 2), resumableRoute,
+		},
 		"Services": []any{map[string]any{"Name": "svc", "MaxConns": 200}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 20000},
-		"Tenants":  []any{map[string]any{"Name": "acme", "ApiKeys": []string{apiKey}, "Prepaid": prepaidTokens}},
+		"Tenants": []any{
+			map[string]any{"Name": "acme", "ApiKeys": []string{apiKey}, "Prepaid": prepaidTokens},
+			map[string]any{"Name": "abundant", "ApiKeys": []string{abundantKey}, "Prepaid": 1000 * prepaidTokens},
+		},
 	})
 }
 
 // sendRequest sends one request to a router, records the response and returns its status, or 0.
-func (s *soak) sendRequest(ctx context.Context, client *http.Client, r *router, requestKind kind) int {
+func (s *soak) sendRequest(ctx context.Context, client *http.Client, r *router, key string, requestKind kind) int {
 	id := fmt.Sprintf("%d-%d", s.seed, s.lastID.Add(1))
 	ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
 	defer cancel()
@@ -181,14 +190,15 @@
 	}
 	req.Host, req.GetBody = host, nil
 	for name, value := range map[string]string{
-		"Request-Id": id, "Authorization": "Token " + apiKey, "Deadline-Ms": "3000", "X-Router": r.name,
+		"Request-Id": id, "Authorization": "Token " + key, "Deadline-Ms": "3000", "X-Router": r.name,
 	} {
 		req.Header.Set(name, value)
 	}
-	if requestKind == streaming {
+	if requestKind.isStream() {
 		req.Header.Set("Token-Count", strconv.Itoa(promptTokens)+","+strconv.Itoa(streamEvents))
 	}
 	startedAt := time.Now()
+	s.verifier.recordRequest(id, key, startedAt)
 	resp, err := client.Do(req)
 	if err != nil {
 		s.verifier.recordResponse(id, requestKind, 0, "", err)
@@ -208,8 +218,9 @@
 	rnd := rand.New(rand.NewPCG(s.seed, uint64(100+callerIndex)))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
 	defer client.CloseIdleConnections()
+	key := []string{apiKey, abundantKey}[callerIndex%2]
 	for ctx.Err() == nil {
-		s.sendRequest(ctx, client, s.routers[rnd.IntN(len(s.routers))], kind(rnd.IntN(int(kindCount))))
+		s.sendRequest(ctx, client, s.routers[rnd.IntN(len(s.routers))], key, kind(rnd.IntN(int(kindCount))))
 		time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
 	}
 }
@@ -242,9 +253,7 @@
 	}[s.faultRand.IntN(7)]
 	if s.faultCount%2 == 0 {
 		inject = func() {
-			faultyRunner.setMode(runnerFault)
-			time.Sleep(duration)
-			faultyRunner.setMode(runnerHealthy)
+			faultyRunner.fault(runnerFault, duration)
 		}
 	}
 	s.activeFaults.Add(1)
@@ -303,7 +312,7 @@
 	s.awaitServing(client)
 	ctx, stop := context.WithCancel(s.t.Context())
 	var callers sync.WaitGroup
-	for n := range 3 * len(s.routers) {
+	for n := range *callerCountFlag * len(s.routers) {
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
@@ -328,7 +337,6 @@
 	s.activeFaults.Wait()
 	for _, u := range s.runners {
 		u.setLimit(nil)
-		u.setMode(runnerHealthy)
 	}
 	time.Sleep(recoveryTime)
 	stop()
@@ -343,7 +351,7 @@
 // awaitServing waits until every router serves requests.
 func (s *soak) awaitServing(client *http.Client) {
 	for _, r := range s.routers {
-		isServing := func() bool { return s.sendRequest(s.t.Context(), client, r, idempotent) == http.StatusOK }
+		isServing := func() bool { return s.sendRequest(s.t.Context(), client, r, apiKey, idempotent) == http.StatusOK }
 		for end := time.Now().Add(10 * time.Second); !isServing(); time.Sleep(100 * time.Millisecond) {
 			if time.Now().After(end) {
 				s.t.Errorf("RECOVER: router %s does not serve requests within 10 s", r.name)
--- a/internal/cicadasoak/verifier_test.go
+++ b/internal/cicadasoak/verifier_test.go
@@ -18,17 +18,30 @@
 	atMostOnce kind = iota
 	idempotent
 	streaming
+	resumable
 	kindCount
 )
 
+// The rule on repeats: in each window, a service gets at most retrySlack arrivals beyond the first of each
+// request, and retryRatio times as many as requests in that window, the one before or the one half a window
+// before, whichever is most.
+const (
+	retryWindow = 10 * time.Second
+	retryRatio  = 0.2
+	retrySlack  = 56
+)
+
 type (
 	// verifier records what callers and runners observed.
 	verifier struct {
 		mu                   sync.Mutex // guards the fields below
 		runCounts            map[string]int
+		arrivals             map[string]int    // number of times that a request reached a runner
+		repeats, requests    []time.Time       // times of arrivals beyond the first, and of the callers' requests
+		deliveredEvents      map[string]int    // by request
+		keys                 map[string]string // of the callers, by request
 		notRunStatuses       map[string]string // status of the refusal, by the id of a request that was refused as not run
 		kinds                map[string]kind
-		completeTokens       int // of complete responses
 		counts               map[string]int
 		violations           []string
 		disruptions          map[string][]interval        // by router
@@ -47,7 +60,8 @@
 
 func newVerifier() *verifier {
 	return &verifier{
-		runCounts: map[string]int{}, notRunStatuses: map[string]string{}, kinds: map[string]kind{}, counts: map[string]int{},
+		runCounts: map[string]int{}, arrivals: map[string]int{}, deliveredEvents: map[string]int{}, keys: map[string]string{},
+		notRunStatuses: map[string]string{}, kinds: map[string]kind{}, counts: map[string]int{},
 		disruptions: map[string][]interval{}, unplannedDisruptions: map[string][]interval{}, unansweredRequests: map[string]unansweredRequest{},
 	}
 }
@@ -58,12 +72,19 @@
 		return atMostOnce
 	case strings.HasPrefix(path, "/again/"):
 		return idempotent
+	case strings.HasPrefix(path, "/resume/"):
+		return resumable
 	default:
 		return streaming
 	}
 }
 
-func (k kind) path() string { return [...]string{"/once/x", "/again/x", "/stream/x"}[k] }
+func (k kind) path() string { return [...]string{"/once/x", "/again/x", "/stream/x", "/resume/x"}[k] }
+
+func (k kind) isStream() bool { return k == streaming || k == resumable }
+
+// mayRunAgain reports whether requests of this kind may run more than once.
+func (k kind) mayRunAgain() bool { return k == idempotent || k == resumable }
 
 func responseBody(id string) string { return "answer to " + id }
 
@@ -83,6 +104,62 @@
 	v.runCounts[id]++
 }
 
+// recordArrival records that a request reached a runner.
+func (v *verifier) recordArrival(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.arrivals[id]++; v.arrivals[id] > 1 {
+		v.repeats = append(v.repeats, time.Now())
+	}
+}
+
+// recordRequest records a caller's request and the key that it bears.
+func (v *verifier) recordRequest(id, key string, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.requests = append(v.requests, at)
+	v.keys[id] = key
+}
+
+// checkRepeats reports the windows with more repeats than allowed.
+func (v *verifier) checkRepeats(t *testing.T) {
+	t.Helper()
+	count := func(list []time.Time, from time.Time) int {
+		first, _ := slices.BinarySearchFunc(list, from, time.Time.Compare)
+		end, _ := slices.BinarySearchFunc(list, from.Add(retryWindow), time.Time.Compare)
+		return end - first
+	}
+	slices.SortFunc(v.requests, time.Time.Compare)
+	slices.SortFunc(v.repeats, time.Time.Compare)
+	most := 0
+	for _, from := range v.repeats {
+		requests := max(count(v.requests, from), count(v.requests, from.Add(-retryWindow/2)), count(v.requests, from.Add(-retryWindow)))
+		repeats := count(v.repeats, from)
+		most = max(most, repeats)
+		if allowed := int(retryRatio*float64(requests)) + retrySlack; repeats > allowed {
+			t.Errorf("BUDGET: %d repeats within %v at %d requests, allowed %d", repeats, retryWindow, requests, allowed)
+			return
+		}
+	}
+	t.Logf("most repeats within %v: %d", retryWindow, most)
+}
+
+// usedTokens returns the tokens that count against the budget of apiKey's organisation: the input of the streams that ran and
+// the events that were delivered.
+func (v *verifier) usedTokens() int {
+	used := 0
+	for id, key := range v.keys {
+		if key != apiKey || !v.kinds[id].isStream() {
+			continue
+		}
+		used += v.deliveredEvents[id]
+		if v.runCounts[id] > 0 {
+			used += promptTokens
+		}
+	}
+	return used
+}
+
 func (v *verifier) addCount(name string, n int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -142,13 +219,16 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.kinds[id] = k
+	if k.isStream() {
+		v.deliveredEvents[id] = strings.Count(body, "id: ")
+	}
 	switch status {
 	case 0:
 		v.counts["no answer"]++
 	case 200:
-		want, tokens := responseBody(id), 0
-		if k == streaming {
-			want, tokens = streamBody(id), promptTokens+streamEvents
+		want := responseBody(id)
+		if k.isStream() {
+			want = streamBody(id)
 		}
 		switch {
 		case err != nil && strings.HasPrefix(want, body):
@@ -157,7 +237,6 @@
 			v.violations = append(v.violations, fmt.Sprintf("MIXED: request %s got the body %.80q (error %v), want %.80q", id, body, err, want))
 		default:
 			v.counts["whole"]++
-			v.completeTokens += tokens
 		}
 	case 408, 421, 429, 503:
 		v.notRunStatuses[id] = fmt.Sprint(status)
@@ -173,10 +252,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for id, n := range v.runCounts {
-		if n > 1 && v.kinds[id] != idempotent {
+		if n > 1 && !v.kinds[id].mayRunAgain() {
 			t.Errorf("TWICE: request %s ran %d times", id, n)
 		}
-		if status := v.notRunStatuses[id]; status != "" && v.kinds[id] != idempotent {
+		if status := v.notRunStatuses[id]; status != "" && !v.kinds[id].mayRunAgain() {
 			t.Errorf("REFUSED: request %s was refused with status %s, but it ran", id, status)
 		}
 	}
@@ -185,14 +264,16 @@
 			t.Errorf("LOST: request %s ran and got no response from router %s, which was neither killed nor frozen", id, req.router)
 		}
 	}
-	if v.completeTokens > prepaidTokens {
-		t.Errorf("BUDGET: complete responses used %d of %d prepaid tokens", v.completeTokens, prepaidTokens)
+	used := v.usedTokens()
+	if used > prepaidTokens {
+		t.Errorf("BUDGET: requests used %d of %d prepaid tokens", used, prepaidTokens)
 	}
+	v.checkRepeats(t)
 	for _, violation := range v.violations {
 		t.Error(violation)
 	}
 	for _, name := range slices.Sorted(maps.Keys(v.counts)) {
 		t.Logf("%s: %d", name, v.counts[name])
 	}
-	t.Logf("tokens of complete responses: %d of %d prepaid", v.completeTokens, prepaidTokens)
+	t.Logf("tokens of the requests that ran: %d of %d prepaid", used, prepaidTokens)
 }
