Retry budget: no slack while the number of routers is unknown

What callers saw: repeats beyond what is allowed (BUDGET), named by the users' runs with real processes.

Cause: the retry budget began with one router, and only the table of routers changed that, so that each restarted router spent the slack of all.

Change: a router has no part of the slack until the number is known. Views that routers get from each other in an outage have it; the larger number is taken.

--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -64,6 +64,7 @@
 		// CrashesPending is set if the router itself has yet to learn them, as it has just started.
 		Crashes        *cicadaquarantine.Report `json:"crashes,omitempty"`
 		CrashesPending bool                     `json:"crashesPending,omitempty"`
+		Routers        int                      `json:"routers,omitempty"` // number of routers; zero if unknown
 	}
 )
 
@@ -101,6 +102,7 @@
 		AgeMillis:        rt.deploymentAge(now).Milliseconds(),
 		RunnersAgeMillis: rt.runnersAge(now).Milliseconds(),
 		Evacuated:        rt.evacuations.list(),
+		Routers:          rt.shares.known(),
 	}
 	if d := rt.deployment.Load(); d != nil && d.Version() > req.Version {
 		reply.Deployment = d.Document()
@@ -182,6 +184,7 @@
 	if err := client.CallResult(ctx, methodView, req, &reply); err != nil {
 		return errors.Wrap(err, "call peer")
 	}
+	rt.shares.setFromPeer(rt, reply.Routers)
 	rt.applyPeerCrashes(&reply)
 	if reply.Deployment != nil {
 		rt.activate(reply.Deployment, "peer "+addr)
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -93,6 +93,7 @@
 	streamRows *streamRows
 	versions   *versionTracker
 
+	shares   routerShares
 	stopping atomic.Bool
 	// requests is cancelled at the end of a planned stop, which ends the requests in progress.
 	requests     context.Context
--- a/internal/cicadaretry/budget.go
+++ b/internal/cicadaretry/budget.go
@@ -35,7 +35,7 @@
 	Budget struct {
 		mu      sync.Mutex // guards the fields below
 		cfg     Config
-		routers int
+		routers int // that share the limit; zero if unknown
 		buckets map[string]*bucket
 	}
 
@@ -49,9 +49,10 @@
 	}
 )
 
-// NewBudget returns a budget for a single router; see SetRouters.
+// NewBudget returns a budget that has no part of the slack until SetRouters is called: the others may
+// already spend all of it.
 func NewBudget(cfg Config) *Budget {
-	return &Budget{cfg: cfg, routers: 1, buckets: map[string]*bucket{}}
+	return &Budget{cfg: cfg, buckets: map[string]*bucket{}}
 }
 
 // Configure changes the limit. The buckets keep their levels.
@@ -88,13 +89,20 @@
 	return true
 }
 
-// capacity returns the capacity of a bucket: half of this router's slack, but at least one
-// retry, so that a small share still allows retries. If there are more routers than Slack
-// retries, full buckets of all routers together therefore exceed the limit.
-func (b *Budget) capacity() float64 {
-	return max(b.cfg.Slack*slackShare/2/float64(b.routers), 1)
+// slack returns half of this router's share of the slack. Buckets hold as much, and as much is added to
+// them in a window.
+func (b *Budget) slack() float64 {
+	if b.routers == 0 {
+		return 0
+	}
+	return b.cfg.Slack * slackShare / 2 / float64(b.routers)
 }
 
+// capacity returns the capacity of a bucket, which is at least one retry, so that a small share still
+// allows retries. If there are more routers than Slack retries, full buckets of all routers together
+// therefore exceed the limit.
+func (b *Budget) capacity() float64 { return max(b.slack(), 1) }
+
 func (b *Budget) bucket(service string, now time.Time) *bucket {
 	bkt := b.buckets[service]
 	if bkt == nil {
@@ -102,7 +110,7 @@
 		b.buckets[service] = bkt
 	}
 	if dt := now.Sub(bkt.updatedAt); dt > 0 && b.cfg.Window > 0 {
-		bkt.level = min(bkt.level+b.cfg.Slack*slackShare/2/float64(b.routers)*dt.Seconds()/b.cfg.Window.Seconds(), b.capacity())
+		bkt.level = min(bkt.level+b.slack()*dt.Seconds()/b.cfg.Window.Seconds(), b.capacity())
 		bkt.updatedAt = now
 	}
 	return bkt
--- a/internal/cicadaretry/budget_test.go
+++ b/internal/cicadaretry/budget_test.go
@@ -58,9 +58,32 @@
 
 func TestServicesHaveSeparateBudgets(t *testing.T) {
 	b := cicadaretry.NewBudget(cicadaretry.Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second})
+	b.SetRouters(1)
 	for b.Allow("a", start) {
 	}
 	if !b.Allow("b", start) {
 		t.Error("retries of one service used up the budget of another")
 	}
 }
+
+// A router that has just started may not know yet how many others there are.
+func TestRouterThatKnowsNoOthersSpendsTheSlackOfAll(t *testing.T) {
+	const requests = 20
+	b := cicadaretry.NewBudget(cicadaretry.Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second})
+	retries := 0
+	for i := range requests {
+		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
+		b.CountRequest("s", now)
+		for b.Allow("s", now) {
+			retries++
+		}
+	}
+	if limit := requests * 0.2; float64(retries) > limit || retries == 0 {
+		t.Errorf("%d retries of %d requests, want 1 to %.0f", retries, requests, limit)
+	}
+	b.SetRouters(1)
+	b.CountRequest("s", start.Add(20*time.Second))
+	if !b.Allow("s", start.Add(20*time.Second)) {
+		t.Error("no retry once the routers are known")
+	}
+}
--- a/internal/cicadasoak/soak_test.go
+++ b/internal/cicadasoak/soak_test.go
@@ -38,6 +38,8 @@
 	firstPort, portCount = 20_000, 12_000
 	// exitPollInterval is the interval between checks for exited processes.
 	exitPollInterval = 200 * time.Millisecond
+	// maxSeeds is the number of routers whose addresses the settings of a router name.
+	maxSeeds = 3
 )
 
 var (
@@ -66,7 +68,7 @@
 
 	// router is a router process with its later restarts.
 	router struct {
-		name, callerAddr, readyAddr, settingsFile, binary, logFile string
+		name, callerAddr, readyAddr, peerAddr, settingsFile, binary, logFile string
 
 		mu        sync.Mutex // guards the fields below, held during a fault
 		cmd       *exec.Cmd
@@ -96,13 +98,17 @@
 func (s *soak) addRouter(binary, dir string) {
 	name := fmt.Sprintf("n%d", len(s.routers))
 	r := &router{
-		name: name, callerAddr: freeAddr(s.t), readyAddr: freeAddr(s.t), binary: binary,
+		name: name, callerAddr: freeAddr(s.t), readyAddr: freeAddr(s.t), peerAddr: freeAddr(s.t), binary: binary,
 		settingsFile: filepath.Join(dir, name+".yaml"), logFile: filepath.Join(dir, name+".log"),
 	}
-	text := fmt.Sprintf("NodeName: %s\nIp: 127.0.0.1\nZone: z\nListen: {Front: %q, Ready: %q, Control: %q}\nBootstrap: true\n"+
+	var seeds []string
+	for _, other := range s.routers[:min(len(s.routers), maxSeeds)] {
+		seeds = append(seeds, other.peerAddr)
+	}
+	text := fmt.Sprintf("NodeName: %s\nIp: 127.0.0.1\nZone: z\nListen: {Front: %q, Ready: %q, Control: %q}\nBootstrap: true\nSeeds: [%s]\n"+
 		"BeatIntervalMs: 1200\nLimits: {MemoryMb: 134, MaxFds: 2000}\nPlatform: {Address: %q}\n"+
 		"Bounds: {GraceS: 6, ConfigMs: 2000, StretchMs: 5000, BudgetWindowS: %g, RetryBudgetRatio: %g, RetrySlack: %d}\n",
-		name, r.callerAddr, r.readyAddr, freeAddr(s.t), s.store.addr(), retryWindow.Seconds(), retryRatio, retrySlack)
+		name, r.callerAddr, r.readyAddr, r.peerAddr, strings.Join(seeds, ", "), s.store.addr(), retryWindow.Seconds(), retryRatio, retrySlack)
 	if err := os.WriteFile(r.settingsFile, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
