Events count against the memory for buffered answers

What callers would see: a router that runs out of memory ends, with all of its requests (LOST). Runners that send parts of large events to many streams and fall silent: 167 MB with 450 streams, 134 are allowed.

Cause: each event was bounded, the sum of all was not.

Change: events count beyond their first 64 KiB together with buffered bodies.

--- a/internal/cicadaedge/buffer.go
+++ b/internal/cicadaedge/buffer.go
@@ -1,6 +1,8 @@
 package cicadaedge
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net/http"
 	"sync"
@@ -11,9 +13,9 @@
 const (
 	// maxBufferedBytes bounds a response body that is buffered completely before it is forwarded.
 	maxBufferedBytes = 16 << 20
-	// bufferMemoryShare is the share of the process's memory limit that all buffered bodies may
-	// use together. The first uncountedBytes of each body are not counted, so that oversized
-	// bodies cannot use up the memory for bodies of the usual size. Without a memory limit,
+	// bufferMemoryShare is the share of the process's memory limit that all buffered bodies and events
+	// may use together. The first uncountedBytes of each are not counted, so that oversized ones cannot
+	// use up the memory for those of the usual size. Without a memory limit,
 	// defaultBufferBytes applies.
 	bufferMemoryShare  = 0.2
 	defaultBufferBytes = 64 << 20
@@ -28,7 +30,7 @@
 )
 
 type (
-	// bodyBuffers counts the bytes of the response bodies that are being buffered.
+	// bodyBuffers counts the bytes of the response bodies and events that are being buffered.
 	bodyBuffers struct {
 		maxBytes int
 
@@ -117,3 +119,33 @@
 	}
 	return nil
 }
+
+// readEvent reads one event, up to and including the empty line at its end. The returned event counts
+// until it is released, also if it is returned with an error.
+func (b *bodyBuffers) readEvent(r *bufio.Reader) (event, error) {
+	var ev event
+	for {
+		line, err := r.ReadSlice('\n')
+		withinLimit := b.add(countedBytes(len(ev.raw)+len(line)) - countedBytes(len(ev.raw)))
+		ev.raw = append(ev.raw, line...)
+		switch {
+		case len(ev.raw) > maxEventBytes:
+			return ev, errEventTooLarge
+		case !withinLimit:
+			return ev, errBuffersFull
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return ev, err
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return ev, nil
+		}
+		if value, ok := bytes.CutPrefix(text, idField); ok {
+			ev.id = string(bytes.TrimSpace(value))
+		}
+	}
+}
+
+func (b *bodyBuffers) releaseEvent(ev *event) { b.add(-countedBytes(len(ev.raw))) }
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -82,7 +81,8 @@
 // checked.
 func isBrokenByRunner(err error) bool {
 	var uncertain *uncertainEndError
-	return !errors.Is(err, errStalled) && !errors.Is(err, errStreamTooLong) && !errors.Is(err, errEventTooLarge) && !errors.As(err, &uncertain)
+	return !errors.Is(err, errStalled) && !errors.Is(err, errStreamTooLong) && !errors.Is(err, errEventTooLarge) &&
+		!errors.Is(err, errBuffersFull) && !errors.As(err, &uncertain)
 }
 
 // isContinuable reports whether another runner can go on with the stream. The software version that
@@ -115,8 +115,12 @@
 		stall = x.startEventTimer(a, firstEventStallFactor*x.route.LatencyObjective)
 	}
 	remaining := x.streamLimit()
+	var ev event
+	defer func() { x.rt.buffers.releaseEvent(&ev) }()
 	for {
-		ev, err := readEvent(r)
+		x.rt.buffers.releaseEvent(&ev)
+		var err error
+		ev, err = x.rt.buffers.readEvent(r)
 		switch {
 		case errors.Is(err, io.EOF) && len(ev.raw) == 0:
 			return nil
@@ -240,27 +244,3 @@
 	last, lastErr := strconv.ParseInt(x.lastEventID, 10, 64)
 	return err == nil && lastErr == nil && n <= last
 }
-
-// readEvent reads one event, up to and including the empty line at its end.
-func readEvent(r *bufio.Reader) (event, error) {
-	var ev event
-	for {
-		line, err := r.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
-		switch {
-		case len(ev.raw) > maxEventBytes:
-			return ev, errEventTooLarge
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case err != nil:
-			return ev, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return ev, nil
-		}
-		if value, ok := bytes.CutPrefix(text, idField); ok {
-			ev.id = string(bytes.TrimSpace(value))
-		}
-	}
-}
--- a/internal/cicadasoak/pause_test.go
+++ b/internal/cicadasoak/pause_test.go
@@ -1,6 +1,7 @@
 package cicadasoak_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -150,7 +151,12 @@
 
 // stream sends a request for a stream.
 func (s *soak) stream(r *router, id string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+r.callerAddr+streaming.path(), http.NoBody)
+	return s.streamUntil(s.t.Context(), r, id)
+}
+
+// streamUntil sends a request for a stream that ends with ctx.
+func (s *soak) streamUntil(ctx context.Context, r *router, id string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callerAddr+streaming.path(), http.NoBody)
 	if err != nil {
 		return nil, err
 	}
