Take-ups are decided by the store only, not by a router's own view

Cause: while the store did not answer, a view of up to 3 s decided that there was only one version. Streams begin at a new version after 3 s, but at once if no runner of an older one can be used.

Ruled out: routers that stand still (processes, 3.5 s and 5 s), streams that the router forwarded itself, and a version that stays.

Change: without the history in the store, a take-up at another router is told to come back.

TestTakeUpGoesOnAtTheOldSoftwareVersionWhichLeavesAsTheNewOneJoins failed before (a stream of v2 went on at v1).

--- a/internal/cicadaedge/resume.go
+++ b/internal/cicadaedge/resume.go
@@ -75,7 +75,12 @@
 	if origin, ok := q.rt.streams.Find(q.streamID); ok {
 		return origin, originOwn
 	}
-	if version, ok := q.onlyVersion(ctx); ok {
+	version, err := q.onlyVersion(ctx)
+	switch {
+	case err != nil:
+		q.cause = err
+		return cicadaresume.Origin{}, originStoreSilent
+	case version != "":
 		return cicadaresume.Origin{Service: q.service.Name, SoftwareVersion: version}, originOnlyVersion
 	}
 	if q.info.FirstRequestID == "" {
@@ -85,24 +90,23 @@
 }
 
 // onlyVersion returns the software version of the service if, by the history in the store, the stream
-// cannot have begun at another one. While the store does not answer, what this router knows decides for
-// a moment.
-func (q *request) onlyVersion(ctx context.Context) (string, bool) {
+// cannot have begun at another one; empty if it can. What this router knows does not decide alone: others
+// may use a version that it has not seen yet.
+func (q *request) onlyVersion(ctx context.Context) (string, error) {
 	now := time.Now()
 	if q.rt.runnersAge(now) >= maxViewAge || len(q.rt.balancer.SoftwareVersions(q.service.Name, now)) > 1 {
-		return "", false
+		return "", nil
 	}
 	history, err := q.rt.streamRows.history(ctx, q.service.Name)
-	now = time.Now()
-	switch {
-	case err == nil:
-		// A caller that still waits longer than usual may have begun earlier.
-		return q.rt.versions.onlyOf(q.service.Name, &history, max(q.rt.streamLife(), q.info.Timeout), now)
-	case !errors.Is(err, errNoHistory) && q.info.Timeout <= q.rt.streamLife():
-		return q.rt.versions.only(q.service.Name, now)
-	default:
-		return "", false
+	if errors.Is(err, errNoHistory) {
+		return "", nil
+	}
+	if err != nil {
+		return "", err
 	}
+	// A caller that still waits longer than usual may have begun earlier.
+	version, _ := q.rt.versions.onlyOf(q.service.Name, &history, max(q.rt.streamLife(), q.info.Timeout), time.Now())
+	return version, nil
 }
 
 // findInRows looks the stream up in the rows of other processes, twice if they do not have it yet.
@@ -157,7 +161,7 @@
 	if !q.rt.streams.Begin(q.streamID, cicadaresume.Origin{Service: q.service.Name, SoftwareVersion: version}, q.arrivedAt.Add(life), now) {
 		q.rt.cfg.Metrics.Errors.Add("streamsForgotten", 1)
 	}
-	if _, only := q.rt.versions.only(q.service.Name, now); !only {
+	if !q.rt.versions.isSingle(q.service.Name, now) {
 		q.rt.streamRows.began.send()
 	}
 }
@@ -171,7 +175,7 @@
 		q.rt.streams.Complete(q.streamID, time.Now().Add(completedStreamLife))
 		return
 	}
-	if _, only := q.rt.versions.only(q.service.Name, time.Now()); !only {
+	if !q.rt.versions.isSingle(q.service.Name, time.Now()) {
 		q.rt.streamRows.broken.send()
 	}
 }
--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -359,3 +359,43 @@
 		t.Errorf("streams that began, by version: %v", begun)
 	}
 }
+
+// The old version's runners drain as those of the new one join, so that the new one is used at once, and
+// another router does not reach the store.
+func TestTakeUpGoesOnAtTheOldSoftwareVersionWhichLeavesAsTheNewOneJoins(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.singleRun()
+	f.addBreakable("v1")
+	f.addBreakable("v1")
+	first, other := f.waitReady(f.startNode("n1", firstStart)), f.waitReady(f.startNode("n2", firstStart))
+	eventually(t, "the store tells the versions", func() bool { return f.store.get(versionsRef).Version > 0 })
+	breakStreams(t, first, 1)[0].checkGoesOn(t, other)
+	other.store.down.Store(true)
+	old := f.runners
+	for range old {
+		f.addBreakable("v2")
+	}
+	for _, r := range old {
+		f.putEntry(r, true)
+	}
+	begun, refused := 0, 0
+	for end := time.Now().Add(2 * cicadaplace.VersionSettlingPeriod); time.Now().Before(end); {
+		for i, stream := range breakStreams(t, first, 5) {
+			if stream.version != "v2" {
+				continue
+			}
+			begun++
+			got := stream.takeUp(t, other)
+			if versions := versionsOf(got.body); len(versions) > 0 && versions[0] != stream.version {
+				t.Fatalf("stream %d of version %s goes on at %q, status %d, error %v", i, stream.version, versions, got.status, got.err)
+			}
+			if got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "" {
+				refused++
+			}
+		}
+	}
+	if begun == 0 || refused != begun {
+		t.Errorf("%d streams began at the new version, %d take-ups were told to come back", begun, refused)
+	}
+}
--- a/internal/cicadaedge/stream_rows.go
+++ b/internal/cicadaedge/stream_rows.go
@@ -119,8 +119,7 @@
 		s.written, s.writtenEra = [cicadaresume.Buckets][]byte{}, era
 	}
 	rows := s.rt.streams.Rows(func(service string) bool {
-		_, only := s.rt.versions.only(service, now)
-		return !only
+		return !s.rt.versions.isSingle(service, now)
 	}, now, shared)
 	var txn cicadastore.Txn
 	values := s.written
--- a/internal/cicadaedge/version_history.go
+++ b/internal/cicadaedge/version_history.go
@@ -102,8 +102,7 @@
 // allSingle reports whether each service had a single version for the life of a stream.
 func (t *versionTracker) allSingle(now time.Time) bool {
 	return !slices.ContainsFunc(t.rt.resumableServices(), func(service string) bool {
-		_, only := t.only(service, now)
-		return !only
+		return !t.isSingle(service, now)
 	})
 }
 
@@ -196,19 +195,21 @@
 	return history, errors.Wrap(json.Unmarshal(row.Value, &history), "versions")
 }
 
-// only returns the software version of a service if, as far as this router knows, all streams that callers
-// may still take up began at it.
-func (t *versionTracker) only(service string, now time.Time) (string, bool) {
+// isSingle reports whether, as far as this router knows, all streams of a service that callers may still
+// take up began at one software version.
+func (t *versionTracker) isSingle(service string, now time.Time) bool {
 	t.mu.Lock()
 	history, ok := t.histories[service]
 	t.mu.Unlock()
 	if !ok {
-		return "", false
+		return false
 	}
-	return t.onlyOf(service, &history, t.rt.streamLife(), now)
+	_, only := t.onlyOf(service, &history, t.rt.streamLife(), now)
+	return only
 }
 
-// onlyOf is like only, with a history that was just read, for streams that began within a time.
+// onlyOf returns the software version of a service if, by a history, all streams that began within a time
+// began at it.
 func (t *versionTracker) onlyOf(service string, history *cicadaresume.History, life time.Duration, now time.Time) (string, bool) {
 	shared, ok := t.rt.clock.SharedTime(now)
 	if era, _, _, _ := t.rt.eraTracker.state(); !ok || history.Era != era {
--- a/internal/cicadasoak/versions_test.go
+++ b/internal/cicadasoak/versions_test.go
@@ -22,6 +22,7 @@
 	versions []string // that wrote the events, in order
 	takenUp  bool     // a take-up has brought events
 	refused  bool
+	leaveAt  int // number of events after which the caller leaves; zero for never
 }
 
 // startVersionRunner starts a runner whose events tell the version of its software.
@@ -81,6 +82,9 @@
 			c.versions = append(c.versions, version)
 			c.takenUp = c.takenUp || c.first != id
 		}
+		if c.leaveAt > 0 && lines.Text() == "" && len(c.versions) == c.leaveAt {
+			return false
+		}
 	}
 	return lines.Err() == nil && len(c.versions) == longStreamEvents
 }
@@ -134,3 +138,53 @@
 		t.Errorf("%d of %d streams went on", wentOn, callers)
 	}
 }
+
+// A router stands still while runners of a new version join, and streams that began there are taken up at it.
+func TestRouterThatStoodStillJoinsStreamsOfTwoSoftwareVersions(t *testing.T) {
+	const callers = 20
+	binary := buildRouter(t)
+	for _, stop := range []time.Duration{3500 * time.Millisecond, 5 * time.Second} {
+		t.Run(stop.String(), func(t *testing.T) {
+			s := &soak{t: t, verifier: newVerifier(), store: newStore(t, 1)}
+			s.putStreamConfig()
+			for _, id := range []string{"i-0", "i-1"} {
+				s.startVersionRunner(id, "v1")
+			}
+			dir := t.TempDir()
+			for range 2 {
+				s.addRouter(binary, dir)
+			}
+			for _, r := range s.routers {
+				s.awaitStream(r)
+			}
+			var done sync.WaitGroup
+			done.Go(func() { s.freeze(s.routers[1], stop) })
+			time.Sleep(100 * time.Millisecond)
+			for _, id := range []string{"i-2", "i-3"} {
+				s.startVersionRunner(id, "v2")
+			}
+			time.Sleep(stop - 400*time.Millisecond)
+			list := make([]versionCaller, callers)
+			for i := range list {
+				c := &list[i]
+				c.s, c.leaveAt = s, 3
+				done.Go(func() {
+					c.read(s.routers[0], fmt.Sprintf("c%d", i))
+					c.leaveAt = 0
+					c.read(s.routers[1], fmt.Sprintf("c%d-again", i))
+				})
+			}
+			done.Wait()
+			began := map[string]int{}
+			for i := range list {
+				versions := slices.Compact(slices.Clone(list[i].versions))
+				if len(versions) != 1 {
+					t.Errorf("caller %d has events of %q", i, versions)
+					continue
+				}
+				began[versions[0]]++
+			}
+			t.Logf("streams by version: %v", began)
+		})
+	}
+}
