--- a/internal/cicadaedge/ended_runner_test.go
+++ b/internal/cicadaedge/ended_runner_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -72,6 +74,30 @@
 	}
 }
 
+// A draining runner ends as planned, with a response that it has not finished.
+func TestEndOfADrainingRunnerLooksLikeTheEndOfItsResponse(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	r := f.addEndedRunner()
+	metrics := cicadaedge.NewMetrics()
+	n := f.waitReady(f.startNode("n1", func(cfg *cicadaedge.Config) { cfg.Metrics = metrics }))
+	got := make(chan response, 1)
+	go func() { got <- callUntilRun(t, n, "/stream/", r) }()
+	<-r.wrote
+	state := n.Runners()[0]
+	f.store.put(tableRunners, state.ID, cicadaplace.Entry{
+		ID: state.ID, Service: "svc", Addr: state.Addr, DataCentre: "p", Slots: 8, SoftwareVersion: "v1", Draining: true,
+	})
+	eventually(t, "the runner is known to drain", func() bool { return n.Runners()[0].Draining })
+	r.end(t)
+	if res := <-got; res.status == http.StatusOK && res.err == nil {
+		t.Errorf("part of a response looks complete: %q", res.body)
+	}
+	if diff := cmp.Diff(int64(0), metrics.Crashes.Value()); diff != "" {
+		t.Errorf("crashes (-want +got)\n%s", diff)
+	}
+}
+
 // callUntilRun calls until a runner that refuses nothing has the request.
 func callUntilRun(t *testing.T, n *node, path string, r *endedRunner) response {
 	t.Helper()
