--- a/internal/cicadasoak/runner_test.go
+++ b/internal/cicadasoak/runner_test.go
@@ -49,6 +49,7 @@
 		t        *testing.T
 		id, addr string
 		verifier *verifier
+		crash    sync.Mutex // held while the runner is gone
 
 		mu           sync.Mutex // guards the fields below
 		rnd          *rand.Rand
@@ -127,6 +128,8 @@
 // fault puts the runner into a mode for some time.
 func (r *runner) fault(mode runnerMode, d time.Duration) {
 	if mode == runnerCrashes {
+		r.crash.Lock() // another fault may have killed it
+		defer r.crash.Unlock()
 		r.kill()
 		time.Sleep(d)
 		r.start()
