Request bodies count against a share of the memory

Cause: each body was bounded, the sum of all was not.

Ruled out: copies for retries (a body is sent from the buffer that was read) and answers (counted, and small in the case).

Change: bodies of requests may take a quarter of the memory, beyond the first 64 KiB of each. What does not fit is refused at once as not run, with a time to come back.

--- a/internal/cicadaedge/buffer.go
+++ b/internal/cicadaedge/buffer.go
@@ -13,24 +13,27 @@
 const (
 	// maxBufferedBytes bounds a response body that is buffered completely before it is forwarded.
 	maxBufferedBytes = 16 << 20
-	// bufferMemoryShare is the share of the process's memory limit that all buffered bodies and events
-	// may use together. The first uncountedBytes of each are not counted, so that oversized ones cannot
-	// use up the memory for those of the usual size. Without a memory limit,
-	// defaultBufferBytes applies.
-	bufferMemoryShare  = 0.2
-	defaultBufferBytes = 64 << 20
-	uncountedBytes     = 64 << 10
+	// Shares of the process's memory limit that all buffered response bodies and events may use together,
+	// and all request bodies. The first uncountedBytes of each are not counted, so that oversized ones
+	// cannot use up the memory for those of the usual size. Without a memory limit, defaultBufferBytes
+	// applies to each of the two.
+	responseMemoryShare = 0.2
+	requestMemoryShare  = 0.25
+	defaultBufferBytes  = 64 << 20
+	uncountedBytes      = 64 << 10
 	// bufferChunkBytes is the size of one read.
 	bufferChunkBytes = 32 << 10
+	// growthFactor is the memory that a body of unknown length takes while it grows, for each byte.
+	growthFactor = 2
 )
 
 var (
 	errResponseTooLarge = errors.Errorf("the answer is larger than %d bytes", maxBufferedBytes)
-	errBuffersFull      = errors.New("the answers that are being read hold as much as this process's memory allows")
+	errBuffersFull      = errors.New("the bodies that are being held take as much as this process's memory allows")
 )
 
 type (
-	// bodyBuffers counts the bytes of the response bodies and events that are being buffered.
+	// bodyBuffers counts the bytes of the bodies and events that are being buffered.
 	bodyBuffers struct {
 		maxBytes int
 
@@ -46,12 +49,13 @@
 	}
 )
 
-// newBodyBuffers returns buffers for a process with a memory limit in bytes; zero for no limit.
-func newBodyBuffers(memoryLimit int64) *bodyBuffers {
+// newBodyBuffers returns buffers that may use a share of a process's memory limit in bytes; zero for no
+// limit.
+func newBodyBuffers(memoryLimit int64, share float64) *bodyBuffers {
 	if memoryLimit <= 0 {
 		return &bodyBuffers{maxBytes: defaultBufferBytes}
 	}
-	return &bodyBuffers{maxBytes: int(bufferMemoryShare * float64(memoryLimit))}
+	return &bodyBuffers{maxBytes: int(share * float64(memoryLimit))}
 }
 
 // readAll reads a response body. The returned body counts until it is released, also if it is
@@ -149,3 +153,31 @@
 }
 
 func (b *bodyBuffers) releaseEvent(ev *event) { b.add(-countedBytes(len(ev.raw))) }
+
+// readRequest reads a request body of a length, or of an unknown one if it is not positive. It returns the
+// body and the counted bytes, which count until they are released, also with an error.
+func (b *bodyBuffers) readRequest(r io.Reader, length int64) (body []byte, counted int, err error) {
+	if length > 0 {
+		if counted = countedBytes(int(length)); !b.add(counted) {
+			return nil, counted, errBuffersFull
+		}
+		body = make([]byte, length)
+		_, err = io.ReadFull(r, body)
+		return body, counted, err
+	}
+	for {
+		chunk, err := readChunk(r, bufferChunkBytes)
+		n := growthFactor * (countedBytes(len(body)+len(chunk)) - countedBytes(len(body)))
+		counted += n
+		if !b.add(n) {
+			return nil, counted, errBuffersFull
+		}
+		body = append(body, chunk...)
+		if errors.Is(err, io.EOF) {
+			return body, counted, nil
+		}
+		if err != nil {
+			return body, counted, err
+		}
+	}
+}
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -54,6 +54,7 @@
 	transports      *runnerTransports
 	relayServer     *relayServer
 	buffers         *bodyBuffers
+	requestBuffers  *bodyBuffers
 	poolSyncer      *poolSyncer
 	eraTracker      *eraTracker
 	peers           *peerSet
@@ -115,12 +116,13 @@
 			DataCentre: cfg.DataCentre, HoldPeriod: cfg.HoldPeriod, HeartbeatInterval: cfg.HeartbeatInterval, Limits: limits,
 			Regions: cfg.Regions,
 		}),
-		clock:    clock,
-		limits:   limits,
-		accounts: cicadabudget.NewAccounts(),
-		retries:  cicadaretry.NewBudget(cfg.Runtime.RetryBudget),
-		link:     link,
-		buffers:  newBodyBuffers(cfg.MemoryLimitBytes),
+		clock:          clock,
+		limits:         limits,
+		accounts:       cicadabudget.NewAccounts(),
+		retries:        cicadaretry.NewBudget(cfg.Runtime.RetryBudget),
+		link:           link,
+		buffers:        newBodyBuffers(cfg.MemoryLimitBytes, responseMemoryShare),
+		requestBuffers: newBodyBuffers(cfg.MemoryLimitBytes, requestMemoryShare),
 
 		announceSignal: newSignal(),
 		crashSignal:    newSignal(),
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -38,17 +37,18 @@
 type (
 	// request is the state of one request from its arrival until its units are settled.
 	request struct {
-		rt         *Router
-		w          http.ResponseWriter
-		r          *http.Request
-		info       RequestInfo
-		deployment *cicadadeploy.Snapshot
-		route      *cicadadeploy.Route
-		service    *cicadadeploy.Service
-		org        *cicadadeploy.Organisation
-		body       []byte
-		arrivedAt  time.Time
-		deadline   time.Time
+		rt          *Router
+		w           http.ResponseWriter
+		r           *http.Request
+		info        RequestInfo
+		deployment  *cicadadeploy.Snapshot
+		route       *cicadadeploy.Route
+		service     *cicadadeploy.Service
+		org         *cicadadeploy.Organisation
+		body        []byte
+		bodyCounted int // bytes that count against the memory for request bodies
+		arrivedAt   time.Time
+		deadline    time.Time
 
 		reserved       cicadabudget.Units
 		used           cicadabudget.Units // what counts of reserved, once the request has ended
@@ -107,6 +107,7 @@
 	if f := q.resolve(); f != nil {
 		return result{refusal: f}
 	}
+	defer func() { q.rt.requestBuffers.add(-q.bodyCounted) }()
 	if f := q.readBody(); f != nil {
 		return result{refusal: f}
 	}
@@ -224,7 +225,8 @@
 	if err := rc.SetReadDeadline(q.deadline); err != nil {
 		q.rt.cfg.Log.WithError(err).Warn("failed to set the read deadline")
 	}
-	body, err := readAll(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength)
+	body, counted, err := q.rt.requestBuffers.readRequest(http.MaxBytesReader(q.w, q.r.Body, limit), q.r.ContentLength)
+	q.bodyCounted = counted
 	if err == nil {
 		// The connection may stay open after the deadline of this request.
 		if err := rc.SetReadDeadline(time.Time{}); err != nil {
@@ -239,21 +241,15 @@
 	if errors.As(err, &tooLarge) {
 		return &refusal{kind: RefuseBodySize, detail: "the body is larger than the configuration allows"}
 	}
+	if errors.Is(err, errBuffersFull) {
+		return &refusal{kind: RefuseBusy, retryAfter: retryAfterReturn, detail: err.Error()}
+	}
 	return &refusal{kind: RefuseSlowBody, retryAfter: retrySoon, detail: "the body did not arrive whole: " + err.Error()}
 }
 
 // defaultBodyBytes bounds the request body if the configuration sets no limit.
 const defaultBodyBytes = 4 << 20
 
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 // reserve reserves, in the organisation's account, the largest number of units that the request
 // may use.
 func (q *request) reserve(ctx context.Context) *refusal {
