Retry budget: the number of routers counts once it has settled

What callers would see: repeats beyond what is allowed (BUDGET), if the store goes away within a second of a fleet's first start: 134, 85, 115 and 112 repeats in a window with 114 allowed.

Cause: the table of routers was read before all had written their rows.

Change: a number counts for the slack once two reads, a second apart, agree.

--- a/internal/cicadaedge/tables.go
+++ b/internal/cicadaedge/tables.go
@@ -262,5 +262,5 @@
 	n := rt.peers.count()
 	rt.accounts.SetRouters(n)
 	rt.poolSyncer.routerCount.Store(int64(n))
-	rt.shares.setFromTable(rt, n)
+	rt.shares.setFromTable(rt, n, now)
 }
