--- a/internal/cicadaedge/buffer.go
+++ b/internal/cicadaedge/buffer.go
@@ -104,10 +104,13 @@
 // add adds to the number of counted bytes, and reports whether they are within the limit. If it
 // adds none, it always returns true: small bodies are accepted even when the memory is used up.
 func (b *bodyBuffers) add(n int) bool {
+	if n == 0 {
+		return true
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.usedBytes += n
-	return n <= 0 || b.usedBytes <= b.maxBytes
+	return n < 0 || b.usedBytes <= b.maxBytes
 }
 
 func (b *bodyBuffers) release(body *bufferedBody) { b.add(-countedBytes(body.length)) }
