--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -331,28 +331,43 @@
 	}
 }
 
-// Another router has seen a new version, and this one does not reach the store.
-func TestTakeUpGoesOnAtTheOldSoftwareVersionWhereTheNewOneIsNotKnown(t *testing.T) {
-	t.Parallel()
-	f := newFleet(t)
+// newCutFleet returns a fleet whose runners have one software version, with two routers that know it. The
+// second one does not reach the store any more.
+func newCutFleet(t *testing.T) (f *fleet, first, other *node) {
+	t.Helper()
+	f = newFleet(t)
 	f.singleRun()
 	f.addBreakable("v1")
 	f.addBreakable("v1")
-	first, other := f.waitReady(f.startNode("n1", firstStart)), f.waitReady(f.startNode("n2", firstStart))
+	first, other = f.waitReady(f.startNode("n1", firstStart)), f.waitReady(f.startNode("n2", firstStart))
 	eventually(t, "the store tells the versions", func() bool { return f.store.get(versionsRef).Version > 0 })
 	breakStreams(t, first, 1)[0].checkGoesOn(t, other)
 	other.store.down.Store(true)
+	return f, first, other
+}
+
+// takeUpUnjoined takes a stream up at a router, and checks that it goes on at its version, if at all.
+func (s *brokenStream) takeUpUnjoined(t *testing.T, n *node) response {
+	t.Helper()
+	got := s.takeUp(t, n)
+	if versions := versionsOf(got.body); len(versions) > 0 && versions[0] != s.version {
+		t.Fatalf("%s of version %s goes on at %q, status %d, error %v", s.id, s.version, versions, got.status, got.err)
+	}
+	return got
+}
+
+// Another router has seen a new version, and this one does not reach the store.
+func TestTakeUpGoesOnAtTheOldSoftwareVersionWhereTheNewOneIsNotKnown(t *testing.T) {
+	t.Parallel()
+	f, first, other := newCutFleet(t)
 	f.addBreakable("v2")
 	f.addBreakable("v2")
 	f.waitReady(first)
 	begun := map[string]int{}
 	for end := time.Now().Add(2 * cicadaplace.VersionSettlingPeriod); time.Now().Before(end); {
-		for i, stream := range breakStreams(t, first, 5) {
+		for _, stream := range breakStreams(t, first, 5) {
 			begun[stream.version]++
-			got := stream.takeUp(t, other)
-			if versions := versionsOf(got.body); len(versions) > 0 && versions[0] != stream.version {
-				t.Fatalf("stream %d of version %s goes on at %q, status %d, error %v", i, stream.version, versions, got.status, got.err)
-			}
+			stream.takeUpUnjoined(t, other)
 		}
 	}
 	if begun["v1"] == 0 || begun["v2"] == 0 {
@@ -364,14 +379,7 @@
 // another router does not reach the store.
 func TestTakeUpGoesOnAtTheOldSoftwareVersionWhichLeavesAsTheNewOneJoins(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
-	f.singleRun()
-	f.addBreakable("v1")
-	f.addBreakable("v1")
-	first, other := f.waitReady(f.startNode("n1", firstStart)), f.waitReady(f.startNode("n2", firstStart))
-	eventually(t, "the store tells the versions", func() bool { return f.store.get(versionsRef).Version > 0 })
-	breakStreams(t, first, 1)[0].checkGoesOn(t, other)
-	other.store.down.Store(true)
+	f, first, other := newCutFleet(t)
 	old := f.runners
 	for range old {
 		f.addBreakable("v2")
@@ -381,15 +389,12 @@
 	}
 	begun, refused := 0, 0
 	for end := time.Now().Add(2 * cicadaplace.VersionSettlingPeriod); time.Now().Before(end); {
-		for i, stream := range breakStreams(t, first, 5) {
+		for _, stream := range breakStreams(t, first, 5) {
 			if stream.version != "v2" {
 				continue
 			}
 			begun++
-			got := stream.takeUp(t, other)
-			if versions := versionsOf(got.body); len(versions) > 0 && versions[0] != stream.version {
-				t.Fatalf("stream %d of version %s goes on at %q, status %d, error %v", i, stream.version, versions, got.status, got.err)
-			}
+			got := stream.takeUpUnjoined(t, other)
 			if got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "" {
 				refused++
 			}
