Retry budget: the number of routers settles in a first start only

Callers saw: a router could repeat nothing, nor take up a broken stream, in its first second; their answer was 503 although another runner was free.

Cause: the slack waited for two agreeing reads of the table, a second apart, at every start. The rows that the wait is for are missing only when a fleet starts for the first time; later they are in the table before.

Ruled out: the machine's load (the tests fail alone as well).

Before: TestIdempotentGoesToAnotherRunner, TestStreamIsResumed, TestStreamOfAnEndedRunnerIsNotResumed, TestStalledStreamEnds and four of software versions fail. After: all of cicadaedge passes.

--- a/internal/cicadaedge/shares.go
+++ b/internal/cicadaedge/shares.go
@@ -6,8 +6,8 @@
 )
 
 // routerCountSettling is the time between two reads of the table of routers that have to agree on their
-// number before the slack of the retry budget is divided by it. Routers that start together write their
-// rows within that time.
+// number, in a fleet that starts for the first time, before the slack of the retry budget is divided by
+// it: the rows of all routers are written within that time. Later the rows are there before.
 const routerCountSettling = time.Second
 
 // routerShares holds the number of routers that divide what all of them may use together. Its zero
@@ -26,7 +26,7 @@
 	if n != s.routers {
 		s.since = now
 	}
-	s.settled = s.settled || now.Sub(s.since) >= routerCountSettling
+	s.settled = s.settled || !rt.cfg.FirstStart || now.Sub(s.since) >= routerCountSettling
 	s.apply(rt, n)
 }
 
