Take-ups: a router reads the runners' entries that it has not applied

Cause: the other router decides by the history in the store and by its own view of the runners.

Ruled out: its own memory and the rows (both name the version; what has no row is refused).

Change: a take-up reads the changes of the runners' entries since the last read beside the history. Whoever uses a version has it from an entry in the store, so it is among them. An entry that cannot be read, or was removed before the router knew it, counts as another version.

--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -65,6 +65,8 @@
 		// crashesDown makes reads of the table of crashes fail.
 		crashesDown atomic.Bool
 		delay       atomic.Int64 // delay of each transaction, in nanoseconds
+		// feedsLate keeps calls that wait for changes from being answered.
+		feedsLate atomic.Bool
 	}
 
 	// dialect implements the headers used in the tests.
@@ -256,6 +258,9 @@
 }
 
 func (v *storeClient) Changes(ctx context.Context, req cicadastore.ChangesRequest) (cicadastore.ChangeBatch, error) {
+	for req.Wait > 0 && v.feedsLate.Load() && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
 	timer := time.NewTimer(req.Wait)
 	defer timer.Stop()
 	for {
--- a/internal/cicadaedge/resume.go
+++ b/internal/cicadaedge/resume.go
@@ -91,13 +91,13 @@
 
 // onlyVersion returns the software version of the service if, by the history in the store, the stream
 // cannot have begun at another one; empty if it can. What this router knows does not decide alone: others
-// may use a version that it has not seen yet.
+// may use a version that it has not seen yet, and that is not in the history either.
 func (q *request) onlyVersion(ctx context.Context) (string, error) {
 	now := time.Now()
 	if q.rt.runnersAge(now) >= maxViewAge || len(q.rt.balancer.SoftwareVersions(q.service.Name, now)) > 1 {
 		return "", nil
 	}
-	history, err := q.rt.streamRows.history(ctx, q.service.Name)
+	stored, err := q.rt.streamRows.versions(ctx, q.service.Name)
 	if errors.Is(err, errNoHistory) {
 		return "", nil
 	}
@@ -105,7 +105,7 @@
 		return "", err
 	}
 	// A caller that still waits longer than usual may have begun earlier.
-	version, _ := q.rt.versions.onlyOf(q.service.Name, &history, max(q.rt.streamLife(), q.info.Timeout), time.Now())
+	version, _ := q.rt.versions.onlyOf(q.service.Name, &stored, max(q.rt.streamLife(), q.info.Timeout), time.Now())
 	return version, nil
 }
 
--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -331,9 +331,9 @@
 	}
 }
 
-// newCutFleet returns a fleet whose runners have one software version, with two routers that know it. The
-// second one does not reach the store any more.
-func newCutFleet(t *testing.T) (f *fleet, first, other *node) {
+// newSingleVersionFleet returns a fleet whose runners have one software version, with two routers that know
+// it.
+func newSingleVersionFleet(t *testing.T) (f *fleet, first, other *node) {
 	t.Helper()
 	f = newFleet(t)
 	f.singleRun()
@@ -342,10 +342,30 @@
 	first, other = f.waitReady(f.startNode("n1", firstStart)), f.waitReady(f.startNode("n2", firstStart))
 	eventually(t, "the store tells the versions", func() bool { return f.store.get(versionsRef).Version > 0 })
 	breakStreams(t, first, 1)[0].checkGoesOn(t, other)
+	return f, first, other
+}
+
+// newCutFleet returns a fleet as of newSingleVersionFleet. The second router does not reach the store any
+// more.
+func newCutFleet(t *testing.T) (f *fleet, first, other *node) {
+	t.Helper()
+	f, first, other = newSingleVersionFleet(t)
 	other.store.down.Store(true)
 	return f, first, other
 }
 
+// replaceVersion lets runners of another software version join as all others drain.
+func (f *fleet) replaceVersion(version string) {
+	f.t.Helper()
+	old := f.runners
+	for range old {
+		f.addBreakable(version)
+	}
+	for _, r := range old {
+		f.putEntry(r, true)
+	}
+}
+
 // takeUpUnjoined takes a stream up at a router, and checks that it goes on at its version, if at all.
 func (s *brokenStream) takeUpUnjoined(t *testing.T, n *node) response {
 	t.Helper()
@@ -380,13 +400,7 @@
 func TestTakeUpGoesOnAtTheOldSoftwareVersionWhichLeavesAsTheNewOneJoins(t *testing.T) {
 	t.Parallel()
 	f, first, other := newCutFleet(t)
-	old := f.runners
-	for range old {
-		f.addBreakable("v2")
-	}
-	for _, r := range old {
-		f.putEntry(r, true)
-	}
+	f.replaceVersion("v2")
 	begun, refused := 0, 0
 	for end := time.Now().Add(2 * cicadaplace.VersionSettlingPeriod); time.Now().Before(end); {
 		for _, stream := range breakStreams(t, first, 5) {
@@ -404,3 +418,24 @@
 		t.Errorf("%d streams began at the new version, %d take-ups were told to come back", begun, refused)
 	}
 }
+
+// A router uses a new software version at once, as the old one's runners drain. Another one has not read the
+// runners' entries since, and the history in the store does not have the new version yet.
+func TestTakeUpGoesOnAtTheOldSoftwareVersionBeforeTheNewOneIsRead(t *testing.T) {
+	t.Parallel()
+	f, first, other := newSingleVersionFleet(t)
+	first.store.delay.Store(int64(2 * time.Second))
+	other.store.feedsLate.Store(true)
+	f.replaceVersion("v2")
+	f.waitReady(first)
+	begun := 0
+	for _, stream := range breakStreams(t, first, 10) {
+		if stream.version == "v2" {
+			begun++
+			stream.takeUpUnjoined(t, other)
+		}
+	}
+	if begun == 0 {
+		t.Error("no stream began at the new version")
+	}
+}
--- a/internal/cicadaedge/stream_rows.go
+++ b/internal/cicadaedge/stream_rows.go
@@ -12,6 +12,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadaresume"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 )
@@ -207,15 +208,27 @@
 	return out, nil
 }
 
-// history reads the history of a service's versions.
-func (s *streamRows) history(ctx context.Context, service string) (cicadaresume.History, error) {
-	row, err := lookup(ctx, s, tableVersions+"/"+service, func(ctx context.Context) (cicadastore.Row, error) {
-		return cicadastore.GetOne(ctx, s.rt.cfg.Store, cicadastore.Ref{Table: tableVersions, Key: service})
+// versions reads what the store tells about the software versions of a service.
+func (s *streamRows) versions(ctx context.Context, service string) (storedVersions, error) {
+	return lookup(ctx, s, tableVersions+"/"+service, func(ctx context.Context) (storedVersions, error) {
+		var out storedVersions
+		group, ctx := errgroup.WithContext(ctx)
+		group.Go(func() error {
+			row, err := cicadastore.GetOne(ctx, s.rt.cfg.Store, cicadastore.Ref{Table: tableVersions, Key: service})
+			if err != nil {
+				return errors.Wrap(err, "read versions")
+			}
+			out.history, err = decodeHistory(&row)
+			return err
+		})
+		group.Go(func() error {
+			changes, err := s.rt.runnerWatcher.unread(ctx)
+			out.unread = s.rt.versionsIn(changes, service)
+			return err
+		})
+		err := group.Wait()
+		return out, err
 	})
-	if err != nil {
-		return cicadaresume.History{}, err
-	}
-	return decodeHistory(&row)
 }
 
 // lookup reads from the store, together with other lookups of the same key.
--- a/internal/cicadaedge/version_history.go
+++ b/internal/cicadaedge/version_history.go
@@ -37,16 +37,26 @@
 	errNoHistory       = errors.New("the versions of the service have not been written yet")
 )
 
-// versionTracker keeps the histories of the services' software versions in the store up to date.
-type versionTracker struct {
-	rt *Router
-	// changed requests a comparison with the store.
-	changed signal
-
-	mu        sync.Mutex                      // guards the fields below
-	histories map[string]cicadaresume.History // by service, as last read or written
-	inUse     map[string][]string             // by service, as last seen
-}
+type (
+	// versionTracker keeps the histories of the services' software versions in the store up to date.
+	versionTracker struct {
+		rt *Router
+		// changed requests a comparison with the store.
+		changed signal
+
+		mu        sync.Mutex                      // guards the fields below
+		histories map[string]cicadaresume.History // by service, as last read or written
+		inUse     map[string][]string             // by service, as last seen
+	}
+
+	// storedVersions is what the store tells about the software versions of a service.
+	storedVersions struct {
+		history cicadaresume.History
+		// unread are the versions in runner entries that this router had not applied yet. An empty one stands
+		// for a version that is not known.
+		unread []string
+	}
+)
 
 func newVersionTracker(rt *Router) *versionTracker {
 	return &versionTracker{rt: rt, changed: newSignal(), histories: map[string]cicadaresume.History{}, inUse: map[string][]string{}}
@@ -204,18 +214,41 @@
 	if !ok {
 		return false
 	}
-	_, only := t.onlyOf(service, &history, t.rt.streamLife(), now)
+	_, only := t.onlyOf(service, &storedVersions{history: history}, t.rt.streamLife(), now)
 	return only
 }
 
-// onlyOf returns the software version of a service if, by a history, all streams that began within a time
-// began at it.
-func (t *versionTracker) onlyOf(service string, history *cicadaresume.History, life time.Duration, now time.Time) (string, bool) {
+// onlyOf returns the software version of a service if all streams that began within a time began at it.
+func (t *versionTracker) onlyOf(service string, stored *storedVersions, life time.Duration, now time.Time) (string, bool) {
 	shared, ok := t.rt.clock.SharedTime(now)
-	if era, _, _, _ := t.rt.eraTracker.state(); !ok || history.Era != era {
+	if era, _, _, _ := t.rt.eraTracker.state(); !ok || stored.history.Era != era {
 		return "", false
 	}
-	return history.Only(t.rt.balancer.SoftwareVersions(service, now), life, shared)
+	inUse := append(t.rt.balancer.SoftwareVersions(service, now), stored.unread...)
+	return stored.history.Only(inUse, life, shared)
+}
+
+// versionsIn returns the software versions in changed runner entries that may be of a service; an empty one
+// for an entry that cannot be read, or that was removed before this router knew it.
+func (rt *Router) versionsIn(changes []cicadastore.Change, service string) []string {
+	var out []string
+	for i := range changes {
+		c := &changes[i]
+		if c.Deleted {
+			if rt.balancer.Find(c.Key) == nil {
+				out = append(out, "")
+			}
+			continue
+		}
+		e, err := rt.cfg.Sources.DecodeRunner(c.Key, c.Value)
+		if err != nil {
+			rt.cfg.Log.WithField("runner", c.Key).WithError(err).Info("failed to decode a runner entry; its software version is not known")
+			out = append(out, "")
+		} else if e.Service == service {
+			out = append(out, e.SoftwareVersion)
+		}
+	}
+	return out
 }
 
 // resumableServices returns the services whose streams may be resumed.
--- a/internal/cicadaedge/watch.go
+++ b/internal/cicadaedge/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
@@ -38,6 +39,8 @@
 	outageMaxWait = 50 * time.Millisecond
 )
 
+var errViewUnknown = errors.New("the table has to be read again as a whole")
+
 type (
 	// watchConfig describes a table to watch.
 	watchConfig struct {
@@ -64,7 +67,14 @@
 		rt    *Router
 		// freshAt is the time at which the last answered call was sent.
 		freshAt atomicTime
-		done    chan struct{}
+		// position is up to where the changes have been applied; nil before the first read.
+		position atomic.Pointer[feedPosition]
+		done     chan struct{}
+	}
+
+	// feedPosition is a version of the store and its era.
+	feedPosition struct {
+		version, era uint64
 	}
 )
 
@@ -125,6 +135,7 @@
 		failing, retryDelay = false, minRetryDelay
 		since = batch.Version
 		w.cfg.apply(batch, full, now)
+		w.position.Store(&feedPosition{version: since, era: era})
 		w.freshAt.set(sentAt)
 		if w.cfg.onResponse != nil {
 			w.cfg.onResponse(sentAt)
@@ -169,6 +180,23 @@
 	return b, false, err
 }
 
+// unread returns the changes that the store has and that are not applied yet. It returns errViewUnknown if
+// they cannot be told from what is applied.
+func (w *tableWatcher) unread(ctx context.Context) ([]cicadastore.Change, error) {
+	position := w.position.Load()
+	if position == nil {
+		return nil, errViewUnknown
+	}
+	b, err := w.store.Changes(ctx, cicadastore.ChangesRequest{Table: w.cfg.table, Since: position.version})
+	if err != nil {
+		return nil, errors.Wrap(err, "read "+w.cfg.table)
+	}
+	if b.Era != position.era {
+		return nil, errViewUnknown
+	}
+	return b.Changes, nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
