Take-ups: a shared read that began before the take-up decides nothing

Cause: lookups of the same key share one read, and one that joins it gets what the store held before its stream began.

Ruled out: lookups of rows, where an old read lacks the stream: it is refused.

Change: a lookup that joined an earlier read waits for it and reads again.

--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -67,6 +67,8 @@
 		delay       atomic.Int64 // delay of each transaction, in nanoseconds
 		// feedsLate keeps calls that wait for changes from being answered.
 		feedsLate atomic.Bool
+		// readDelay is the time, in nanoseconds, between a read of changes without a wait and its answer.
+		readDelay atomic.Int64
 	}
 
 	// dialect implements the headers used in the tests.
@@ -281,6 +283,10 @@
 		}
 		changeSignal := v.changeSignal
 		v.mu.Unlock()
+		if req.Wait == 0 {
+			time.Sleep(time.Duration(v.readDelay.Load()))
+			return b, nil
+		}
 		if len(b.Changes) > 0 {
 			return b, nil
 		}
--- a/internal/cicadaedge/resume_test.go
+++ b/internal/cicadaedge/resume_test.go
@@ -439,3 +439,28 @@
 		t.Error("no stream began at the new version")
 	}
 }
+
+// As above, while the other router reads for a take-up of an earlier stream.
+func TestTakeUpIsDecidedByAnEarlierRead(t *testing.T) {
+	t.Parallel()
+	f, first, other := newSingleVersionFleet(t)
+	earlier := breakStreams(t, first, 1)[0]
+	first.store.delay.Store(int64(2 * time.Second))
+	other.store.feedsLate.Store(true)
+	other.store.readDelay.Store(int64(time.Second))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		earlier.takeUp(t, other)
+	}()
+	time.Sleep(50 * time.Millisecond) // until it reads
+	f.replaceVersion("v2")
+	f.waitReady(first)
+	for _, stream := range breakStreams(t, first, 3) {
+		if stream.version != "v2" {
+			t.Fatalf("%s began at %q", stream.id, stream.version)
+		}
+		stream.takeUpUnjoined(t, other)
+	}
+	<-done
+}
--- a/internal/cicadaedge/stream_rows.go
+++ b/internal/cicadaedge/stream_rows.go
@@ -231,25 +231,36 @@
 	})
 }
 
-// lookup reads from the store, together with other lookups of the same key.
+// lookup reads from the store, together with other lookups of the same key. What it returns is not older than
+// the call.
 func lookup[T any](ctx context.Context, s *streamRows, key string, read func(ctx context.Context) (T, error)) (T, error) {
-	results := s.group.DoChan(key, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), streamLookupTimeout)
-		defer cancel()
-		if err := s.limiter.Wait(ctx); err != nil {
-			return nil, errors.Wrap(err, "too many lookups")
-		}
-		return read(ctx)
-	})
+	type result struct {
+		value  T
+		readAt time.Time
+	}
+	calledAt := time.Now()
 	var none T
-	select {
-	case res := <-results:
-		if res.Err != nil {
-			return none, res.Err
+	for {
+		results := s.group.DoChan(key, func() (any, error) {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), streamLookupTimeout)
+			defer cancel()
+			if err := s.limiter.Wait(ctx); err != nil {
+				return nil, errors.Wrap(err, "too many lookups")
+			}
+			readAt := time.Now()
+			value, err := read(ctx)
+			return result{value: value, readAt: readAt}, err
+		})
+		select {
+		case res := <-results:
+			if res.Err != nil {
+				return none, res.Err
+			}
+			if found, ok := res.Val.(result); ok && !found.readAt.Before(calledAt) {
+				return found.value, nil
+			}
+		case <-ctx.Done():
+			return none, context.Cause(ctx)
 		}
-		value, _ := res.Val.(T)
-		return value, nil
-	case <-ctx.Done():
-		return none, context.Cause(ctx)
 	}
 }
