The older core: a plain service that has ended does not complete its answers

Callers saw (in the test; by reading before): an answer of a plain service cut in its middle, as a complete 200, when the service's process ended.

An answer without length or chunks ends with its connection, and the kernel ends the connections of a process that is gone in order.

Ruled out for this core: streams (end mark) and chat answers (JSON); both show a cut.

Change: the service is dialled before such an answer counts, by the check that is made for crashes. If it refuses connections, the answer is broken: a call that may run once is refused as unknown, any other one is sent once more. EndsAtClose moves to cicadacrash, as both cores use it.

--- a/internal/cicadacrash/detector.go
+++ b/internal/cicadacrash/detector.go
@@ -4,6 +4,8 @@
 package cicadacrash
 
 import (
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +45,12 @@
 	}
 )
 
+// EndsAtClose reports whether a response ends only when its connection closes, which also happens if the
+// runner ends.
+func EndsAtClose(resp *http.Response) bool {
+	return resp.Body != http.NoBody && resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked")
+}
+
 // NewDetector returns a Detector.
 func NewDetector[R comparable](cfg Config[R]) *Detector[R] {
 	return &Detector[R]{cfg: cfg, pending: map[R]*Broken{}}
--- a/internal/cicadademo/environment.go
+++ b/internal/cicadademo/environment.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -168,15 +169,27 @@
 
 func (env *Environment) startRunner(u *cicadadoc.Upstream, r *cicadadoc.Runner) (string, error) {
 	if u.Kind == cicadadoc.KindPlainService {
-		p := cicadastandin.NewPlainService(cicadastandin.PlainServiceConfig{Name: r.Name, Delay: env.cfg.ResponseDelay})
-		env.plainServices = append(env.plainServices, p)
-		return env.startServer(p.Handler())
+		return env.startPlainService(cicadastandin.PlainServiceConfig{Name: r.Name, Delay: env.cfg.ResponseDelay})
 	}
 	return env.startEngine(cicadastandin.EngineConfig{
 		Name: r.Name, Capacity: r.Capacity, TokenInterval: env.cfg.ResponseDelay, LoadReportDelay: 200 * time.Millisecond,
 	})
 }
 
+// startPlainService starts a plain service that may end, and does not come back.
+func (env *Environment) startPlainService(cfg cicadastandin.PlainServiceConfig) (string, error) {
+	ln, err := listen("127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	var server atomic.Pointer[http.Server]
+	cfg.End = func() { _ = server.Load().Close() }
+	p := cicadastandin.NewPlainService(cfg)
+	env.plainServices = append(env.plainServices, p)
+	server.Store(env.serve(ln, p.Handler()))
+	return ln.Addr().String(), nil
+}
+
 func (env *Environment) startRouters(doc *cicadadoc.Document) error {
 	for _, dataCentre := range doc.DataCentres {
 		for n := range env.cfg.RoutersPerDataCentre {
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -146,7 +146,7 @@
 // confirmEnd returns an error if a response that ends with its connection may not be complete: the
 // connections of a runner whose process is gone end in the same way. It records a complete response.
 func (x *exchange) confirmEnd(a *attempt) error {
-	if !endsAtClose(a.resp) {
+	if !cicadacrash.EndsAtClose(a.resp) {
 		if a.resp.StatusCode < http.StatusBadRequest {
 			x.recordAnswer()
 		}
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -5,11 +5,11 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadacrash"
 	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/pkg/errors"
@@ -49,7 +49,7 @@
 		x.writeHeader(a, a.resp.ContentLength)
 	}
 	err := x.forwardEvents(a, resumed)
-	if err == nil && endsAtClose(a.resp) && x.eventsSent == eventsBefore {
+	if err == nil && cicadacrash.EndsAtClose(a.resp) && x.eventsSent == eventsBefore {
 		// Each stream has an event, and a runner that ends sends none.
 		err = io.ErrUnexpectedEOF
 	}
@@ -157,12 +157,6 @@
 	return "the response ended with its connection and may not be complete: " + e.cause.Error()
 }
 
-// endsAtClose reports whether a response ends only when its connection closes, which also happens
-// if the runner ends.
-func endsAtClose(resp *http.Response) bool {
-	return resp.Body != http.NoBody && resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked")
-}
-
 // streamLimit returns the maximum size of the stream of one attempt, in bytes.
 func (x *exchange) streamLimit() int64 {
 	if x.info.MaxOutputTokens <= 0 || x.info.MaxOutputTokens > (maxStreamBytes-streamBaseBytes)/streamBytesPerToken {
--- a/internal/cicadarouter/plain.go
+++ b/internal/cicadarouter/plain.go
@@ -98,6 +98,9 @@
 	if err != nil || len(data) > maxResponseBytes {
 		return nil, cicadaupstream.NewResponseError(errors.Errorf("answer of %d bytes: %v", len(data), err))
 	}
+	if err := ar.confirmEnd(resp, call.Addr); err != nil {
+		return nil, cicadaupstream.NewResponseError(err)
+	}
 	ar.trail.Add(&cicadatrail.Attempt{Number: call.Attempt, Runner: call.Addr, Outcome: resp.Status})
 	return &outcome{
 		bill:           ar.newBill(ar.upstream.UnitsPerCall, 0, cicadaledger.OutcomeComplete),
--- a/internal/cicadarouter/router_test.go
+++ b/internal/cicadarouter/router_test.go
@@ -378,3 +378,20 @@
 		t.Errorf("models lack redacteur-7b: %s", r.body)
 	}
 }
+
+// The kernel ends the connections of a process that is gone in order, as a service ends a complete answer
+// that has neither length nor chunks.
+func TestEndOfAPlainServiceLooksLikeTheEndOfItsAnswer(t *testing.T) {
+	w := newEnvironment(t, nil)
+	services := w.PlainServices()
+	for _, p := range services {
+		p.SetFaults(cicadastandin.PlainServiceFaults{EndMidway: true})
+	}
+	for i, r := range w.Routers()[:len(services)] {
+		header := map[string]string{"Authorization": "Bearer " + apiKey, "Idempotency-Key": baseURL(r)}
+		got := do(t, http.MethodPost, baseURL(r)+transferPath, "{}", header)
+		if got.status == http.StatusOK || got.problem.Ran != string(cicadarefusal.RunUnknown) {
+			t.Errorf("transfer %d: status %d, %q, ran %q", i, got.status, got.body, got.problem.Ran)
+		}
+	}
+}
--- a/internal/cicadastandin/plainservice.go
+++ b/internal/cicadastandin/plainservice.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,12 +17,17 @@
 	PlainServiceConfig struct {
 		Name  string
 		Delay time.Duration // response time of each call
+		// End ends the service's server when EndMidway applies.
+		End func()
 	}
 
 	// PlainServiceFaults are the faults that the service simulates.
 	PlainServiceFaults struct {
 		Hang     bool `json:"hang"`     // runs the call and never responds
 		Draining bool `json:"draining"` // refuses new calls
+		// EndMidway ends the service's process within a response that has neither length nor chunks. The
+		// kernel then ends its connections in order.
+		EndMidway bool `json:"endMidway"`
 	}
 
 	// PlainService is the stand-in for an upstream that is not a model engine and
@@ -121,6 +127,10 @@
 		return
 	}
 	time.Sleep(p.cfg.Delay)
+	if faults.EndMidway {
+		p.endMidway(w)
+		return
+	}
 	w.Header().Set("X-Call-Number", strconv.Itoa(n))
 	writeResponse(w, struct {
 		Service string `json:"service"`
@@ -128,3 +138,19 @@
 		Echo    string `json:"echo"`
 	}{p.cfg.Name, r.URL.Path, string(body)}, nil)
 }
+
+func (p *PlainService) endMidway(w http.ResponseWriter) {
+	head := w.Header()
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	var text strings.Builder
+	text.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
+	_ = head.Write(&text) // a strings.Builder takes all
+	text.WriteString("\r\n{\"service\":")
+	_, _ = io.WriteString(conn, text.String()) // the caller finds out
+	p.cfg.End()
+}
