--- a/internal/cicadastandin/plainservice.go
+++ b/internal/cicadastandin/plainservice.go
@@ -17,7 +17,7 @@
 	PlainServiceConfig struct {
 		Name  string
 		Delay time.Duration // response time of each call
-		// End ends the service's server when EndMidway applies.
+		// End ends the service's server when EndMidway applies; nil if it cannot end.
 		End func()
 	}
 
@@ -127,7 +127,7 @@
 		return
 	}
 	time.Sleep(p.cfg.Delay)
-	if faults.EndMidway {
+	if faults.EndMidway && p.cfg.End != nil {
 		p.endMidway(w)
 		return
 	}
