Logs tell each try of a request, and how the end of its response was known

A request that was sent more than once, or failed, or whose response ended with its connection now has its tries, each with status, framing, why it counts as complete, and cause. A host logs its share of the retry budget when it changes, and counts the retries allowed and refused by service in /state.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -130,6 +130,15 @@
 	if x.sentAt.IsZero() {
 		x.sentAt = time.Now()
 	}
+	x.beginTry(x.runnerID)
+	eventsBefore := x.eventsSent
+	res, retry := x.sendTo(ctx, p)
+	x.endTry(eventsBefore, &res)
+	return res, retry
+}
+
+// sendTo sends the request to a runner and handles its response.
+func (x *exchange) sendTo(ctx context.Context, p *placement) (result, bool) {
 	a, err := x.send(ctx, p)
 	if err != nil {
 		return x.handleSendError(p, err)
@@ -216,6 +225,7 @@
 	if x.relay = ""; trip.conn != nil {
 		x.relay = trip.conn.relay
 	}
+	x.currentTry().Sent, x.currentTry().Relay = trip.sent, x.relay
 	if cause := context.Cause(ctx); cause != nil {
 		// A response that arrives as the attempt is cancelled is returned, and cannot be read.
 		if err == nil {
@@ -228,6 +238,7 @@
 		return nil, &sendError{cause: err, sent: trip.sent}
 	}
 	x.headerAt = time.Now()
+	x.currentTry().Status, x.currentTry().Framing = trip.resp.StatusCode, framing(trip.resp)
 	a := &attempt{placement: p, resp: trip.resp, cancel: cancel, info: x.rt.cfg.Dialect.ParseResponse(trip.resp)}
 	x.retireUncertain(a, trip.conn)
 	if a.info.Load != nil {
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -166,6 +166,7 @@
 		if errors.Is(err, errRunnerEnded) || errors.Is(err, errRunnerUnknown) {
 			return &uncertainEndError{cause: err}
 		}
+		x.currentTry().EndProof = "the runner accepts connections"
 		return nil
 	case <-ctx.Done():
 		return context.Cause(ctx)
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -26,6 +26,9 @@
 	longestGap time.Duration
 	pausedFor  time.Duration           // longest time for which this process did not run while it waited for a runner
 	cause      error                   // of the last failed attempt
+	tries      []tryRecord             // in the order in which runners were chosen, at most maxTriesLogged
+	unlogged   int                     // tries beyond these
+	status     int                     // that was forwarded to the caller; zero if none was
 	block      *cicadaquarantine.Block // that ended the request; nil for none
 	streamRuns []streamRun             // in the order of their events
 	// originSource is set if the caller takes up a stream.
@@ -142,8 +145,9 @@
 
 func truncate(text string, limit int) string { return text[:min(len(text), limit)] }
 
-// addFailure adds why the last attempt failed, and why the request is in quarantine.
+// addFailure adds the tries, why the last attempt failed, and why the request is in quarantine.
 func (q *request) addFailure(f log.Fields, now time.Time) {
+	q.addTries(f)
 	if q.cause != nil {
 		f["cause"] = q.cause.Error()
 		f["parts"] = sharedPartIDs(q.info.PromptParts)
--- a/internal/cicadaedge/response.go
+++ b/internal/cicadaedge/response.go
@@ -131,7 +131,7 @@
 	if length >= 0 {
 		h.Set("Content-Length", itoa(length))
 	}
-	x.headerSent, x.mediaType = true, mediaType(a.resp)
+	x.headerSent, x.mediaType, x.status = true, mediaType(a.resp), a.resp.StatusCode
 	x.w.WriteHeader(a.resp.StatusCode)
 }
 
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -277,19 +277,21 @@
 func (rt *Router) serveState(w http.ResponseWriter, _ *http.Request) {
 	now := time.Now()
 	state := struct {
-		Host            string                      `json:"host"`
-		Boot            string                      `json:"boot"`
-		Version         uint64                      `json:"deployVersion"`
-		DeployAgeMillis int64                       `json:"deployAgeMillis"`
-		Evacuated       []string                    `json:"evacuated"`
-		Routers         int                         `json:"routers"`
-		Accounts        []cicadabudget.AccountState `json:"accounts"`
-		Runners         []cicadaplace.RunnerState   `json:"runners"`
-		Quarantine      []cicadaquarantine.Block    `json:"quarantine"`
+		Host            string                       `json:"host"`
+		Boot            string                       `json:"boot"`
+		Version         uint64                       `json:"deployVersion"`
+		DeployAgeMillis int64                        `json:"deployAgeMillis"`
+		Evacuated       []string                     `json:"evacuated"`
+		Routers         int                          `json:"routers"`
+		Retries         map[string]cicadaretry.Count `json:"retries"`    // by service
+		RetrySlack      float64                      `json:"retrySlack"` // share of the slack, in retries for each window
+		Accounts        []cicadabudget.AccountState  `json:"accounts"`
+		Runners         []cicadaplace.RunnerState    `json:"runners"`
+		Quarantine      []cicadaquarantine.Block     `json:"quarantine"`
 	}{
 		Host: rt.cfg.Name, Boot: rt.cfg.BootID, DeployAgeMillis: rt.deploymentAge(now).Milliseconds(), Evacuated: rt.evacuations.list(), Routers: rt.peers.count(),
 		Accounts: rt.accounts.State(now), Runners: rt.balancer.State(now),
-		Quarantine: rt.quarantine.Blocks(rt.sharedTime()),
+		Quarantine: rt.quarantine.Blocks(rt.sharedTime()), Retries: rt.retries.Counts(), RetrySlack: rt.retries.SlackShare(),
 	}
 	if d := rt.deployment.Load(); d != nil {
 		state.Version = d.Version()
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -85,7 +85,7 @@
 	rt.cfg.Metrics.InFlight.Add(1)
 	defer rt.cfg.Metrics.InFlight.Add(-1)
 	res := q.serve()
-	status := http.StatusOK
+	status := q.status
 	if res.refusal != nil {
 		status = rt.writeRefusal(w, q.info.ID, res.refusal)
 	}
--- a/internal/cicadaedge/shares.go
+++ b/internal/cicadaedge/shares.go
@@ -42,9 +42,14 @@
 }
 
 func (s *routerShares) apply(rt *Router, n int) {
+	changed := n != s.routers
 	s.routers = n
 	if s.settled {
-		rt.retries.SetRouters(n)
+		changed = rt.retries.SetRouters(n) || changed
+	}
+	if changed {
+		rt.cfg.Log.WithField("routers", n).WithField("settled", s.settled).WithField("slackPerWindow", rt.retries.SlackShare()).
+			Info("share of the retry budget changed")
 	}
 	rt.balancer.SetRouters(n)
 	rt.transports.setRouters(n)
--- a/internal/cicadaretry/budget.go
+++ b/internal/cicadaretry/budget.go
@@ -44,8 +44,15 @@
 	// are at most the capacity, the slack added and the requests' part, which is why capacity
 	// and added slack each get half of the slack.
 	bucket struct {
-		level     float64
-		updatedAt time.Time
+		level            float64
+		updatedAt        time.Time
+		allowed, refused int64 // retries
+	}
+
+	// Count is how often retries of a service were asked for.
+	Count struct {
+		Allowed int64 `json:"allowed"`
+		Refused int64 `json:"refused"`
 	}
 )
 
@@ -62,11 +69,20 @@
 	b.cfg = cfg
 }
 
-// SetRouters sets the number of routers that share the limit.
-func (b *Budget) SetRouters(n int) {
+// SetRouters sets the number of routers that share the limit. It reports whether the number has changed.
+func (b *Budget) SetRouters(n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	before := b.routers
 	b.routers = max(n, 1)
+	return b.routers != before
+}
+
+// SlackShare returns this router's share of the slack, in retries per window.
+func (b *Budget) SlackShare() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return 2 * b.slack()
 }
 
 // CountRequest counts a request that a caller sent for a service.
@@ -83,12 +99,25 @@
 	defer b.mu.Unlock()
 	bkt := b.bucket(service, now)
 	if bkt.level < 1 {
+		bkt.refused++
 		return false
 	}
 	bkt.level--
+	bkt.allowed++
 	return true
 }
 
+// Counts returns how many retries of each service were allowed and refused.
+func (b *Budget) Counts() map[string]Count {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := make(map[string]Count, len(b.buckets))
+	for service, bkt := range b.buckets {
+		counts[service] = Count{Allowed: bkt.allowed, Refused: bkt.refused}
+	}
+	return counts
+}
+
 // slack returns half of this router's share of the slack. Buckets hold as much, and as much is added to
 // them in a window.
 func (b *Budget) slack() float64 {
