A response does not count as complete because its runner's host is lost

Cause: what a dial cannot tell was taken for the favourable case. Class: an end in order that is taken for a statement. Now only an accepted connection counts, as the comment of uncertainEndError says; a resumable stream goes on elsewhere, an idempotent request is sent once more, any other one is cut or answered 502.

--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -163,7 +163,7 @@
 	ctx := a.resp.Request.Context()
 	select {
 	case err := <-result:
-		if errors.Is(err, errRunnerEnded) || errors.Is(err, errRunnerUnknown) {
+		if err != nil {
 			return &uncertainEndError{cause: err}
 		}
 		x.currentTry().EndProof = "the runner accepts connections"
