Do not take the end of a failed connection for that of a response

Callers got the first part of a response that ends with its connection as a complete one (200), if its runner broke off while the router was still sending the request's body: by a reset, by closing with the body unread, or by a time-out.

The kernel reports the failure of a connection to one call. If that is the write of the body, the read is told of an end in order. A connection to a runner or a relay now returns io.EOF only if the kernel's state (TCP_INFO, which takes no error) is neither reset nor timed out, no write has failed or is in progress, and the peer has acknowledged all that was written; what a closing peer has not read makes a reset. The last chunk of a relay counts only if the relay then ends its connection in order too, as it does once it has taken the whole request.

--- a/internal/cicadaedge/relay_client.go
+++ b/internal/cicadaedge/relay_client.go
@@ -42,7 +42,7 @@
 	runnerDialer struct {
 		rt *Router
 		// dialContext opens TCP connections to runners.
-		dialContext func(ctx context.Context, network, addr string) (net.Conn, error)
+		dialContext cicadanet.DialFunc
 
 		mu    sync.Mutex // guards paths
 		paths map[*cicadaplace.Runner]*runnerPath
@@ -62,7 +62,7 @@
 	if dial == nil {
 		dial = cicadanet.NewDialer(dialTimeout).DialContext
 	}
-	return &runnerDialer{rt: rt, dialContext: dial, paths: map[*cicadaplace.Runner]*runnerPath{}}
+	return &runnerDialer{rt: rt, dialContext: cicadanet.CheckEnds(dial), paths: map[*cicadaplace.Runner]*runnerPath{}}
 }
 
 // dial connects to a runner. While it is reached directly, other routers are asked only if that takes
@@ -124,7 +124,7 @@
 func dialThrough(ctx context.Context, addr string, r *cicadaplace.Runner) (*relayedConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	conn, err := cicadanet.NewDialer(dialTimeout).DialContext(ctx, "tcp", addr)
+	conn, err := cicadanet.CheckEnds(cicadanet.NewDialer(dialTimeout).DialContext)(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cicadaedge/relay_conn.go
+++ b/internal/cicadaedge/relay_conn.go
@@ -30,6 +30,13 @@
 		r     io.Reader // what the runner sends
 	}
 
+	// framedReader reads chunks from a relay. The last one counts only if the relay then ends its
+	// connection in order, as it resets it if it has not taken all of the request.
+	framedReader struct {
+		chunks io.Reader
+		relay  *bufio.Reader
+	}
+
 	// endlessReader reports the end of a connection as an error.
 	endlessReader struct{ io.Reader }
 )
@@ -38,7 +45,7 @@
 // reads from conn.
 func newRelayedConn(conn net.Conn, br *bufio.Reader, resp *http.Response) *relayedConn {
 	if resp.Header.Get(relayFramingHeader) == chunkedFraming {
-		return &relayedConn{Conn: conn, r: httputil.NewChunkedReader(br)}
+		return &relayedConn{Conn: conn, r: framedReader{chunks: httputil.NewChunkedReader(br), relay: br}}
 	}
 	// Routers of earlier builds do not tell who ended the connection.
 	return &relayedConn{Conn: conn, r: endlessReader{br}}
@@ -47,6 +54,18 @@
 // Read reads what the runner sends. The error is io.ErrUnexpectedEOF if the relay has ended.
 func (c *relayedConn) Read(p []byte) (int, error) { return c.r.Read(p) }
 
+// Read returns io.EOF at the end of the relay's connection.
+func (r framedReader) Read(p []byte) (int, error) {
+	n, err := r.chunks.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if _, err = r.relay.Peek(1); err == nil {
+		err = errors.New("the relay sent data after the last chunk")
+	}
+	return n, err
+}
+
 // Read returns io.ErrUnexpectedEOF at the end.
 func (r endlessReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
