Do not give up a runner that answers before it has read the request

Callers lost the rest of an answer (2.3 s long, cut after some 2 s), if its runner reads a large request body only after it has answered.

The window stays full as long as the body waits, and the kernel counts the user timeout (1.5 s) from its first probe on, though the probes are acknowledged. While much of what was sent is not acknowledged, Conn now switches the user timeout off and gives up the peer itself, once it has neither sent nor taken anything for that time. Writes of up to 16 KiB, and with them ordinary requests, are left to the kernel; they cost one system call for each 16 KiB.

--- a/internal/cicadanet/conn.go
+++ b/internal/cicadanet/conn.go
@@ -28,22 +28,28 @@
 	// Conn is a connection whose Read returns io.EOF only if its peer has ended it in order, has
 	// acknowledged all that was written, and no write has failed. The kernel reports the failure of a
 	// connection to one call only: if that is a write, reads return io.EOF.
+	//
+	// A peer that sends, or takes what was sent, keeps its connection even if its window stays full. The
+	// user timeout bounds the time in which it does neither.
 	Conn struct {
 		net.Conn
 		raw  syscall.RawConn // nil if the kernel's state cannot be read
 		done chan struct{}   // closed with the connection
 
-		mu      sync.Mutex // guards the fields below
-		writing int        // number of writes in progress
-		failure error      // of the first write that failed
-		closed  bool
+		mu        sync.Mutex // guards the fields below
+		writing   int        // number of writes in progress
+		failure   error      // of the first write that failed, or of the watch
+		closed    bool
+		watch     *peerWatch // nil unless the peer is watched
+		unwatched int        // bytes written since the peer was last known to have taken all
 	}
 
 	// connState is the kernel's state of a connection.
 	connState struct {
-		failed  bool   // reset or timed out
-		pending bool   // sent data is not acknowledged
-		acked   uint64 // bytes that the peer has acknowledged
+		failed   bool   // reset or timed out
+		pending  bool   // sent data is not acknowledged
+		acked    uint64 // bytes that the peer has acknowledged
+		received uint64 // bytes that the peer has sent
 	}
 )
 
@@ -77,6 +83,7 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.writing++
+	c.startWatch(len(p))
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
@@ -85,15 +92,25 @@
 	if c.failure == nil {
 		c.failure = err
 	}
+	if err != nil {
+		err = c.failure
+	}
 	return n, err
 }
 
-// Read returns an error with the cause io.ErrUnexpectedEOF if the connection has failed.
+// Read returns an error with the cause io.ErrUnexpectedEOF in place of io.EOF if the connection has failed.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = c.endErr()
 	}
+	if errors.Is(err, net.ErrClosed) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.failure != nil {
+			err = c.failure
+		}
+	}
 	return n, err
 }
 
@@ -105,6 +122,7 @@
 		close(c.done)
 	}
 	c.mu.Unlock()
+	c.stopWatch()
 	return c.Conn.Close()
 }
 
@@ -152,17 +170,15 @@
 // state reads the kernel's state. That takes no error from the socket.
 func (c *Conn) state() (connState, error) {
 	var info *unix.TCPInfo
-	var optErr error
-	err := c.raw.Control(func(fd uintptr) {
-		info, optErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	err := c.control("TCP_INFO", func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
 	})
 	if err != nil {
-		return connState{}, errors.Wrap(err, "access socket")
-	}
-	if optErr != nil {
-		return connState{}, errors.Wrap(optErr, "read TCP_INFO")
+		return connState{}, err
 	}
 	return connState{
-		failed: info.State == tcpClose, pending: info.Unacked > 0 || info.Notsent_bytes > 0, acked: info.Bytes_acked,
+		failed: info.State == tcpClose, pending: info.Unacked > 0 || info.Notsent_bytes > 0,
+		acked: info.Bytes_acked, received: info.Bytes_received,
 	}, nil
 }
