--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -167,7 +167,7 @@
 
 func newHTTPClient() *http.Client {
 	transport := &http.Transport{
-		DialContext:            cicadapeer.NewDialer().DialContext,
+		DialContext:            cicadanet.CheckEnds(cicadapeer.NewDialer().DialContext),
 		MaxIdleConnsPerHost:    maxIdleConnsPerRunner,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
