Edge: a response that ends with its connection needs a witness

Callers got part of a response with status 200 and an end in order if its runner's process ended and something accepted connections at its address within 30 ms: the same runner started again, another runner, or a listener in another process. The cause: whoever accepts connections was taken for the process that had answered.

Now another connection to the runner shows that its process lives on. It was established before the request was sent, is idle, goes the same way, and is open 30 ms after the end by the state of its socket. The kernel ends all connections of a process that is gone, and an idle one holds nothing that its end could wait behind. A later connection counts as long as an earlier one is open when it is established. A spare connection is kept for a service whose responses may end with their connections: until the first response is known, and for a minute after one that did.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -56,6 +56,8 @@
 		resp      *http.Response
 		info      ResponseInfo
 		cancel    context.CancelCauseFunc
+		conn      *countedConn // that the response came on; nil if it is not known
+		spare     *spareLease
 		eventSent bool // an event was forwarded
 	}
 
@@ -216,6 +218,7 @@
 		cancel(nil)
 		return nil, &sendError{cause: err}
 	}
+	spare := x.rt.transports.leaseSpare(ctx, p.Runner(), x.service.Name)
 	stall := x.startStallTimer(x.firstByteTimeout(), x.attempts+1, cancel)
 	trip, err := x.rt.transports.roundTrip(p.Runner(), x.service, req, x.body) //nolint:bodyclose // attempt.close closes it
 	x.stopStallTimer(stall)
@@ -235,11 +238,15 @@
 	}
 	if err != nil {
 		cancel(nil)
+		spare.end()
 		return nil, &sendError{cause: err, sent: trip.sent}
 	}
 	x.headerAt = time.Now()
 	x.currentTry().Status, x.currentTry().Framing = trip.resp.StatusCode, framing(trip.resp)
-	a := &attempt{placement: p, resp: trip.resp, cancel: cancel, info: x.rt.cfg.Dialect.ParseResponse(trip.resp)}
+	a := &attempt{
+		placement: p, resp: trip.resp, cancel: cancel, info: x.rt.cfg.Dialect.ParseResponse(trip.resp), conn: trip.conn, spare: spare,
+	}
+	spare.responseBegins(a)
 	x.retireUncertain(a, trip.conn)
 	if a.info.Load != nil {
 		p.ReportLoad(*a.info.Load, time.Now())
@@ -366,4 +373,8 @@
 func (a *attempt) close() {
 	a.cancel(nil)
 	a.resp.Body.Close()
+	if a.conn != nil {
+		a.conn.users.Add(-1) // it is closed unless it is idle now
+	}
+	a.spare.end()
 }
--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -43,6 +43,8 @@
 
 		mu       sync.Mutex // guards the fields below
 		byRunner map[*cicadaplace.Runner]*runnerTransport
+		conns    map[*cicadaplace.Runner]*runnerConns
+		framing  map[string]framingHistory // by service
 		routers  int
 	}
 
@@ -60,6 +62,11 @@
 		relay   string // name of the router that the connection goes through; empty for none
 		written atomic.Int64
 		retired atomic.Bool
+		usedAt  atomicTime   // when the last request was assigned to it
+		users   atomic.Int32 // requests assigned to it whose responses were not read to the end
+		// Set by runnerConns.add. The runner's process is known to be the same since processSince.
+		conns                       *runnerConns
+		establishedAt, processSince time.Time
 	}
 
 	// roundTripResult is the outcome of a request that was passed to a transport. Its user closes the
@@ -72,7 +79,10 @@
 )
 
 func newRunnerTransports(m *Metrics, link *cicadaadmission.Link, dialer *runnerDialer) *runnerTransports {
-	return &runnerTransports{metrics: m, link: link, dialer: dialer, byRunner: map[*cicadaplace.Runner]*runnerTransport{}, routers: 1}
+	return &runnerTransports{
+		metrics: m, link: link, dialer: dialer, routers: 1, byRunner: map[*cicadaplace.Runner]*runnerTransport{},
+		conns: map[*cicadaplace.Runner]*runnerConns{}, framing: map[string]framingHistory{},
+	}
 }
 
 // retire closes the connection. A request that the transport assigns to it meanwhile is not sent on it.
@@ -81,6 +91,12 @@
 	return c.Close()
 }
 
+// Close closes the connection.
+func (c *countedConn) Close() error {
+	c.conns.remove(c)
+	return c.Conn.Close()
+}
+
 // Write counts all bytes even if the write fails, since some may have been sent.
 func (c *countedConn) Write(p []byte) (int, error) {
 	if c.retired.Load() {
@@ -137,9 +153,13 @@
 // remove closes the idle connections to a runner that is no longer in use.
 func (ts *runnerTransports) remove(r *cicadaplace.Runner) {
 	ts.mu.Lock()
-	t := ts.byRunner[r]
+	t, conns := ts.byRunner[r], ts.conns[r]
 	delete(ts.byRunner, r)
+	delete(ts.conns, r)
 	ts.mu.Unlock()
+	if conns != nil {
+		conns.spare.retire()
+	}
 	if t != nil {
 		t.CloseIdleConnections()
 	}
@@ -152,9 +172,13 @@
 	for _, t := range ts.byRunner {
 		t.CloseIdleConnections()
 	}
+	for _, c := range ts.conns {
+		c.spare.close()
+	}
 }
 
 func (ts *runnerTransports) transport(r *cicadaplace.Runner, s *cicadadeploy.Service) *http.Transport {
+	conns := ts.connsOf(r)
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	if cached := ts.byRunner[r]; cached != nil {
@@ -162,16 +186,11 @@
 	}
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			ts.metrics.Dials.Add(1)
-			conn, err := ts.dialer.dial(ctx, r)
+			conn, err := ts.dial(ctx, r, conns)
 			if err != nil {
 				return nil, err
 			}
-			counted := &countedConn{Conn: conn, link: ts.link}
-			if relayed, ok := conn.(*relayedConn); ok {
-				counted.relay = relayed.relay
-			}
-			return counted, nil
+			return conn, nil
 		},
 		MaxIdleConnsPerHost:    64,
 		IdleConnTimeout:        idleConnTimeout,
@@ -213,6 +232,8 @@
 				return
 			}
 			writtenBefore = conn.written.Load()
+			conn.usedAt.set(time.Now())
+			conn.users.Add(1)
 			// Another router may not send there any more, which is known when a connection is opened.
 			if sent || reused && conn.relay != "" {
 				_ = conn.retire() // nothing is written to it
--- /dev/null
+++ b/internal/cicadaedge/witness.go
@@ -0,0 +1,202 @@
+package cicadaedge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadacrash"
+	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
+	"github.com/pkg/errors"
+)
+
+// errNoWitness is why a response that ended with its connection does not count as complete.
+var errNoWitness = errors.New("no other connection shows that the runner lives on")
+
+const (
+	// witnessPeriod is the time after the end of a response in which all connections of a process that is
+	// gone end.
+	witnessPeriod = 30 * time.Millisecond
+	// endProofWitness is why a response that ended with its connection counts as complete.
+	endProofWitness = "another connection to the runner outlived it"
+)
+
+type (
+	// runnerConns are the open connections to a runner. An idle one that outlives the end of another shows
+	// that the runner's process lives on: the kernel ends all connections of a process that is gone. One
+	// that is not idle may hold bytes back, and its end behind them.
+	runnerConns struct {
+		spare *spareKeeper
+
+		mu   sync.Mutex // guards open
+		open map[*countedConn]struct{}
+	}
+
+	// framingHistory is what is known of the responses of a service.
+	framingHistory struct {
+		lastUnframed bool
+		unframedAt   time.Time // when the last response without a frame began
+	}
+
+	// spareLease is the use of a runner's spare connection by one attempt.
+	spareLease struct {
+		transports *runnerTransports
+		keeper     *spareKeeper
+		service    string
+		held       bool
+	}
+)
+
+// unframedMemory is how long a service whose responses ended with their connections is expected to send
+// further ones.
+const unframedMemory = time.Minute
+
+// add adds a new connection. If an idle one is open, both belong to the same process.
+func (c *runnerConns) add(conn *countedConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	conn.conns, conn.establishedAt, conn.processSince = c, now, now
+	if c.spare.inUse() {
+		for other := range c.open {
+			if other.processSince.Before(conn.processSince) && other.shows(conn) {
+				conn.processSince = other.processSince
+			}
+		}
+	}
+	c.open[conn] = struct{}{}
+}
+
+func (c *runnerConns) remove(conn *countedConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+}
+
+// outlived reports whether the process that has answered on an ended connection is known to live on.
+func (c *runnerConns) outlived(ended *countedConn) bool {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		// The process read the request later, so it was the one that had accepted conn.
+		if now.Sub(conn.processSince) >= ended.usedAt.age(now) && conn.shows(ended) {
+			return true
+		}
+	}
+	return false
+}
+
+// remain reports whether a connection is open that was established before a time.
+func (c *runnerConns) remain(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if conn.establishedAt.Before(t) && cicadanet.IsEstablished(conn.Conn) {
+			return true
+		}
+	}
+	return false
+}
+
+// shows reports whether the connection is idle and open, and goes the same way as another one: on
+// another way the end of the process may not show.
+func (c *countedConn) shows(other *countedConn) bool {
+	return c != other && c.relay == other.relay && c.users.Load() == 0 && cicadanet.IsEstablished(c.Conn)
+}
+
+// expectsUnframed reports whether a response of a service may end with its connection. It may if none is
+// known.
+func (ts *runnerTransports) expectsUnframed(service string, now time.Time) bool {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	h, known := ts.framing[service]
+	return !known || h.lastUnframed || now.Sub(h.unframedAt) < unframedMemory
+}
+
+// recordFraming records whether a response of a service ends with its connection.
+func (ts *runnerTransports) recordFraming(service string, unframed bool, now time.Time) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	h := ts.framing[service]
+	if h.lastUnframed = unframed; unframed {
+		h.unframedAt = now
+	}
+	ts.framing[service] = h
+}
+
+// leaseSpare has a spare connection opened if the response to a request that is about to be sent may end
+// with its connection. It waits a little until it is there, as the whole response may come at once.
+func (ts *runnerTransports) leaseSpare(ctx context.Context, r *cicadaplace.Runner, service string) *spareLease {
+	l := &spareLease{transports: ts, keeper: ts.connsOf(r).spare, service: service}
+	if !ts.expectsUnframed(service, time.Now()) {
+		return l
+	}
+	l.held = true
+	timer := time.NewTimer(spareWait)
+	defer timer.Stop()
+	select {
+	case <-l.keeper.acquire():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return l
+}
+
+// responseBegins keeps the spare connection if the response ends with its connection.
+func (l *spareLease) responseBegins(a *attempt) {
+	unframed := cicadacrash.EndsAtClose(a.resp) && !a.info.NotRun
+	if a.resp.Body != http.NoBody && !a.info.NotRun {
+		l.transports.recordFraming(l.service, unframed, time.Now())
+	}
+	if !unframed {
+		l.end()
+		return
+	}
+	if !l.held {
+		l.held = true
+		l.keeper.acquire()
+	}
+}
+
+// end ends the use.
+func (l *spareLease) end() {
+	if l.held {
+		l.held = false
+		l.keeper.release(l.transports.expectsUnframed(l.service, time.Now()))
+	}
+}
+
+// connsOf returns the connections to a runner.
+func (ts *runnerTransports) connsOf(r *cicadaplace.Runner) *runnerConns {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	c := ts.conns[r]
+	if c == nil {
+		c = &runnerConns{open: map[*countedConn]struct{}{}}
+		c.spare = newSpareKeeper(ts.dialer.rt.runTask, func(ctx context.Context) (*countedConn, error) { return ts.dial(ctx, r, c) })
+		ts.conns[r] = c
+	}
+	return c
+}
+
+// dial opens a connection to a runner.
+func (ts *runnerTransports) dial(ctx context.Context, r *cicadaplace.Runner, c *runnerConns) (*countedConn, error) {
+	ts.metrics.Dials.Add(1)
+	conn, err := ts.dialer.dial(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countedConn{Conn: conn, link: ts.link}
+	if relayed, ok := conn.(*relayedConn); ok {
+		counted.relay = relayed.relay
+	}
+	c.add(counted)
+	return counted, nil
+}
+
+// NetConn returns the connection to the other router.
+func (c *relayedConn) NetConn() net.Conn { return c.Conn }
--- /dev/null
+++ b/internal/cicadasoak/process_test.go
@@ -0,0 +1,163 @@
+package cicadasoak_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// processAddrVariable makes a process of this test a runner that listens at the address.
+	processAddrVariable = "SOAK_RUNNER_ADDRESS"
+	processEvents       = 40
+	processInterval     = 50 * time.Millisecond
+	// processListenTime bounds the wait for an address that the process before has.
+	processListenTime = 5 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	if addr := os.Getenv(processAddrVariable); addr != "" {
+		fmt.Fprintln(os.Stderr, serveUnframed(addr))
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+// serveUnframed serves requests with responses that end with their connections.
+func serveUnframed(addr string) error {
+	var ln net.Listener
+	var err error
+	for end := time.Now().Add(processListenTime); ; time.Sleep(time.Millisecond) {
+		if ln, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr); err == nil || time.Now().After(end) {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go serveUnframedConn(conn)
+	}
+}
+
+func serveUnframedConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }() // the router may have closed it
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n", req.Header.Get("Request-Id"))
+	for n := range processEvents {
+		fmt.Fprintf(conn, "%s", streamEvent("x", n+1))
+		time.Sleep(processInterval)
+	}
+}
+
+// startProcess starts a runner process.
+func startProcess(t *testing.T, addr string) *exec.Cmd {
+	t.Helper()
+	cmd := exec.CommandContext(t.Context(), os.Args[0])
+	cmd.Env = append(os.Environ(), processAddrVariable+"="+addr)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return cmd
+}
+
+// callProcess returns the body of a response, and whether it looks complete.
+func (s *soak) callProcess(prefix, id string) (string, bool) {
+	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+s.routers[0].callerAddr+prefix+"x", http.NoBody)
+	if err != nil {
+		return err.Error(), false
+	}
+	req.Host = host
+	req.Header.Set("Request-Id", id)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return err.Error(), false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err == nil && resp.StatusCode == http.StatusOK
+}
+
+// The process is there again before the router can find its address empty.
+func TestRestartedRunnerProcessCompletesItsResponses(t *testing.T) {
+	s := &soak{t: t, verifier: newVerifier(), store: newStore(t, 1)}
+	kinds := []string{"idempotent", "non_idempotent", "streaming", "resumable"}
+	var routes []any
+	for _, k := range kinds {
+		route := map[string]any{
+			"Name": k, "Host": host, "Prefix": "/" + k + "/", "Kind": k, "DeadlineMs": 10_000, "LatencyTargetMs": 2000, "GapTargetMs": 1000,
+			"Service": "svc", "MaxAttempts": 2,
+		}
+		if k == "resumable" {
+			route["Kind"], route["CanResume"] = "streaming", true
+		}
+		routes = append(routes, route)
+	}
+	s.store.putRow("op", "config", map[string]any{
+		"Version": 1, "Routes": routes, "Services": []any{map[string]any{"Name": "svc", "MaxConns": 200}},
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 20000},
+	})
+	addr := freeAddr(t)
+	s.store.putRow("servers", "i-0", map[string]any{
+		"Service": "svc", "Address": addr, "Zone": "z", "Version": "1", "Slots": 32, "State": "ready", "Seq": 1,
+	})
+	process := startProcess(t, addr)
+	s.addRouter(buildRouter(t), t.TempDir())
+	whole := func() bool {
+		body, complete := s.callProcess("/streaming/", "ready")
+		return complete && strings.Count(body, "\n\n") == processEvents
+	}
+	for end := time.Now().Add(15 * time.Second); !whole(); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no whole response within 15 s")
+		}
+	}
+	for _, sig := range []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM} {
+		for _, pause := range []time.Duration{0, 10 * time.Millisecond, 20 * time.Millisecond} {
+			var calls sync.WaitGroup
+			for _, k := range kinds {
+				for i := range 6 {
+					calls.Go(func() {
+						body, complete := s.callProcess("/"+k+"/", fmt.Sprint(sig, pause, k, i))
+						events := strings.Count(body, "\n\n")
+						if complete && events != processEvents {
+							t.Errorf("%v, again after %v, %s: %d events look complete", sig, pause, k, events)
+						}
+						if events == 0 && !strings.Contains(body, "may not be complete") {
+							t.Errorf("%v, again after %v, %s: nothing came of the runner: %s", sig, pause, k, body)
+						}
+					})
+				}
+			}
+			time.Sleep(processEvents * processInterval / 2)
+			if err := process.Process.Signal(sig); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(pause)
+			next := startProcess(t, addr)
+			_ = process.Wait() // it was ended
+			process = next
+			calls.Wait()
+			time.Sleep(2 * time.Second) // the runner is used again
+		}
+	}
+	_ = process.Process.Kill()
+	_ = process.Wait()
+}
