--- a/internal/cicadademo/environment.go
+++ b/internal/cicadademo/environment.go
@@ -176,7 +176,7 @@
 	})
 }
 
-// startPlainService starts a plain service that may end, and does not come back.
+// startPlainService starts a plain service that may end, and another process in its place.
 func (env *Environment) startPlainService(cfg cicadastandin.PlainServiceConfig) (string, error) {
 	ln, err := listen("127.0.0.1:0")
 	if err != nil {
@@ -184,7 +184,13 @@
 	}
 	var server atomic.Pointer[http.Server]
 	cfg.End = func() { _ = server.Load().Close() }
-	p := cicadastandin.NewPlainService(cfg)
+	var p *cicadastandin.PlainService
+	cfg.StartAgain = func() {
+		if again, err := listen(ln.Addr().String()); err == nil {
+			server.Store(env.serve(again, p.Handler()))
+		}
+	}
+	p = cicadastandin.NewPlainService(cfg)
 	env.plainServices = append(env.plainServices, p)
 	server.Store(env.serve(ln, p.Handler()))
 	return ln.Addr().String(), nil
--- a/internal/cicadarouter/plain.go
+++ b/internal/cicadarouter/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -78,6 +79,8 @@
 				call.Header.Set(name, v)
 			}
 		}
+		witness := ar.r.dialWitness(ctx, call.Addr)
+		defer closeWitness(witness)
 		resp, err := ar.r.upstreamClient.Do(ctx, call)
 		if err != nil {
 			return ar.classifyCallError(ctx, call, err)
@@ -86,19 +89,20 @@
 		if resp.Header.Get(cicadaupstream.HeaderNotRun) != "" || (resp.StatusCode >= http.StatusInternalServerError && !ar.atMostOnce) {
 			return nil, cicadaupstream.Classify(resp)
 		}
-		return ar.forwardPlain(resp, call)
+		return ar.forwardPlain(resp, call, witness)
 	})
 }
 
 // forwardPlain forwards the response of a service. Error statuses are forwarded and
 // charged like successful responses, as the service processed the request.
-func (ar *activeRequest) forwardPlain(resp *http.Response, call *cicadaupstream.Call) (*outcome, cicadaupstream.Failure) {
+func (ar *activeRequest) forwardPlain(resp *http.Response, call *cicadaupstream.Call, witness net.Conn) (*outcome, cicadaupstream.Failure) {
 	defer resp.Body.Close()
+	ar.r.recordFraming(resp, call.Addr)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil || len(data) > maxResponseBytes {
 		return nil, cicadaupstream.NewResponseError(errors.Errorf("answer of %d bytes: %v", len(data), err))
 	}
-	if err := ar.confirmEnd(resp, call.Addr); err != nil {
+	if err := ar.confirmEnd(resp, call.Addr, witness); err != nil {
 		return nil, cicadaupstream.NewResponseError(err)
 	}
 	ar.trail.Add(&cicadatrail.Attempt{Number: call.Attempt, Runner: call.Addr, Outcome: resp.Status})
--- a/internal/cicadarouter/quarantine.go
+++ b/internal/cicadarouter/quarantine.go
@@ -97,9 +97,8 @@
 	}
 }
 
-// checkRunner finds out whether a runner has crashed whose response to the request has just ended. Functions
-// in onResult are called with an error if it refuses connections, and with nil if not.
-func (ar *activeRequest) checkRunner(addr string, onResult ...func(err error)) {
+// checkRunner finds out whether a runner has crashed whose response to the request has just ended.
+func (ar *activeRequest) checkRunner(addr string) {
 	if ar.progress.checked {
 		return
 	}
@@ -113,23 +112,7 @@
 	case brokeAt.Sub(began) < soundAnswerPeriod:
 		suspects.Begun = suspect
 	}
-	ar.r.crashDetector.Add(addr, &cicadacrash.Broken{At: brokeAt, Suspects: suspects, RequestIDs: []string{ar.id}, OnResult: onResult})
-}
-
-// confirmEnd returns an error if a response that ends with its connection may not be complete: the
-// connections of a runner whose process is gone end in the same way.
-func (ar *activeRequest) confirmEnd(resp *http.Response, addr string) error {
-	if !cicadacrash.EndsAtClose(resp) {
-		return nil
-	}
-	result := make(chan error, 1)
-	ar.checkRunner(addr, func(err error) { result <- err })
-	select {
-	case err := <-result:
-		return errors.Wrap(err, "the response ended with its connection and may not be complete")
-	case <-resp.Request.Context().Done():
-		return context.Cause(resp.Request.Context())
-	}
+	ar.r.crashDetector.Add(addr, &cicadacrash.Broken{At: brokeAt, Suspects: suspects, RequestIDs: []string{ar.id}})
 }
 
 // sharedTime returns a time as it is recorded with crashes and answers: by this host's clock.
@@ -148,13 +131,6 @@
 	entry := r.cfg.Log.WithField("runner", addr).WithField("requestIds", b.RequestIDs)
 	err := r.dialRunner(addr)
 	refused := errors.Is(err, syscall.ECONNREFUSED)
-	for _, f := range b.OnResult {
-		if refused {
-			f(err)
-		} else {
-			f(nil)
-		}
-	}
 	if !refused || !r.reachesOtherRunners(addr) {
 		entry.WithError(err).Info("responses of a runner ended, and it has not crashed")
 		return
--- a/internal/cicadarouter/router_test.go
+++ b/internal/cicadarouter/router_test.go
@@ -1,9 +1,11 @@
 package cicadarouter_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -395,3 +397,35 @@
 		}
 	}
 }
+
+// Whoever accepts connections at the address need not be the process that has answered.
+func TestReplacedPlainServiceLooksLikeTheEndOfItsAnswer(t *testing.T) {
+	w := newEnvironment(t, nil)
+	services := w.PlainServices()
+	for _, p := range services {
+		p.SetFaults(cicadastandin.PlainServiceFaults{EndMidway: true, StartAgain: true})
+	}
+	for i, r := range w.Routers() {
+		header := map[string]string{"Authorization": "Bearer " + apiKey, "Idempotency-Key": baseURL(r)}
+		got := do(t, http.MethodPost, baseURL(r)+transferPath, "{}", header)
+		if got.status == http.StatusOK || got.problem.Ran != string(cicadarefusal.RunUnknown) {
+			t.Errorf("transfer %d: status %d, %q, ran %q", i, got.status, got.body, got.problem.Ran)
+		}
+	}
+}
+
+func TestSoundAnswerWithoutALengthIsRefused(t *testing.T) {
+	w := newEnvironment(t, nil)
+	for _, p := range w.PlainServices() {
+		p.SetFaults(cicadastandin.PlainServiceFaults{Unframed: true})
+	}
+	for i := range 3 {
+		for _, r := range w.Routers() {
+			header := map[string]string{"Authorization": "Bearer " + apiKey, "Idempotency-Key": baseURL(r) + strconv.Itoa(i)}
+			got := do(t, http.MethodPost, baseURL(r)+transferPath, "{}", header)
+			if got.status != http.StatusOK || !bytes.HasSuffix(got.body, []byte(`"}`)) {
+				t.Errorf("transfer %d: status %d, %q", i, got.status, got.body)
+			}
+		}
+	}
+}
--- a/internal/cicadastandin/plainservice.go
+++ b/internal/cicadastandin/plainservice.go
@@ -17,8 +17,9 @@
 	PlainServiceConfig struct {
 		Name  string
 		Delay time.Duration // response time of each call
-		// End ends the service's server when EndMidway applies; nil if it cannot end.
-		End func()
+		// End ends the service's server when EndMidway applies; nil if it cannot end. StartAgain has
+		// another one listen at its address.
+		End, StartAgain func()
 	}
 
 	// PlainServiceFaults are the faults that the service simulates.
@@ -28,6 +29,10 @@
 		// EndMidway ends the service's process within a response that has neither length nor chunks. The
 		// kernel then ends its connections in order.
 		EndMidway bool `json:"endMidway"`
+		// StartAgain starts another process at the same address right after that.
+		StartAgain bool `json:"startAgain"`
+		// Unframed sends responses that have neither length nor chunks.
+		Unframed bool `json:"unframed"`
 	}
 
 	// PlainService is the stand-in for an upstream that is not a model engine and
@@ -127,8 +132,17 @@
 		return
 	}
 	time.Sleep(p.cfg.Delay)
+	if faults.Unframed {
+		writeUnframed(w, `{"service":"`+p.cfg.Name+`"}`, func() {})
+		return
+	}
 	if faults.EndMidway && p.cfg.End != nil {
-		p.endMidway(w)
+		writeUnframed(w, `{"service":`, func() {
+			p.cfg.End()
+			if faults.StartAgain {
+				p.cfg.StartAgain()
+			}
+		})
 		return
 	}
 	w.Header().Set("X-Call-Number", strconv.Itoa(n))
@@ -139,7 +153,9 @@
 	}{p.cfg.Name, r.URL.Path, string(body)}, nil)
 }
 
-func (p *PlainService) endMidway(w http.ResponseWriter) {
+// writeUnframed writes a response that has neither length nor chunks. It calls atEnd before it ends the
+// connection.
+func writeUnframed(w http.ResponseWriter, body string, atEnd func()) {
 	head := w.Header()
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -150,7 +166,7 @@
 	var text strings.Builder
 	text.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
 	_ = head.Write(&text) // a strings.Builder takes all
-	text.WriteString("\r\n{\"service\":")
+	text.WriteString("\r\n" + body)
 	_, _ = io.WriteString(conn, text.String()) // the caller finds out
-	p.cfg.End()
+	atEnd()
 }
