Edge: a runner's own statement confirms the end of its response

The first response of a service that ends with its connection, at a runner to which no other connection was open, was broken off though it was complete: nothing showed that the runner's process lived on.

The runner is asked for its id then, by a GET of the service's health path. Each process of a runner has its own id, so the same one shows that the process lives on.

--- a/internal/cicadaedge/config.go
+++ b/internal/cicadaedge/config.go
@@ -97,6 +97,9 @@
 		StripRouterHeaders(h http.Header)
 		SetRunnerHeaders(h http.Header, rh *RunnerHeaders)
 		ParseResponse(resp *http.Response) ResponseInfo
+		// RunnerID returns the id that a runner states in its response to a health check; empty for none.
+		// Each process of a runner has its own.
+		RunnerID(resp *http.Response) string
 		// RefusalStatus returns the HTTP status for a refusal.
 		RefusalStatus(k RefusalKind) int
 	}
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -152,11 +152,15 @@
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
+		proof := endProofWitness
 		if a.conn == nil || !a.conn.conns.outlived(a.conn) {
-			x.checkUnconfirmed(a, endedAt)
-			return &uncertainEndError{cause: errNoWitness}
+			if err := x.awaitStatement(ctx, a); err != nil {
+				x.checkUnconfirmed(a, endedAt)
+				return &uncertainEndError{cause: errors.WithMessage(err, noWitness)}
+			}
+			proof = endProofStatement
 		}
-		x.currentTry().EndProof = endProofWitness
+		x.currentTry().EndProof = proof
 	}
 	if a.resp.StatusCode < http.StatusBadRequest {
 		x.recordAnswer()
--- /dev/null
+++ b/internal/cicadaedge/statement_test.go
@@ -0,0 +1,60 @@
+package cicadaedge_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const healthPath = "/health"
+
+// RunnerID returns the id that a runner states in its response to a health check.
+func (dialect) RunnerID(resp *http.Response) string { return resp.Header.Get("X-Runner-Id") }
+
+// The service has framed all its responses before, so no other connection is open when this one ends.
+func TestFirstResponseThatEndsWithItsConnectionIsCut(t *testing.T) {
+	t.Parallel()
+	for name, tt := range map[string]struct {
+		id       string // stated by whoever has the runner's address
+		silent   bool
+		complete bool
+	}{
+		"by the runner":         {id: "raw1", complete: true},
+		"by another runner":     {id: "raw2"},
+		"without an id":         {},
+		"without any statement": {silent: true},
+	} {
+		for _, path := range paths {
+			t.Run(name+" "+strings.Trim(path, "/"), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t)
+				f.doc.Version, f.doc.Services[0].HealthPath = 2, healthPath
+				f.publish()
+				f.addRawRunner(func(c *rawConn, req *http.Request) bool {
+					id := req.Header.Get("X-Id")
+					switch {
+					case req.URL.Path == healthPath && !tt.silent:
+						c.write("HTTP/1.1 200 OK\r\nX-Runner-Id: " + tt.id + "\r\nContent-Length: 0\r\n\r\n")
+						return false
+					case req.URL.Path == healthPath:
+						return true
+					case c.runner.runs.Add(1) == 1:
+						c.write(answerBytes(id, unframedEvents))
+						return false
+					}
+					c.write(unframedHeader + id + "\r\n\r\n" + unframedEvents)
+					return false
+				})
+				host := f.startHost(false)
+				call(t, host, "/once/", nil, "x")
+				got := call(t, host, path, nil, "x")
+				whole := got.status == http.StatusOK && got.body == unframedEvents && got.err == nil
+				if diff := cmp.Diff(tt.complete, whole); diff != "" {
+					t.Errorf("complete (-want +got)\n%s%+v", diff, got)
+				}
+			})
+		}
+	}
+}
--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -10,11 +10,10 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadacrash"
 	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
-	"github.com/pkg/errors"
 )
 
-// errNoWitness is why a response that ended with its connection does not count as complete.
-var errNoWitness = errors.New("no other connection shows that the runner lives on")
+// noWitness is why a response that ended with its connection does not count as complete.
+const noWitness = "no other connection shows that the runner lives on"
 
 const (
 	// witnessPeriod is the time after the end of a response in which all connections of a process that is
