A broken stream does not look complete to a caller without chunks

HTTP/1.1 callers get chunks, whose last one is missing.

Cause: HTTP/1.0 has no chunks, so the response ends with the caller's connection, and this router, or the kernel after a kill, ended it in order. Class: an end in order that is taken for a statement, one connection further.

Now the connection of such a response is reset whoever closes it, until the response is complete and flushed.

--- a/internal/cicadaedge/conn.go
+++ b/internal/cicadaedge/conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 type (
@@ -65,6 +67,18 @@
 	return context.WithValue(ctx, callerConnKey{}, conn)
 }
 
+// setReset sets whether the connection ends by a reset, whoever closes it, the kernel too.
+func (c *callerConn) setReset(reset bool) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.Errorf("a connection of type %T cannot be reset", c.Conn)
+	}
+	if reset {
+		return tcp.SetLinger(0)
+	}
+	return tcp.SetLinger(-1)
+}
+
 // closesConnection reports whether the connection of a request is closed after its response: if the
 // router stops, or if the link is overloaded and this connection does not stay.
 func (rt *Router) closesConnection(r *http.Request) bool {
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -41,6 +41,7 @@
 		tried []string
 		// state of a stream
 		headerSent   bool   // the response header was sent to the caller
+		unframed     bool   // the response ends with the caller's connection
 		mediaType    string // of the response header that was sent
 		lastEventID  string
 		previous     *result // result of the previous attempt
--- a/internal/cicadaedge/response.go
+++ b/internal/cicadaedge/response.go
@@ -131,10 +131,37 @@
 	if length >= 0 {
 		h.Set("Content-Length", itoa(length))
 	}
+	if x.unframed = length < 0 && !x.r.ProtoAtLeast(1, 1); x.unframed {
+		x.setReset(true)
+	}
 	x.headerSent, x.mediaType, x.status = true, mediaType(a.resp), a.resp.StatusCode
 	x.w.WriteHeader(a.resp.StatusCode)
 }
 
+// endUnframed ends a response whose end is that of the caller's connection.
+func (x *exchange) endUnframed() error {
+	if !x.unframed {
+		return nil
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return &callerError{cause: err}
+	}
+	x.setReset(false)
+	return nil
+}
+
+// setReset sets whether the caller's connection ends by a reset, so that a broken response does not look
+// complete.
+func (x *exchange) setReset(reset bool) {
+	conn, ok := x.r.Context().Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	if err := conn.setReset(reset); err != nil {
+		x.rt.cfg.Log.WithField("requestId", x.info.ID).WithError(err).Warn("failed to set how a caller's connection ends")
+	}
+}
+
 // mediaType returns the type of a response's content without its parameters.
 func mediaType(resp *http.Response) string {
 	t, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -56,6 +56,9 @@
 	if err == nil {
 		err = x.confirmEnd(a)
 	}
+	if err == nil {
+		err = x.endUnframed()
+	}
 	var callerErr *callerError
 	switch {
 	case err == nil:
