--- a/internal/cicadasoak/runner_test.go
+++ b/internal/cicadasoak/runner_test.go
@@ -1,8 +1,8 @@
 package cicadasoak_test
 
 import (
-	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,8 +20,8 @@
 	rateWindow  = 4 * time.Second
 	noticeDelay = 500 * time.Millisecond
 	gracePeriod = 3 * time.Second
-	// streamEvents is the number of events of a stream, one token each.
-	streamEvents = 10
+	// eventInterval is the time between two events of a stream.
+	eventInterval = 20 * time.Millisecond
 )
 
 // runnerMode is how a runner treats a request.
@@ -29,29 +29,35 @@
 
 // The modes of a runner.
 const (
-	runnerHealthy     runnerMode = iota
-	runnerRefuses                // responds that it did not run the request
-	runnerFails                  // runs the request and responds with status 500
-	runnerTruncates              // runs the request and truncates the response
-	runnerDisconnects            // runs the request and closes the connection without a response
-	runnerDuplicates             // sends the previous response again before the next one
-	runnerFloods                 // sends an endless response
-	runnerUnframed               // sends responses that end with their connections
-	runnerResets                 // resets such a response in its middle
-	runnerStutters               // sends each response twice, the second time late
-	runnerCrashes                // its connections end and new ones are refused
+	runnerHealthy      runnerMode = iota
+	runnerRefuses                 // responds that it did not run the request
+	runnerFails                   // runs the request and responds with status 500
+	runnerTruncates               // runs the request and truncates the response
+	runnerDisconnects             // runs the request and closes the connection without a response
+	runnerDuplicates              // sends the previous response again before the next one
+	runnerFloods                  // sends an endless response
+	runnerUnframed                // sends responses that end with their connections
+	runnerResets                  // resets such a response in its middle
+	runnerStutters                // sends each response twice, the second time late
+	runnerCrashes                 // its connections end and new ones are refused
+	runnerRestarts                // it ends and another process accepts connections at its address at once
+	runnerIsReplaced              // the same, and its listener does not close
+	runnerAnswersFirst            // answers before it has read the request, and ends the response early
 	runnerModeCount
 )
 
 type (
 	// runner is an upstream that records its requests and can advertise a rate limit.
 	runner struct {
-		t        *testing.T
-		id, addr string
-		verifier *verifier
-		crash    sync.Mutex // held while the runner is gone
+		t          *testing.T
+		name, addr string
+		store      *store
+		verifier   *verifier
+		crash      sync.Mutex // held while the runner is gone
 
 		mu           sync.Mutex // guards the fields below
+		id           string     // of the process
+		boots        int
 		rnd          *rand.Rand
 		mode         runnerMode
 		limit        *float64
@@ -60,12 +66,14 @@
 		arrivals     []arrival
 		lastResponse string
 		server       *http.Server
+		ln           *net.TCPListener
+		served       chan struct{}     // closed when server accepts no more connections
 		conns        map[net.Conn]bool // open connections
 	}
 
 	// runnerListener keeps the accepted connections of a runner, as the kernel does.
 	runnerListener struct {
-		net.Listener
+		*net.TCPListener
 		runner *runner
 	}
 
@@ -78,68 +86,15 @@
 
 func newRunner(t *testing.T, id string, v *verifier, s *store) *runner {
 	r := &runner{
-		t: t, id: id, addr: freeAddr(t), verifier: v, rnd: rand.New(rand.NewPCG(uint64(len(id)), 3)),
+		t: t, name: id, id: id, addr: freeAddr(t), store: s, verifier: v, rnd: rand.New(rand.NewPCG(uint64(len(id)), 3)),
 		notifiedAt: map[string]time.Time{}, conns: map[net.Conn]bool{},
 	}
 	r.start()
-	t.Cleanup(r.kill)
-	s.putRow("servers", id, map[string]any{
-		"Service": "svc", "Address": r.addr, "Zone": "z", "Version": "1", "Slots": 16, "State": "ready", "Seq": 1,
-	})
+	t.Cleanup(func() { r.kill(true) })
+	r.register()
 	return r
 }
 
-// Accept waits for the next connection.
-func (l *runnerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err == nil {
-		l.runner.mu.Lock()
-		defer l.runner.mu.Unlock()
-		l.runner.conns[conn] = true
-	}
-	return conn, err
-}
-
-// start makes the runner accept connections.
-func (r *runner) start() {
-	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", r.addr)
-	if err != nil {
-		r.t.Error(err)
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
-	srv := r.server
-	go func() { _ = srv.Serve(&runnerListener{ln, r}) }() // ends with the runner
-}
-
-// kill ends the listener and all connections, as the kernel does for a killed process.
-func (r *runner) kill() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	_ = r.server.Close() // its connections end below
-	for conn := range r.conns {
-		_ = conn.Close() // it may have ended
-	}
-	r.conns = map[net.Conn]bool{}
-}
-
-// fault puts the runner into a mode for some time.
-func (r *runner) fault(mode runnerMode, d time.Duration) {
-	if mode == runnerCrashes {
-		r.crash.Lock() // another fault may have killed it
-		defer r.crash.Unlock()
-		r.kill()
-		time.Sleep(d)
-		r.start()
-		return
-	}
-	r.setMode(mode)
-	time.Sleep(d)
-	r.setMode(runnerHealthy)
-}
-
 func (r *runner) setMode(mode runnerMode) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -172,7 +127,7 @@
 			first++
 		}
 		if got := i - first + 1; got > allowed {
-			r.verifier.addViolation("LIMIT: runner %s with a limit of %g requests/s got %d requests in %v, allowed %d", r.id, *r.limit, got, rateWindow, allowed)
+			r.verifier.addViolation("LIMIT: runner %s with a limit of %g requests/s got %d requests in %v, allowed %d", r.name, *r.limit, got, rateWindow, allowed)
 			return
 		}
 	}
@@ -209,13 +164,16 @@
 // ServeHTTP serves one request.
 func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
-	if req.Header.Get("Expect-Instance") != r.id {
+	if req.Header.Get("Expect-Instance") != r.currentID() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	w.Header().Set("Request-Id", id)
 	r.verifier.recordArrival(id)
 	mode := r.recordArrival(w, req)
+	if mode != runnerAnswersFirst {
+		_, _ = io.Copy(io.Discard, req.Body) // the router may have left
+	}
 	if mode == runnerRefuses {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -248,6 +206,9 @@
 	case runnerStutters:
 		r.stutter(w, req, id)
 		return
+	case runnerAnswersFirst:
+		r.answerFirst(w, req, id)
+		return
 	}
 	r.writeResponse(w, req, id, mode == runnerTruncates)
 }
@@ -261,11 +222,12 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := firstEvent(req); i < streamEvents; i++ {
+	count := kindOf(req.URL.Path).events()
+	for i := firstEvent(req); i < count; i++ {
 		fmt.Fprintf(w, "%s", streamEvent(id, i+1))
 		w.(http.Flusher).Flush()
-		time.Sleep(20 * time.Millisecond)
-		if truncate && i == streamEvents/2 {
+		time.Sleep(eventInterval)
+		if truncate && i == count/2 {
 			fmt.Fprintf(w, "id: %d\nda", i+2)
 			panic(http.ErrAbortHandler)
 		}
@@ -301,7 +263,7 @@
 		return []string{text[:len(text)/2], text[len(text)/2:]}
 	}
 	var parts []string
-	for i := firstEvent(req); i < streamEvents; i++ {
+	for i := firstEvent(req); i < kindOf(req.URL.Path).events(); i++ {
 		parts = append(parts, streamEvent(id, i+1))
 	}
 	return parts
@@ -322,7 +284,7 @@
 			return
 		}
 		_, _ = fmt.Fprintf(conn, "%s", part)
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(eventInterval)
 	}
 }
 
--- a/internal/cicadasoak/soak_test.go
+++ b/internal/cicadasoak/soak_test.go
@@ -38,11 +38,17 @@
 	firstPort, portCount = 20_000, 12_000
 	// exitPollInterval is the interval between checks for exited processes.
 	exitPollInterval = 200 * time.Millisecond
+	// One of longBodyShare requests has a body of longBodyBytes, which is more than the buffers of a connection
+	// to a runner hold.
+	longBodyShare = 8
+	longBodyBytes = 512 << 10
 	// maxSeeds is the number of routers whose addresses the settings of a router name.
 	maxSeeds = 3
 )
 
 var (
+	longBody = strings.Repeat("x", longBodyBytes)
+
 	firstSeedFlag     = flag.Uint64("soak-seed", 1, "first seed of the soak")
 	seedCountFlag     = flag.Int("soak-seeds", 1, "number of seeds")
 	faultDurationFlag = flag.Duration("soak-span", 20*time.Second, "duration of the fault injection for each seed")
@@ -176,7 +182,7 @@
 			route(atMostOnce, "non_idempotent", 2), route(idempotent, "idempotent", 3), route(streaming, "streaming", 2), resumableRoute,
 		},
 		"Services": []any{map[string]any{"Name": "svc", "MaxConns": 200}},
-		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 20000},
+		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 20000},
 		"Tenants": []any{
 			map[string]any{"Name": "acme", "ApiKeys": []string{apiKey}, "Prepaid": prepaidTokens},
 			map[string]any{"Name": "abundant", "ApiKeys": []string{abundantKey}, "Prepaid": 1000 * prepaidTokens},
@@ -186,10 +192,14 @@
 
 // sendRequest sends one request to a router, records the response and returns its status, or 0.
 func (s *soak) sendRequest(ctx context.Context, client *http.Client, r *router, key string, requestKind kind) int {
-	id := fmt.Sprintf("%d-%d", s.seed, s.lastID.Add(1))
+	n := s.lastID.Add(1)
+	id, body := fmt.Sprintf("%d-%d", s.seed, n), "order"
+	if n%longBodyShare == 0 {
+		body = longBody
+	}
 	ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callerAddr+requestKind.path(), strings.NewReader("order"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callerAddr+requestKind.path(), strings.NewReader(body))
 	if err != nil {
 		s.t.Error(err)
 		return 0
@@ -201,7 +211,7 @@
 		req.Header.Set(name, value)
 	}
 	if requestKind.isStream() {
-		req.Header.Set("Token-Count", strconv.Itoa(promptTokens)+","+strconv.Itoa(streamEvents))
+		req.Header.Set("Token-Count", strconv.Itoa(promptTokens)+","+strconv.Itoa(requestKind.events()))
 	}
 	startedAt := time.Now()
 	s.verifier.recordRequest(id, key, startedAt)
@@ -214,8 +224,8 @@
 		return 0
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	s.verifier.recordResponse(id, requestKind, resp.StatusCode, string(body), err)
+	answer, err := io.ReadAll(resp.Body)
+	s.verifier.recordResponse(id, requestKind, resp.StatusCode, string(answer), err)
 	return resp.StatusCode
 }
 
--- a/internal/cicadasoak/verifier_test.go
+++ b/internal/cicadasoak/verifier_test.go
@@ -83,6 +83,14 @@
 
 func (k kind) isStream() bool { return k == streaming || k == resumable }
 
+// events returns the number of events of a stream, one token each.
+func (k kind) events() int {
+	if k == resumable {
+		return 30
+	}
+	return 10
+}
+
 // mayRunAgain reports whether requests of this kind may run more than once.
 func (k kind) mayRunAgain() bool { return k == idempotent || k == resumable }
 
@@ -90,9 +98,9 @@
 
 func streamEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %d of %s\n\n", n, n, id) }
 
-func streamBody(id string) string {
+func streamBody(id string, k kind) string {
 	var b strings.Builder
-	for i := range streamEvents {
+	for i := range k.events() {
 		b.WriteString(streamEvent(id, i+1))
 	}
 	return b.String()
@@ -228,7 +236,7 @@
 	case 200:
 		want := responseBody(id)
 		if k.isStream() {
-			want = streamBody(id)
+			want = streamBody(id, k)
 		}
 		switch {
 		case err != nil && strings.HasPrefix(want, body):
