Streams: the end of a line as long as the read buffer is not an empty line

What callers saw: a stream whose runner ended it inside an event, after a line of 4,096 bytes or a multiple, ended as complete. Where it may be resumed, it would go on after the event that is not whole (ORDER).

Cause: a line that is longer than the read buffer arrives in parts. If its last part is the line end alone, it was taken for the empty line that ends an event; a last part that begins with 'id:' was taken for an id.

Now only the beginning of a line is looked at. The bytes that are forwarded stay the same.

--- a/internal/cicadaedge/buffer.go
+++ b/internal/cicadaedge/buffer.go
@@ -131,6 +131,7 @@
 // until it is released, also if it is returned with an error.
 func (b *bodyBuffers) readEvent(r *bufio.Reader) (event, error) {
 	var ev event
+	inLine := false // the beginning of the line was read before
 	for {
 		line, err := r.ReadSlice('\n')
 		withinLimit := b.add(countedBytes(len(ev.raw)+len(line)) - countedBytes(len(ev.raw)))
@@ -141,9 +142,13 @@
 		case !withinLimit:
 			return ev, errBuffersFull
 		case errors.Is(err, bufio.ErrBufferFull):
+			inLine = true
 			continue
 		case err != nil:
 			return ev, err
+		case inLine:
+			inLine = false
+			continue
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
--- a/internal/cicadaedge/stream_end_test.go
+++ b/internal/cicadaedge/stream_end_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -95,6 +96,43 @@
 	}
 }
 
+// The end of a line as long as the read buffer arrives by itself, as an empty line does.
+func TestLongLineLooksLikeTheEndOfItsEvent(t *testing.T) {
+	t.Parallel()
+	const first = "id: 1\ndata: a\n\n"
+	for _, size := range []int{4095, 4096, 4097, 8192} {
+		for _, path := range []string{"/stream/", "/resume/"} {
+			t.Run(fmt.Sprint(strings.Trim(path, "/"), " ", size), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t)
+				var resumedAfter atomic.Value
+				for range 2 {
+					f.addRawRunner(func(c *rawConn, req *http.Request) bool {
+						text := first + "id: 2\ndata: " + strings.Repeat("x", size-len("data: ")) + "\n"
+						if after := req.Header.Get("X-After"); after != "" {
+							resumedAfter.Store(after)
+							text = "id: 2\ndata: b\n\n"
+						}
+						c.write(eventsHeader + "X-Id: " + req.Header.Get("X-Id") + "\r\n" + chunkedEncoding + chunk(text) + lastChunk)
+						return false
+					})
+				}
+				got := call(t, f.waitReady(f.startNode("n1")), path, nil, "x")
+				if path == "/stream/" {
+					if got.err == nil {
+						t.Errorf("the stream ends as complete inside an event, after %d bytes", len(got.body))
+					}
+					return
+				}
+				want := []any{first + "id: 2\ndata: b\n\n", nil, "1"}
+				if diff := cmp.Diff(want, []any{got.body, got.err, resumedAfter.Load()}); diff != "" {
+					t.Errorf("events, error, and where the stream went on (-want +got)\n%.600s", diff)
+				}
+			})
+		}
+	}
+}
+
 // rawCall sends a request of an HTTP version and returns the bytes of the response, and how the connection
 // ended.
 func rawCall(t *testing.T, addr, path, version, header string) (string, error) {
