--- a/internal/cicadasoak/runner_test.go
+++ b/internal/cicadasoak/runner_test.go
@@ -44,6 +44,7 @@
 	runnerIsReplaced              // the same, and its listener does not close
 	runnerAnswersFirst            // answers before it has read the request, and ends the response early
 	runnerModeCount
+	runnerStalls // runs the request and responds late; not one of the faults of the soak
 )
 
 type (
@@ -164,12 +165,12 @@
 // ServeHTTP serves one request.
 func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
+	r.verifier.recordArrival(id)
 	if req.Header.Get("Expect-Instance") != r.currentID() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	w.Header().Set("Request-Id", id)
-	r.verifier.recordArrival(id)
 	mode := r.recordArrival(w, req)
 	if mode != runnerAnswersFirst {
 		_, _ = io.Copy(io.Discard, req.Body) // the router may have left
@@ -188,6 +189,8 @@
 		return
 	case runnerDisconnects:
 		panic(http.ErrAbortHandler)
+	case runnerStalls:
+		time.Sleep(2 * time.Second)
 	case runnerFloods:
 		for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
 			if _, err := fmt.Fprintf(w, "%0*d", 8<<10, 0); err != nil {
--- a/internal/cicadasoak/soak_test.go
+++ b/internal/cicadasoak/soak_test.go
@@ -55,6 +55,9 @@
 	keepLogsFlag      = flag.Bool("soak-keep", false, "keep the logs of passing seeds too")
 	routerCountFlag   = flag.Int("soak-routers", 6, "number of router processes")
 	callerCountFlag   = flag.Int("soak-callers", 3, "number of callers for each router process")
+
+	// usedPorts holds the ports that freeAddr has returned, which their users may not have opened yet.
+	usedPorts sync.Map
 )
 
 type (
@@ -70,6 +73,10 @@
 		// faultCount counts the injected faults. Every second one changes a runner's mode.
 		faultCount   int
 		activeFaults sync.WaitGroup
+		// storeAddrs holds the addresses at which the first routers reach the store, if not at its own.
+		storeAddrs []string
+		// repeats replaces the rule on repeats in the routers' settings, if set.
+		repeats *repeatRule
 	}
 
 	// router is a router process with its later restarts.
@@ -85,12 +92,16 @@
 	}
 )
 
-// freeAddr returns an unused loopback address. Its port is not ephemeral, so that no outgoing
+// freeAddr returns an unused loopback address, a new one each time. Its port is not ephemeral, so that no outgoing
 // connection takes it while a router is down.
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	for range 1000 {
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount)))
+		port := firstPort + rand.IntN(portCount)
+		if _, used := usedPorts.LoadOrStore(port, true); used {
+			continue
+		}
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 		ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", addr)
 		if err == nil {
 			_ = ln.Close()
@@ -111,10 +122,18 @@
 	for _, other := range s.routers[:min(len(s.routers), maxSeeds)] {
 		seeds = append(seeds, other.peerAddr)
 	}
+	repeats := repeatRule{ratio: retryRatio, slack: retrySlack}
+	if s.repeats != nil {
+		repeats = *s.repeats
+	}
+	storeAddr := s.store.addr()
+	if n := len(s.routers); n < len(s.storeAddrs) {
+		storeAddr = s.storeAddrs[n]
+	}
 	text := fmt.Sprintf("NodeName: %s\nIp: 127.0.0.1\nZone: z\nListen: {Front: %q, Ready: %q, Control: %q}\nBootstrap: true\nSeeds: [%s]\n"+
 		"BeatIntervalMs: 1200\nLimits: {MemoryMb: 134, MaxFds: 2000}\nPlatform: {Address: %q}\n"+
 		"Bounds: {GraceS: 6, ConfigMs: 2000, StretchMs: 5000, BudgetWindowS: %g, RetryBudgetRatio: %g, RetrySlack: %d}\n",
-		name, r.callerAddr, r.readyAddr, r.peerAddr, strings.Join(seeds, ", "), s.store.addr(), retryWindow.Seconds(), retryRatio, retrySlack)
+		name, r.callerAddr, r.readyAddr, r.peerAddr, strings.Join(seeds, ", "), storeAddr, retryWindow.Seconds(), repeats.ratio, repeats.slack)
 	if err := os.WriteFile(r.settingsFile, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
