A router whose row cannot be read has its share

What callers saw: nothing that was reported. Found on the walk through the number of routers that divide what all may use together (BUDGET).

Cause: a row that could not be read, such as one of a later build with another type of a field, removed its router from the known ones. The others then divided the slack of the retry budget, the draws of budgets and the limits of runners by a smaller number, while that router went on with its share.

Change: a router counts as long as its row is there. What was known of it before stays; without that it cannot be called, like one that has ended.

--- a/internal/cicadaedge/peers.go
+++ b/internal/cicadaedge/peers.go
@@ -33,21 +33,32 @@
 	p.seeds = seeds
 }
 
-// update applies a router's row. A row without a boot id removes the router.
+// update applies a router's row.
 func (p *peerSet) update(name string, row *routerRow) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	updated := peer{name: name, addr: row.PeerAddr, dataCentre: row.DataCentre}
-	old, known := p.byName[name]
-	if known == (row.BootID != "") && old == updated {
-		return
+	if old, known := p.byName[name]; !known || old != updated {
+		p.rankings, p.byName[name] = nil, updated
 	}
-	p.rankings = nil
-	if row.BootID == "" {
-		delete(p.byName, name)
-		return
+}
+
+// addUnreadable adds a router whose row cannot be read, if it is not known. It cannot be called, but has a
+// share of what all routers use together.
+func (p *peerSet) addUnreadable(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.byName[name]; !known {
+		p.rankings, p.byName[name] = nil, peer{name: name}
 	}
-	p.byName[name] = updated
+}
+
+// remove removes a router whose row was deleted.
+func (p *peerSet) remove(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rankings = nil
+	delete(p.byName, name)
 }
 
 // names returns the names of all routers, this one included, in no particular order.
--- a/internal/cicadaedge/tables.go
+++ b/internal/cicadaedge/tables.go
@@ -10,6 +10,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
+	"github.com/pkg/errors"
 )
 
 // Tables that the routers use in the store.
@@ -248,10 +249,19 @@
 func (rt *Router) applyRouters(b cicadastore.ChangeBatch, _ bool, now time.Time) {
 	for i := range b.Changes {
 		c := &b.Changes[i]
+		if c.Deleted {
+			rt.peers.remove(c.Key)
+			continue
+		}
 		var row routerRow
-		if err := json.Unmarshal(c.Value, &row); err != nil && !c.Deleted {
+		err := json.Unmarshal(c.Value, &row)
+		if err == nil && row.BootID == "" {
+			err = errors.New("it has no boot id")
+		}
+		if err != nil {
 			rt.cfg.Log.WithField("router", c.Key).WithError(err).Error("row of a router cannot be read")
-			row = routerRow{}
+			rt.peers.addUnreadable(c.Key)
+			continue
 		}
 		rt.peers.update(c.Key, &row)
 		if c.Key != rt.cfg.Name {
