A witness whose end is lost on the way does not complete a response

Part of a response looked complete if its runner was killed and the packet that ends an idle connection was lost: the kernel sends it again after 200 ms, the witness was looked at after 30 ms.

The check that the runner accepts connections, which the witnesses had replaced, is back beside them, in the older core too: a process that is gone and has no successor refuses. The older core opens a witness for each call now: a service that framed some of its answers only had the others refused.

--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -122,12 +122,12 @@
 }
 
 // recordBroken records that the connection of an attempt broke before the response was complete.
-func (x *exchange) recordBroken(p *placement) { x.checkRunner(p, time.Now()) }
+func (x *exchange) recordBroken(p *placement) { x.checkRunner(p) }
 
 // checkRunner finds out whether the runner of an attempt whose connection ended has crashed. It calls
 // onResult with the outcome, which is nil if the runner accepts connections.
-func (x *exchange) checkRunner(p *placement, endedAt time.Time, onResult ...func(err error)) {
-	b := &cicadacrash.Broken{At: endedAt, RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", OnResult: onResult}
+func (x *exchange) checkRunner(p *placement, onResult ...func(err error)) {
+	b := &cicadacrash.Broken{At: time.Now(), RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", OnResult: onResult}
 	suspect := []cicadaquarantine.Suspect{x.allTraits()}
 	switch {
 	case errors.Is(x.rt.balancer.Unavailability(p.Runner(), b.At), cicadaplace.ErrDraining):
@@ -146,37 +146,48 @@
 // confirmEnd returns an error if a response that ends with its connection may not be complete: the
 // connections of a runner whose process is gone end in the same way. It records a complete response.
 func (x *exchange) confirmEnd(a *attempt) error {
-	if cicadacrash.EndsAtClose(a.resp) {
-		endedAt, ctx := time.Now(), a.resp.Request.Context()
-		sleep(ctx, witnessPeriod)
-		if ctx.Err() != nil {
-			return context.Cause(ctx)
+	if !cicadacrash.EndsAtClose(a.resp) {
+		if a.resp.StatusCode < http.StatusBadRequest {
+			x.recordAnswer()
 		}
-		proof := endProofWitness
-		if a.conn == nil || !a.conn.conns.outlived(a.conn) {
-			if err := x.awaitStatement(ctx, a); err != nil {
-				x.checkUnconfirmed(a, endedAt)
-				return &uncertainEndError{cause: errors.WithMessage(err, noWitness)}
-			}
-			proof = endProofStatement
-		}
-		x.currentTry().EndProof = proof
+		return nil
 	}
-	if a.resp.StatusCode < http.StatusBadRequest {
-		x.recordAnswer()
+	ctx := a.resp.Request.Context()
+	// The end of the other connections may be lost on the way. Then new ones are still refused.
+	if err := x.awaitCheck(ctx, a); err != nil {
+		return err
+	}
+	proof := endProofWitness
+	if a.conn == nil || !a.conn.conns.outlived(a.conn) {
+		if err := x.awaitStatement(ctx, a); err != nil {
+			return &uncertainEndError{cause: errors.WithMessage(err, noWitness)}
+		}
+		proof = endProofStatement
 	}
+	x.currentTry().EndProof = proof
 	return nil
 }
 
-// checkUnconfirmed finds out whether the runner has crashed. If it accepts connections, the request has
-// not crashed it, whether its response was complete or not.
-func (x *exchange) checkUnconfirmed(a *attempt, endedAt time.Time) {
+// awaitCheck finds out whether the runner has crashed. If it accepts connections, the request has not
+// crashed it, whether its response was complete or not.
+func (x *exchange) awaitCheck(ctx context.Context, a *attempt) error {
 	traits, began := x.traits(), x.headerAt
-	x.checkRunner(a.placement, endedAt, func(err error) {
+	result := make(chan error, 1)
+	x.checkRunner(a.placement, func(err error) {
 		if err == nil && a.resp.StatusCode < http.StatusBadRequest {
 			x.rt.recordAnswer(traits, began)
 		}
+		result <- err
 	})
+	select {
+	case err := <-result:
+		if err != nil {
+			return &uncertainEndError{cause: err}
+		}
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
 }
 
 // recordAnswer records that the request was answered without crashing its runner.
--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -15,13 +15,8 @@
 // noWitness is why a response that ended with its connection does not count as complete.
 const noWitness = "no other connection shows that the runner lives on"
 
-const (
-	// witnessPeriod is the time after the end of a response in which all connections of a process that is
-	// gone end.
-	witnessPeriod = 30 * time.Millisecond
-	// endProofWitness is why a response that ended with its connection counts as complete.
-	endProofWitness = "another connection to the runner outlived it"
-)
+// endProofWitness is why a response that ended with its connection counts as complete.
+const endProofWitness = "another connection to the runner outlived it"
 
 type (
 	// runnerConns are the open connections to a runner. An idle one that outlives the end of another shows
--- a/internal/cicadarouter/plain.go
+++ b/internal/cicadarouter/plain.go
@@ -97,7 +97,6 @@
 // charged like successful responses, as the service processed the request.
 func (ar *activeRequest) forwardPlain(resp *http.Response, call *cicadaupstream.Call, witness net.Conn) (*outcome, cicadaupstream.Failure) {
 	defer resp.Body.Close()
-	ar.r.recordFraming(resp, call.Addr)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil || len(data) > maxResponseBytes {
 		return nil, cicadaupstream.NewResponseError(errors.Errorf("answer of %d bytes: %v", len(data), err))
--- a/internal/cicadarouter/router.go
+++ b/internal/cicadarouter/router.go
@@ -96,7 +96,6 @@
 
 		quarantine    *cicadaquarantine.Quarantine
 		crashDetector *cicadacrash.Detector[string] // by address
-		framed        sync.Map                      // by address: the last response of a plain service showed its end by itself
 		blocksMu      sync.Mutex                    // guards loggedBlocks
 		loggedBlocks  map[string]bool
 	}
--- a/internal/cicadarouter/router_test.go
+++ b/internal/cicadarouter/router_test.go
@@ -429,3 +429,20 @@
 		}
 	}
 }
+
+// The service sends a length with some answers only.
+func TestSoundAnswerWithoutALengthAfterOneWithALengthIsRefused(t *testing.T) {
+	w := newEnvironment(t, nil)
+	for i := range 4 {
+		for _, p := range w.PlainServices() {
+			p.SetFaults(cicadastandin.PlainServiceFaults{Unframed: i%2 == 1})
+		}
+		for _, r := range w.Routers() {
+			header := map[string]string{"Authorization": "Bearer " + apiKey, "Idempotency-Key": baseURL(r) + strconv.Itoa(i)}
+			got := do(t, http.MethodPost, baseURL(r)+transferPath, "{}", header)
+			if got.status != http.StatusOK || !bytes.HasSuffix(bytes.TrimSpace(got.body), []byte(`"}`)) {
+				t.Errorf("transfer %d: status %d, %q", i, got.status, got.body)
+			}
+		}
+	}
+}
--- a/internal/cicadarouter/witness.go
+++ b/internal/cicadarouter/witness.go
@@ -22,13 +22,10 @@
 // errNoWitness is why a response that ended with its connection does not count as complete.
 var errNoWitness = errors.New("no other connection shows that the runner lives on")
 
-// dialWitness opens a connection to a runner that is about to get a request, if the response may end with
-// its connection. If it outlives that end, the runner's process lives on: the kernel ends all
+// dialWitness opens a connection to a runner that is about to get a request. If the response ends with its
+// connection and the witness outlives that end, the runner's process lives on: the kernel ends all
 // connections of a process that is gone. It returns nil if there is none.
 func (r *Router) dialWitness(ctx context.Context, addr string) net.Conn {
-	if framed, ok := r.framed.Load(addr); ok && framed == true {
-		return nil
-	}
 	conn, err := cicadanet.NewDialer(witnessDialTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil // the response is not confirmed if it needs to be
@@ -42,13 +39,6 @@
 	}
 }
 
-// recordFraming records whether the responses of a runner show their ends by themselves.
-func (r *Router) recordFraming(resp *http.Response, addr string) {
-	if resp.Body != http.NoBody {
-		r.framed.Store(addr, !cicadacrash.EndsAtClose(resp))
-	}
-}
-
 // confirmEnd returns an error if a response that ends with its connection may not be complete: the
 // connections of a runner whose process is gone end in the same way.
 func (ar *activeRequest) confirmEnd(resp *http.Response, addr string, witness net.Conn) error {
@@ -63,9 +53,14 @@
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
-	if witness != nil && cicadanet.IsEstablished(witness) {
+	// The end of the witness may be lost on the way. Then new connections are still refused.
+	err := ar.r.dialRunner(addr)
+	if err == nil && witness != nil && cicadanet.IsEstablished(witness) {
 		return nil
 	}
 	ar.checkRunner(addr)
-	return errors.Wrap(errNoWitness, "the response ended with its connection and may not be complete")
+	if err == nil {
+		err = errNoWitness
+	}
+	return errors.Wrap(err, "the response ended with its connection and may not be complete")
 }
