A spare connection does not hold up the planned stop of a relay

Only those on which a request was sent count now. The age at which a spare connection is replaced is bounded.

--- a/internal/cicadaedge/relay_conn.go
+++ b/internal/cicadaedge/relay_conn.go
@@ -78,7 +78,23 @@
 // relayPair is a connection of another router and the runner's connection that it is passed on to.
 type relayPair struct {
 	router, runner net.Conn
-	framed         bool // what the runner sends is passed on in chunks
+	framed         bool   // what the runner sends is passed on in chunks
+	onRequest      func() // called when the router sends something
+}
+
+// requestReader calls a function when there is something to read.
+type requestReader struct {
+	io.Reader
+	onRequest func()
+}
+
+// Read reads what the router sends.
+func (r requestReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.onRequest()
+	}
+	return n, err
 }
 
 // run passes on what router and runner send until one of them closes. It returns the error that ended
@@ -87,7 +103,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_, _ = io.Copy(p.runner, p.router) // routers close only connections that they gave up
+		_, _ = io.Copy(p.runner, requestReader{p.router, p.onRequest}) // routers close only connections that they gave up
 		_ = p.runner.Close()
 	}()
 	err := p.copyResponse()
--- a/internal/cicadaedge/relay_server.go
+++ b/internal/cicadaedge/relay_server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,6 +23,7 @@
 type relayServer struct {
 	rt     *Router
 	active atomic.Int64 // number of relayed connections
+	unused atomic.Int64 // those on which no request was sent
 }
 
 // serve serves the connections of a listener until it is closed.
@@ -66,7 +68,10 @@
 		return
 	}
 	s.rt.cfg.Metrics.RelayedForOthers.Add(1)
-	pair := &relayPair{router: conn, runner: runnerConn, framed: framed}
+	s.unused.Add(1)
+	markUsed := sync.OnceFunc(func() { s.unused.Add(-1) })
+	defer markUsed()
+	pair := &relayPair{router: conn, runner: runnerConn, framed: framed, onRequest: markUsed}
 	if err := pair.run(); err != nil {
 		s.rt.cfg.Log.WithField("runner", r.Header.Get(relayRunnerHeader)).WithError(err).Debug("relayed connection broke")
 	}
@@ -90,9 +95,9 @@
 		s.rt.balancer.Unavailability(runner, time.Now()) == nil && !s.rt.dialer.isRelayed(runner)
 }
 
-// wait waits until no connection is relayed or ctx ends.
+// wait waits until no connection with a request is relayed or ctx ends.
 func (s *relayServer) wait(ctx context.Context) {
-	for s.active.Load() > 0 && ctx.Err() == nil {
+	for s.active.Load() > s.unused.Load() && ctx.Err() == nil {
 		sleep(ctx, relayIdleCheck)
 	}
 }
--- a/internal/cicadaedge/spare.go
+++ b/internal/cicadaedge/spare.go
@@ -17,6 +17,8 @@
 	relayedSpareIdleTime = 200 * time.Millisecond
 	// minSpareLife bounds from below the time after which a runner is taken to close idle connections.
 	minSpareLife = 100 * time.Millisecond
+	// maxReplaceAge bounds the age at which a connection is replaced.
+	maxReplaceAge = 30 * time.Second
 )
 
 type (
@@ -219,7 +221,7 @@
 	if ended {
 		k.replaceAge = max(s.endedAt.Sub(s.establishedAt), minSpareLife) / 2
 	} else {
-		k.replaceAge += k.replaceAge / 4
+		k.replaceAge = min(k.replaceAge+k.replaceAge/4, maxReplaceAge)
 	}
 }
 
