--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -12,11 +12,15 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 )
 
-// noWitness is why a response that ended with its connection does not count as complete.
-const noWitness = "no other connection shows that the runner lives on"
-
-// endProofWitness is why a response that ended with its connection counts as complete.
-const endProofWitness = "another connection to the runner outlived it"
+const (
+	// noWitness is why a response that ended with its connection does not count as complete.
+	noWitness = "no other connection shows that the runner lives on"
+	// endProofWitness is why one does.
+	endProofWitness = "another connection to the runner outlived it"
+	// unframedMemory is how long a service whose responses ended with their connections is expected to send
+	// further ones.
+	unframedMemory = time.Minute
+)
 
 type (
 	// runnerConns are the open connections to a runner. An idle one that outlives the end of another shows
@@ -44,11 +48,8 @@
 	}
 )
 
-// unframedMemory is how long a service whose responses ended with their connections is expected to send
-// further ones.
-const unframedMemory = time.Minute
-
-// add adds a new connection. If an idle one is open, both belong to the same process.
+// add adds a new connection. If an idle one is open, both are taken to belong to the same process: an
+// address is given away only after its process has ended.
 func (c *runnerConns) add(conn *countedConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
