Tests of ended plain services send requests that differ

The refusal is right; the test is about answers. Its requests differ now, so that each of them reaches a service; what it checks stays.

--- a/internal/cicadarouter/router_test.go
+++ b/internal/cicadarouter/router_test.go
@@ -391,7 +391,8 @@
 	}
 	for i, r := range w.Routers()[:len(services)] {
 		header := map[string]string{"Authorization": "Bearer " + apiKey, "Idempotency-Key": baseURL(r)}
-		got := do(t, http.MethodPost, baseURL(r)+transferPath, "{}", header)
+		// Requests that are alike are put in quarantine after three ends.
+		got := do(t, http.MethodPost, baseURL(r)+transferPath, `{"n":`+strconv.Itoa(i)+`}`, header)
 		if got.status == http.StatusOK || got.problem.Ran != string(cicadarefusal.RunUnknown) {
 			t.Errorf("transfer %d: status %d, %q, ran %q", i, got.status, got.body, got.problem.Ran)
 		}
@@ -407,7 +408,8 @@
 	}
 	for i, r := range w.Routers() {
 		header := map[string]string{"Authorization": "Bearer " + apiKey, "Idempotency-Key": baseURL(r)}
-		got := do(t, http.MethodPost, baseURL(r)+transferPath, "{}", header)
+		// Requests that are alike are put in quarantine after three ends.
+		got := do(t, http.MethodPost, baseURL(r)+transferPath, `{"n":`+strconv.Itoa(i)+`}`, header)
 		if got.status == http.StatusOK || got.problem.Ran != string(cicadarefusal.RunUnknown) {
 			t.Errorf("transfer %d: status %d, %q, ran %q", i, got.status, got.body, got.problem.Ran)
 		}
