--- a/internal/cicadasoak/repeats_counted_test.go
+++ b/internal/cicadasoak/repeats_counted_test.go
@@ -20,6 +20,8 @@
 // one that the retry budget does not count.
 func TestRepeatIsNotCounted(t *testing.T) {
 	s := runWithAllFaults(t, &repeatRule{})
+	s.verifier.mu.Lock() // runners may still be at work
+	defer s.verifier.mu.Unlock()
 	for id, n := range s.verifier.arrivals {
 		if n > 1 {
 			t.Errorf("request %s arrived %d times, without a repeat in the budget", id, n)
@@ -30,6 +32,8 @@
 // TestRepeatBeyondTheMaximumOfRunners gives the routers more repeats than they can use.
 func TestRepeatBeyondTheMaximumOfRunners(t *testing.T) {
 	s := runWithAllFaults(t, &repeatRule{ratio: 10, slack: 100_000})
+	s.verifier.mu.Lock() // runners may still be at work
+	defer s.verifier.mu.Unlock()
 	maxRunners := map[kind]int{atMostOnce: 2, idempotent: 3, streaming: 2, resumable: 3} // as in writeConfig
 	counts := map[int]int{}
 	for id, n := range s.verifier.arrivals {
--- a/internal/cicadasoak/repeats_fleet_test.go
+++ b/internal/cicadasoak/repeats_fleet_test.go
@@ -104,6 +104,8 @@
 			}
 			test.fault(s)
 			callers.Wait()
+			s.verifier.mu.Lock() // runners may still be at work
+			defer s.verifier.mu.Unlock()
 			s.verifier.checkRepeats(t)
 		})
 	}
--- a/internal/cicadasoak/repeats_test.go
+++ b/internal/cicadasoak/repeats_test.go
@@ -56,6 +56,8 @@
 		}
 	}
 	callers.Wait()
+	s.verifier.mu.Lock() // runners may still be at work
+	defer s.verifier.mu.Unlock()
 	s.verifier.checkRepeats(t)
 }
 
