A connection to the successor of a runner is no witness

Callers got part of a response as a complete one (MIXED, ORDER) if the connections of an ended process ended one after the other while a successor accepted another one: an idle connection that was still open at that moment made both count as one process.

Whether an earlier connection is still open is asked 30 ms after the later one was established, when all of an ended process have ended.

--- a/internal/cicadaedge/busy_witness_test.go
+++ b/internal/cicadaedge/busy_witness_test.go
@@ -48,3 +48,48 @@
 		t.Errorf("part of a response looks complete: %q", res.body)
 	}
 }
+
+// The connections of a process that is gone end one after the other, while its successor accepts others.
+func TestConnectionToTheSuccessorLooksLikeOneToTheRunner(t *testing.T) {
+	t.Parallel()
+	for _, path := range paths {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			t.Parallel()
+			const refuseHeader = "X-Refuse"
+			f := newFleet(t)
+			ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &killableListener{Listener: ln}
+			answering, ended := make(chan net.Conn, 10), make(chan struct{})
+			f.addRawRunnerOn(r, func(c *rawConn, req *http.Request) bool {
+				if req.Header.Get(refuseHeader) != "" || req.Header.Get("X-After") != "" {
+					c.write(refusalBytes(req.Header.Get("X-Id")))
+					return true
+				}
+				c.write(unframedHeader + req.Header.Get("X-Id") + "\r\n\r\n" + unframedEvents[:len(unframedEvents)/2])
+				answering <- c.Conn
+				<-ended
+				return false
+			})
+			host := f.startHost(false)
+			got := make(chan response, 1)
+			go func() { got <- call(t, host, path, nil, "x") }()
+			conn := <-answering
+			r.mu.Lock()
+			before := r.conns
+			r.conns = nil
+			r.mu.Unlock()
+			_ = conn.(*net.TCPConn).CloseWrite()
+			call(t, host, "/once/", map[string]string{refuseHeader: "1"}, "x")
+			for _, c := range before {
+				_ = c.CloseWrite()
+			}
+			close(ended)
+			if res := <-got; res.status == http.StatusOK && res.err == nil {
+				t.Errorf("part of a response looks complete: %q", res.body)
+			}
+		})
+	}
+}
--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -17,6 +17,8 @@
 	noWitness = "no other connection shows that the runner lives on"
 	// endProofWitness is why one does.
 	endProofWitness = "another connection to the runner outlived it"
+	// witnessPeriod is the time in which all connections of a process that is gone end.
+	witnessPeriod = 30 * time.Millisecond
 	// unframedMemory is how long a service whose responses ended with their connections is expected to send
 	// further ones.
 	unframedMemory = time.Minute
@@ -48,21 +50,29 @@
 	}
 )
 
-// add adds a new connection. If an idle one is open, both are taken to belong to the same process: an
-// address is given away only after its process has ended.
+// add adds a new connection.
 func (c *runnerConns) add(conn *countedConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	conn.conns, conn.establishedAt, conn.processSince = c, now, now
+	c.open[conn] = struct{}{}
 	if c.spare.inUse() {
-		for other := range c.open {
-			if other.processSince.Before(conn.processSince) && other.shows(conn) {
-				conn.processSince = other.processSince
-			}
+		time.AfterFunc(witnessPeriod, func() { c.join(conn) })
+	}
+}
+
+// join finds out since when the process of a connection is known. If an idle one is open that was there
+// before, both are taken to belong to the same process: an address is given away only after its process
+// has ended, and all connections of that have ended witnessPeriod later.
+func (c *runnerConns) join(conn *countedConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for other := range c.open {
+		if other.processSince.Before(conn.processSince) && other.shows(conn) {
+			conn.processSince = other.processSince
 		}
 	}
-	c.open[conn] = struct{}{}
 }
 
 func (c *runnerConns) remove(conn *countedConn) {
