Test of a silent direct connection as a witness behind a relay; successors in one place

The review dropped the condition that a witness goes the same way as the response, and no test showed it. The two tests with a successor share how it starts.

--- a/internal/cicadaedge/hidden_end_test.go
+++ b/internal/cicadaedge/hidden_end_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -120,24 +122,7 @@
 			time.Sleep(100 * time.Millisecond)
 			addr := r.Addr().String()
 			_ = r.Close() // connections go on
-			ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", addr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			next := &rawRunner{}
-			t.Cleanup(func() { _ = ln.Close() })
-			go func() {
-				for {
-					conn, err := ln.Accept()
-					if err != nil {
-						return
-					}
-					go next.serveConn(&rawConn{Conn: conn, runner: next}, func(c *rawConn, req *http.Request) bool {
-						c.write(refusalBytes(req.Header.Get("X-Id")))
-						return true
-					})
-				}
-			}()
+			startSuccessor(t, addr, refusedHeader)
 			for range 3 {
 				call(t, host, "/once/", nil, "x")
 				time.Sleep(20 * time.Millisecond)
@@ -198,3 +183,55 @@
 	<-c.l.free
 	return err
 }
+
+// Connections that a cut has silenced stay open whatever becomes of the runner.
+func TestSilentDirectConnectionLooksLikeALivingRunnerBehindARelay(t *testing.T) {
+	t.Parallel()
+	for _, path := range paths {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			r, answering := f.addHalfRunner()
+			var cut atomic.Bool
+			var mu sync.Mutex
+			var conns []*unusedConn
+			host := f.waitReady(f.startNode("n1", func(cfg *cicadaedge.Config) {
+				cfg.DialRunner = func(ctx context.Context, network, addr string) (net.Conn, error) {
+					if cut.Load() {
+						return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.EHOSTUNREACH)}
+					}
+					conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+					if err != nil {
+						return nil, err
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					c := &unusedConn{TCPConn: conn.(*net.TCPConn)}
+					conns = append(conns, c)
+					return c, nil
+				}
+			}))
+			f.waitReady(f.startNode("n2"))
+			eventually(t, "the host knows the other one", func() bool { return host.RouterCount() == 2 })
+			var first sync.WaitGroup
+			first.Go(func() { call(t, host, "/stream/", nil, "x") }) // keeps a spare connection
+			defer first.Wait()
+			<-answering
+			cut.Store(true)
+			mu.Lock()
+			for _, c := range conns {
+				dropAll(t, c.TCPConn)
+			}
+			mu.Unlock()
+			got := make(chan response, 1)
+			go func() { got <- call(t, host, path, nil, "x") }()
+			<-answering
+			time.Sleep(50 * time.Millisecond) // the relay passes it on
+			r.kill(t)
+			close(r.ended)
+			if res := <-got; res.status == http.StatusOK && res.err == nil {
+				t.Errorf("part of a response looks complete: %q", res.body)
+			}
+		})
+	}
+}
--- a/internal/cicadaedge/replaced_runner_test.go
+++ b/internal/cicadaedge/replaced_runner_test.go
@@ -26,7 +26,13 @@
 	r.kill(t)
 	close(r.ended)
 	time.Sleep(pause)
-	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", r.Addr().String())
+	startSuccessor(t, r.Addr().String(), header)
+}
+
+// startSuccessor has another process accept connections at an address, which refuses with a header.
+func startSuccessor(t *testing.T, addr, header string) {
+	t.Helper()
+	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", addr)
 	if err != nil {
 		t.Error(err)
 		return
@@ -39,8 +45,8 @@
 			if err != nil {
 				return
 			}
-			go next.serveConn(&rawConn{Conn: conn, runner: next}, func(c *rawConn, _ *http.Request) bool {
-				c.write(header + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			go next.serveConn(&rawConn{Conn: conn, runner: next}, func(c *rawConn, req *http.Request) bool {
+				c.write(header + "X-Id: " + req.Header.Get("X-Id") + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 				return true
 			})
 		}
