A connection that shows whether a runner lives on, and cannot be opened, is logged

The errors of spare connections and of the older core's witnesses were dropped without a line, and a response is broken for them. Level debug, as a runner at its limit refuses each.

--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -182,12 +182,21 @@
 	c := ts.conns[r]
 	if c == nil {
 		c = &runnerConns{open: map[*countedConn]struct{}{}}
-		c.spare = newSpareKeeper(ts.dialer.rt.runTask, func(ctx context.Context) (*countedConn, error) { return ts.dial(ctx, r, c) })
+		c.spare = newSpareKeeper(ts.dialer.rt.runTask, func(ctx context.Context) (*countedConn, error) { return ts.dialSpare(ctx, r, c) })
 		ts.conns[r] = c
 	}
 	return c
 }
 
+// dialSpare opens a spare connection. It is refused by a runner at its limit of connections, for example.
+func (ts *runnerTransports) dialSpare(ctx context.Context, r *cicadaplace.Runner, c *runnerConns) (*countedConn, error) {
+	conn, err := ts.dial(ctx, r, c)
+	if err != nil {
+		ts.dialer.rt.cfg.Log.WithField("runner", r.ID()).WithError(err).Debug("failed to open a spare connection to a runner")
+	}
+	return conn, err
+}
+
 // dial opens a connection to a runner.
 func (ts *runnerTransports) dial(ctx context.Context, r *cicadaplace.Runner, c *runnerConns) (*countedConn, error) {
 	ts.metrics.Dials.Add(1)
--- a/internal/cicadarouter/witness.go
+++ b/internal/cicadarouter/witness.go
@@ -28,7 +28,8 @@
 func (r *Router) dialWitness(ctx context.Context, addr string) net.Conn {
 	conn, err := cicadanet.NewDialer(witnessDialTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil // the response is not confirmed if it needs to be
+		r.cfg.Log.WithField("runner", addr).WithError(err).Debug("failed to open a connection that shows whether the runner lives on")
+		return nil
 	}
 	return conn
 }
