--- a/internal/cicadacrash/detector.go
+++ b/internal/cicadacrash/detector.go
@@ -12,8 +12,9 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 )
 
-// collectionPeriod is the time in which the attempts that a crash breaks are collected.
-const collectionPeriod = 30 * time.Millisecond
+// CollectionPeriod is the time in which all connections of a process that is gone end, and the attempts that
+// a crash breaks are collected.
+const CollectionPeriod = 30 * time.Millisecond
 
 type (
 	// Broken are attempts at one runner that broke at the same time.
@@ -56,7 +57,7 @@
 	return &Detector[R]{cfg: cfg, pending: map[R]*Broken{}}
 }
 
-// Add adds attempts that broke at a runner. The runner is checked once collectionPeriod has passed.
+// Add adds attempts that broke at a runner. The runner is checked once CollectionPeriod has passed.
 func (d *Detector[R]) Add(runner R, b *Broken) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -66,7 +67,7 @@
 	}
 	d.pending[runner] = b
 	d.cfg.Go(func() {
-		time.Sleep(collectionPeriod)
+		time.Sleep(CollectionPeriod)
 		d.cfg.Check(runner, d.take(runner))
 	})
 }
--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -17,8 +17,6 @@
 	noWitness = "no other connection shows that the runner lives on"
 	// endProofWitness is why one does.
 	endProofWitness = "another connection to the runner outlived it"
-	// witnessPeriod is the time in which all connections of a process that is gone end.
-	witnessPeriod = 30 * time.Millisecond
 	// unframedMemory is how long a service whose responses ended with their connections is expected to send
 	// further ones.
 	unframedMemory = time.Minute
@@ -58,13 +56,13 @@
 	conn.conns, conn.establishedAt, conn.processSince = c, now, now
 	c.open[conn] = struct{}{}
 	if c.spare.inUse() {
-		time.AfterFunc(witnessPeriod, func() { c.join(conn) })
+		time.AfterFunc(cicadacrash.CollectionPeriod, func() { c.join(conn) })
 	}
 }
 
 // join finds out since when the process of a connection is known. If an idle one is open that was there
 // before, both are taken to belong to the same process: an address is given away only after its process
-// has ended, and all connections of that have ended witnessPeriod later.
+// has ended, and all connections of that have ended CollectionPeriod later.
 func (c *runnerConns) join(conn *countedConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cicadanet/conn.go
+++ b/internal/cicadanet/conn.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -17,8 +16,6 @@
 	endCheckInterval = 5 * time.Millisecond
 	// maxEndSilence is how long the peer of an ended connection may acknowledge nothing.
 	maxEndSilence = defaultUserTimeout
-	// tcpClose is the kernel's state of a connection that was reset or timed out, TCP_CLOSE.
-	tcpClose = 7
 )
 
 type (
@@ -169,11 +166,7 @@
 
 // state reads the kernel's state. That takes no error from the socket.
 func (c *Conn) state() (connState, error) {
-	var info *unix.TCPInfo
-	err := c.control("TCP_INFO", func(fd int) (err error) {
-		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		return err
-	})
+	info, err := tcpInfo(c.raw)
 	if err != nil {
 		return connState{}, err
 	}
--- a/internal/cicadanet/state.go
+++ b/internal/cicadanet/state.go
@@ -4,11 +4,15 @@
 	"net"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
-// tcpEstablished is the state of a connection that neither side has closed.
-const tcpEstablished = 1
+// The kernel's states of a TCP connection.
+const (
+	tcpEstablished = 1 // neither side has closed it
+	tcpClose       = 7 // it was reset or has timed out
+)
 
 // IsEstablished reports whether neither side has closed a TCP connection, as far as the kernel knows.
 // It is false if the state cannot be told. Connections that wrap another one return it from a method
@@ -29,10 +33,24 @@
 	if err != nil {
 		return false
 	}
-	established := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		established = err == nil && info.State == tcpEstablished
+	info, err := tcpInfo(raw)
+	return err == nil && info.State == tcpEstablished
+}
+
+// tcpInfo reads the kernel's state of a TCP connection. That takes no error from the socket.
+func tcpInfo(raw syscall.RawConn) (info *unix.TCPInfo, err error) {
+	err = control(raw, "TCP_INFO", func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
 	})
-	return err == nil && established
+	return info, err
+}
+
+// control calls f with a socket, for an option.
+func control(raw syscall.RawConn, option string, f func(fd int) error) error {
+	var optErr error
+	if err := raw.Control(func(fd uintptr) { optErr = f(int(fd)) }); err != nil {
+		return errors.Wrap(err, "access socket")
+	}
+	return errors.Wrap(optErr, option)
 }
--- a/internal/cicadanet/watch.go
+++ b/internal/cicadanet/watch.go
@@ -96,7 +96,7 @@
 
 func (c *Conn) userTimeout() (time.Duration, error) {
 	var ms int
-	err := c.control("TCP_USER_TIMEOUT", func(fd int) (err error) {
+	err := control(c.raw, "TCP_USER_TIMEOUT", func(fd int) (err error) {
 		ms, err = unix.GetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
 		return err
 	})
@@ -104,16 +104,7 @@
 }
 
 func (c *Conn) setUserTimeout(d time.Duration) error {
-	return c.control("TCP_USER_TIMEOUT", func(fd int) error {
+	return control(c.raw, "TCP_USER_TIMEOUT", func(fd int) error {
 		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 }
-
-// control calls f with the socket, for an option.
-func (c *Conn) control(option string, f func(fd int) error) error {
-	var optErr error
-	if err := c.raw.Control(func(fd uintptr) { optErr = f(int(fd)) }); err != nil {
-		return errors.Wrap(err, "access socket")
-	}
-	return errors.Wrap(optErr, option)
-}
--- a/internal/cicadarouter/witness.go
+++ b/internal/cicadarouter/witness.go
@@ -11,13 +11,8 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	// witnessPeriod is the time after the end of a response in which all connections of a process that is
-	// gone end.
-	witnessPeriod = 30 * time.Millisecond
-	// witnessDialTimeout bounds the wait for a witness. It is several round trips between data centres.
-	witnessDialTimeout = 50 * time.Millisecond
-)
+// witnessDialTimeout bounds the wait for a witness. It is several round trips between data centres.
+const witnessDialTimeout = 50 * time.Millisecond
 
 // errNoWitness is why a response that ended with its connection does not count as complete.
 var errNoWitness = errors.New("no other connection shows that the runner lives on")
@@ -47,7 +42,7 @@
 		return nil
 	}
 	ctx := resp.Request.Context()
-	timer := time.NewTimer(witnessPeriod)
+	timer := time.NewTimer(cicadacrash.CollectionPeriod)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
