--- a/internal/cicadasoak/process_test.go
+++ b/internal/cicadasoak/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -30,18 +29,16 @@
 		fmt.Fprintln(os.Stderr, serveUnframed(addr))
 		os.Exit(1)
 	}
+	if addr := os.Getenv(crashAddrVariable); addr != "" {
+		fmt.Fprintln(os.Stderr, serveCrashing(addr))
+		os.Exit(1)
+	}
 	os.Exit(m.Run())
 }
 
 // serveUnframed serves requests with responses that end with their connections.
 func serveUnframed(addr string) error {
-	var ln net.Listener
-	var err error
-	for end := time.Now().Add(processListenTime); ; time.Sleep(time.Millisecond) {
-		if ln, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr); err == nil || time.Now().After(end) {
-			break
-		}
-	}
+	ln, err := listenPatiently(addr)
 	if err != nil {
 		return err
 	}
