Quarantine: requests that wait are suspected beside answers that have begun

Callers saw sound requests refused as in quarantine, and broken streams, while the request that crashed the runners went on being forwarded. Under load a runner has always begun to answer something, and then what waited did not count, so the traits of sound requests were blamed.

All suspects count now. Those that wait beside others that have begun need one incident more, and a trait that many requests share is no likelier than one that explains as many incidents with fewer suspects.

TestAnswersThatHaveBegunAreBlamedForARequestThatWaits fails before ({shared} after two and three crashes).

--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -76,7 +76,7 @@
 
 	// Suspects are the suspects of one crash. A runner is more likely to crash over a request that it
 	// has just begun to answer than over one that is waiting or whose prompt it is still reading.
-	// Therefore the latter count only if there is none of the former.
+	// Therefore the latter need more incidents if there are some of the former.
 	Suspects struct {
 		Begun   []Suspect `json:"begun,omitempty"`   // the answer had just begun
 		Waiting []Suspect `json:"waiting,omitempty"` // the answer had not begun
--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -251,6 +251,25 @@
 	}
 }
 
+// The cause crashes its runner before its answer begins. Of the requests that share a part, some have begun at
+// any time.
+func TestAnswersThatHaveBegunAreBlamedForARequestThatWaits(t *testing.T) {
+	t.Parallel()
+	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	var got [][][]cicadaquarantine.Trait
+	for i := range 3 {
+		own := func(name string) cicadaquarantine.Trait { return cicadaquarantine.Trait(fmt.Sprint(name, i)) }
+		record(q, crash{
+			fmt.Sprint("r", i), time.Duration(i+1) * time.Second,
+			[]traits{{"shared", own("x")}, {"shared", own("y")}}, []traits{{"shared", "harmful"}, {own("z")}},
+		})
+		got = append(got, blocked(q))
+	}
+	if diff := cmp.Diff([][][]cicadaquarantine.Trait{nil, nil, {{"harmful"}}}, got); diff != "" {
+		t.Errorf("blocks after each crash (-want +got):\n%s", diff)
+	}
+}
+
 // Half of 18 runners crash together three times; requests with one of 60 rare traits are not answered.
 func TestUnrelatedWavesOfCrashesRefuseSoundRequests(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaquarantine/suspects.go
+++ b/internal/cicadaquarantine/suspects.go
@@ -37,8 +37,8 @@
 	return n
 }
 
-// counting returns the suspects that count.
-func (s *Suspects) counting() []Suspect {
+// likely returns the suspects whose answers had just begun, or else those that waited.
+func (s *Suspects) likely() []Suspect {
 	if len(s.Begun) > 0 {
 		return s.Begun
 	}
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -19,7 +19,17 @@
 		traits    []Trait
 		crashes   []int // indices of the crashes that the traits explain, ascending
 		incidents int   // number of the incidents that the crashes belong to
-		suspects  []int // numbers of the suspects that have the traits, ascending
+		// likelyCrashes are those of the crashes in which likely suspects have the traits, and likely is the
+		// number of the incidents that they belong to.
+		likelyCrashes []int
+		likely        int
+		suspects      []int // numbers of the suspects that have the traits, ascending
+	}
+
+	// explanation holds the crashes that a trait explains, ascending.
+	explanation struct {
+		crashes []int
+		likely  []int // those in which a likely suspect has the trait
 	}
 
 	// timeline holds the crashes in their order, with the incident that each belongs to.
@@ -124,12 +134,12 @@
 			break
 		}
 		ttl := blockTTL
-		if best.incidents == q.cfg.Threshold {
+		if best.support() == q.cfg.Threshold {
 			ttl = probationPeriod
 		}
 		blocks = append(blocks, tl.block(best.traits, ttl))
-		for t, list := range explained {
-			explained[t] = slices.DeleteFunc(list, func(i int) bool { return slices.Contains(best.crashes, i) })
+		for _, e := range explained {
+			e.explainBy(best)
 		}
 	}
 	slices.SortFunc(blocks, func(a, b Block) int {
@@ -144,7 +154,7 @@
 func (q *Quarantine) bestGroup(groups []group) *group {
 	for i := range groups {
 		g := &groups[i]
-		if !slices.ContainsFunc(groups, func(o group) bool { return g.isRivalOf(&o) && !g.isLikelierThan(&o) }) {
+		if g.support() >= q.cfg.Threshold && !slices.ContainsFunc(groups, func(o group) bool { return g.isRivalOf(&o) && !g.isLikelierThan(&o) }) {
 			return g
 		}
 	}
@@ -154,6 +164,10 @@
 	return nil
 }
 
+// support returns the number of incidents that count in full. A trait of requests whose answers had not
+// begun, beside others that had, needs one incident more: among all that wait, some are there by chance.
+func (g *group) support() int { return max(g.likely, g.incidents-1) }
+
 // isRivalOf reports whether another group explains a crash that g explains.
 func (g *group) isRivalOf(o *group) bool {
 	return g.traits[0] != o.traits[0] && countCommon(g.crashes, o.crashes) > 0
@@ -161,7 +175,9 @@
 
 // isLikelierThan reports whether g is more likely to be the cause than o. If each suspect with the
 // one has the other too, it is the more special one, unless the other one explains wideMargin
-// incidents more: a widely shared trait is in some crashes by chance.
+// incidents more: a widely shared trait is in some crashes by chance. Between traits that explain equally
+// many incidents, one is likelier only if it has more likely suspects and no more suspects: a trait that
+// many requests share has begun to be answered at each runner.
 func (g *group) isLikelierThan(o *group) bool {
 	margin := g.incidents - o.incidents
 	switch common := countCommon(g.suspects, o.suspects); common {
@@ -170,7 +186,7 @@
 	case len(o.suspects):
 		return margin >= wideMargin
 	default:
-		return margin > 0
+		return margin > 0 || margin == 0 && g.likely > o.likely && len(g.suspects) <= len(o.suspects)
 	}
 }
 
@@ -224,19 +240,29 @@
 // explainedCrashes returns the crashes that each trait explains: those of runners that were serving it,
 // in incidents in which at least half of the runners that crashed were. Two crashes at the same moment
 // may have different causes.
-func (tl *timeline) explainedCrashes() map[Trait][]int {
-	out := map[Trait][]int{}
+func (tl *timeline) explainedCrashes() map[Trait]*explanation {
+	out := map[Trait]*explanation{}
 	for from := 0; from < len(tl.crashes); {
 		to := from
-		served := map[Trait][]int{}
+		served := map[Trait]*explanation{}
 		for ; to < len(tl.crashes) && tl.incident[to] == tl.incident[from]; to++ {
-			for t := range tl.crashes[to].traits() {
-				served[t] = append(served[t], to)
+			for t, likely := range tl.crashes[to].traits() {
+				if served[t] == nil {
+					served[t] = &explanation{}
+				}
+				served[t].add(to, likely)
 			}
 		}
-		for t, list := range served {
-			if 2*len(list) >= to-from {
-				out[t] = append(out[t], list...)
+		for t, e := range served {
+			if 2*len(e.crashes) < to-from {
+				continue
+			}
+			if out[t] == nil {
+				out[t] = &explanation{}
+			}
+			out[t].crashes = append(out[t].crashes, e.crashes...)
+			if 2*len(e.likely) >= to-from {
+				out[t].likely = append(out[t].likely, e.likely...)
 			}
 		}
 		from = to
@@ -244,10 +270,40 @@
 	return out
 }
 
-// traits returns the traits of the suspects that count.
+func (e *explanation) add(crash int, likely bool) {
+	e.crashes = append(e.crashes, crash)
+	if likely {
+		e.likely = append(e.likely, crash)
+	}
+}
+
+// explainBy removes the crashes that a group explains. If the trait explains another crash as well, one that
+// the group explains only by requests that waited may have been a second cause's.
+func (e *explanation) explainBy(g *group) {
+	hasOther := slices.ContainsFunc(e.likely, func(i int) bool { return !slices.Contains(g.crashes, i) })
+	likely := slices.Clone(e.likely)
+	isExplained := func(i int) bool {
+		switch {
+		case !slices.Contains(g.crashes, i):
+			return false
+		case slices.Contains(g.likelyCrashes, i):
+			return true
+		default:
+			return !hasOther || !slices.Contains(likely, i)
+		}
+	}
+	e.crashes, e.likely = slices.DeleteFunc(e.crashes, isExplained), slices.DeleteFunc(e.likely, isExplained)
+}
+
+// traits returns the traits of the suspects, and whether a likely one has them.
 func (c *Crash) traits() map[Trait]bool {
 	out := map[Trait]bool{}
-	for _, s := range c.counting() {
+	for _, s := range c.all() {
+		for _, t := range s {
+			out[t] = false
+		}
+	}
+	for _, s := range c.likely() {
 		for _, t := range s {
 			out[t] = true
 		}
@@ -255,22 +311,27 @@
 	return out
 }
 
-// groups returns the traits that explain at least a number of incidents. Groups with more incidents
+// groups returns the traits that explain at least a number of incidents, of which some may have too little
+// support. Groups with more incidents
 // come first, and among equals those with fewer suspects: if such a group is the wrong one, fewer
 // requests are refused, and the next crash shows it.
-func (tl *timeline) groups(explained map[Trait][]int, atLeast int) []group {
+func (tl *timeline) groups(explained map[Trait]*explanation, atLeast int) []group {
 	var groups []group
 	byEvidence := map[string]int{} // index in groups
 	for _, t := range slices.Sorted(maps.Keys(explained)) {
-		incidents := tl.countIncidents(explained[t])
+		crashes := explained[t].crashes
+		incidents := tl.countIncidents(crashes)
 		if incidents < atLeast {
 			continue
 		}
-		evidence := fmt.Sprint(explained[t], tl.suspects[t])
+		evidence := fmt.Sprint(crashes, tl.suspects[t])
 		i, ok := byEvidence[evidence]
 		if !ok {
 			byEvidence[evidence] = len(groups)
-			groups = append(groups, group{traits: []Trait{t}, crashes: slices.Clone(explained[t]), incidents: incidents, suspects: tl.suspects[t]})
+			groups = append(groups, group{
+				traits: []Trait{t}, crashes: slices.Clone(crashes), incidents: incidents,
+				likelyCrashes: slices.Clone(explained[t].likely), likely: tl.countIncidents(explained[t].likely), suspects: tl.suspects[t],
+			})
 			continue
 		}
 		groups[i].traits = append(groups[i].traits, t)
@@ -297,7 +358,7 @@
 	b := Block{Traits: traits}
 	for i := range tl.crashes {
 		c := &tl.crashes[i]
-		if !c.traits()[traits[0]] {
+		if _, ok := c.traits()[traits[0]]; !ok {
 			continue
 		}
 		if len(b.Runners) == 0 {
