Crashes: a runner that is back at once is seen to have crashed

Callers saw broken streams for as long as a request came that crashes runners: a runner that listens again within 30 ms was dialled and accepted, so none of its crashes counted (72 crashes, 57 late arrivals in 24 s; no crash logged).

A crash is now told by connections that end together, an idle one in order among them, without a dial. Connections that broke without that sign are kept: the entry of a successor, or another router's report of a crash at that moment, confirms them. Resets and answers that are broken off stay apart.

--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -130,7 +130,7 @@
 	b := &cicadacrash.Broken{At: time.Now(), RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", OnResult: onResult}
 	suspect := []cicadaquarantine.Suspect{x.allTraits()}
 	switch {
-	case errors.Is(x.rt.balancer.Unavailability(p.Runner(), b.At), cicadaplace.ErrDraining):
+	case errors.Is(x.rt.balancer.Unavailability(p.Runner(), b.At), cicadaplace.ErrDraining) && !x.rt.balancer.HasRestarted(p.Runner()):
 		// It was about to end, whatever it served.
 		if b.Leaving = true; len(onResult) == 0 {
 			return
--- a/internal/cicadaedge/tables.go
+++ b/internal/cicadaedge/tables.go
@@ -169,6 +169,9 @@
 	if c.Stale() {
 		rt.cfg.Metrics.Errors.Add("runnerStale", 1)
 	}
+	if r := c.Ended(); r != nil {
+		rt.confirmCrash(r)
+	}
 	if r := c.Removed(); r != nil {
 		rt.transports.remove(r)
 	}
--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -17,6 +17,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadaadmission"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -62,6 +63,7 @@
 		relay   string // name of the router that the connection goes through; empty for none
 		written atomic.Int64
 		retired atomic.Bool
+		ended   atomic.Bool  // by the runner or the network
 		usedAt  atomicTime   // when the last request was assigned to it
 		users   atomic.Int32 // requests assigned to it whose responses were not read to the end
 		// Set by runnerConns.add. The runner's process is known to be the same since processSince.
@@ -111,6 +113,9 @@
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.link.RecordReceived(n, time.Now())
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.conns.recordEnd(c, errors.Is(err, io.EOF))
+	}
 	return n, err
 }
 
--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,9 @@
 	noWitness = "no other connection shows that the runner lives on"
 	// endProofWitness is why one does.
 	endProofWitness = "another connection to the runner outlived it"
+	// endMemory is how long the ends of connections are kept. They are asked for CollectionPeriod after the
+	// first of them.
+	endMemory = 10 * cicadacrash.CollectionPeriod
 	// unframedMemory is how long a service whose responses ended with their connections is expected to send
 	// further ones.
 	unframedMemory = time.Minute
@@ -29,8 +33,16 @@
 	runnerConns struct {
 		spare *spareKeeper
 
-		mu   sync.Mutex // guards open
+		mu   sync.Mutex // guards the fields below
 		open map[*countedConn]struct{}
+		ends []connEnd // by the runner, within endMemory
+	}
+
+	// connEnd is the end of a direct connection to a runner.
+	connEnd struct {
+		at      time.Time
+		idle    bool // no response was due on it
+		inOrder bool // not by a reset or a time-out
 	}
 
 	// framingHistory is what is known of the responses of a service.
@@ -79,6 +91,51 @@
 	delete(c.open, conn)
 }
 
+// recordEnd records that the runner has ended a connection, or that it has failed.
+func (c *runnerConns) recordEnd(conn *countedConn, inOrder bool) {
+	if conn.relay != "" || conn.ended.Swap(true) {
+		return
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ends = slices.DeleteFunc(c.ends, func(e connEnd) bool { return now.Sub(e.at) > endMemory })
+	c.ends = append(c.ends, connEnd{at: now, idle: conn.users.Load() == 0, inOrder: inOrder})
+}
+
+// processEnded reports whether the process behind the connections ended around a time: all of them ended
+// then, and an idle one in order among them. A runner that lives on ends connections one by one, and a
+// network resets them. The runner's address may accept connections of its successor already.
+func (c *runnerConns) processEnded(at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count, idle, first := 0, 0, at
+	for _, e := range c.ends {
+		if e.at.Sub(at).Abs() > cicadacrash.CollectionPeriod {
+			continue
+		}
+		count++
+		if e.at.Before(first) {
+			first = e.at
+		}
+		if e.idle {
+			if !e.inOrder {
+				return false
+			}
+			idle++
+		}
+	}
+	if count < 2 || idle == 0 {
+		return false
+	}
+	for conn := range c.open {
+		if conn.relay == "" && conn.establishedAt.Before(first) && !conn.ended.Load() && cicadanet.IsEstablished(conn.Conn) {
+			return false
+		}
+	}
+	return true
+}
+
 // outlived reports whether the process that has answered on an ended connection is known to live on.
 func (c *runnerConns) outlived(ended *countedConn) bool {
 	now := time.Now()
@@ -173,6 +230,14 @@
 	}
 }
 
+// processEnded reports whether a runner's process is known to have ended around a time, by its connections.
+func (ts *runnerTransports) processEnded(r *cicadaplace.Runner, at time.Time) bool {
+	ts.mu.Lock()
+	c := ts.conns[r]
+	ts.mu.Unlock()
+	return c != nil && c.processEnded(at)
+}
+
 // connsOf returns the connections to a runner.
 func (ts *runnerTransports) connsOf(r *cicadaplace.Runner) *runnerConns {
 	ts.mu.Lock()
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -193,6 +193,7 @@
 		b.limitWarmup(old, e.WarmupRemaining, now)
 		return Change{id: e.ID, changed: changed}
 	}
+	ended := b.endedBy(&e)
 	if old != nil {
 		b.removeLocked(old, now)
 	}
@@ -205,7 +206,21 @@
 	b.byID[e.ID] = r
 	b.services[e.Service] = append(b.services[e.Service], r)
 	b.recordVersion(r, now)
-	return Change{id: e.ID, removed: old, changed: true}
+	return Change{id: e.ID, removed: old, ended: ended, changed: true}
+}
+
+// endedBy returns the runner whose end the entry of a new one shows, see Change.Ended.
+func (b *Balancer) endedBy(e *Entry) *Runner {
+	if old := b.byID[e.ID]; old != nil && old.entry.StartMillis < e.StartMillis && !old.entry.Draining {
+		return old
+	}
+	for _, r := range b.byID {
+		// The successor may have answered for it, which looks like draining.
+		if r.entry.Addr == e.Addr && r.entry.ID != e.ID && !r.entry.Draining {
+			return r
+		}
+	}
+	return nil
 }
 
 // recordVersion records that a runner has its version of the software.
@@ -286,6 +301,15 @@
 	r.failures, r.ejections, r.ejectedUntil = 0, 0, time.Time{}
 }
 
+// HasRestarted reports whether another start of a runner took its place under the same id although it was
+// not draining.
+func (b *Balancer) HasRestarted(r *Runner) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := b.byID[r.entry.ID]
+	return r.removed && !r.entry.Draining && !r.draining && next != nil && next.entry.StartMillis > r.entry.StartMillis
+}
+
 // Len returns the number of runners in use.
 func (b *Balancer) Len() int {
 	b.mu.Lock()
--- a/internal/cicadaplace/hold.go
+++ b/internal/cicadaplace/hold.go
@@ -19,6 +19,7 @@
 	changed bool
 	held    bool
 	stale   bool
+	ended   *Runner
 }
 
 // ID returns the id of the runner.
@@ -27,6 +28,10 @@
 // Removed returns the runner that was removed or replaced, or nil.
 func (c *Change) Removed() *Runner { return c.removed }
 
+// Ended returns the runner that has ended without draining, as the entry shows: it has started again under
+// the same id, or another one has its address. It returns nil if there is none.
+func (c *Change) Ended() *Runner { return c.ended }
+
 // Changed reports whether the runner was added, removed or replaced, or its draining or held
 // state changed.
 func (c *Change) Changed() bool { return c.changed }
--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -125,6 +125,7 @@
 		crashes map[string]*crash       // by runner
 		cleared map[Trait]clearance     // of crashes before a time
 		answers map[Trait]time.Duration // start of the last answer seen by this router
+		broken  map[string]brokenRunner // by runner; those that are not known to have crashed
 	}
 
 	// crash is a crash with the evidence of all routers.
@@ -152,7 +153,7 @@
 	if cfg.Threshold == 0 {
 		cfg.Threshold = defaultThreshold
 	}
-	q := &Quarantine{cfg: cfg, crashes: map[string]*crash{}, cleared: map[Trait]clearance{}, answers: map[Trait]time.Duration{}}
+	q := &Quarantine{cfg: cfg, crashes: map[string]*crash{}, cleared: map[Trait]clearance{}, answers: map[Trait]time.Duration{}, broken: map[string]brokenRunner{}}
 	q.blocks.Store(&[]Block{})
 	return q
 }
--- a/internal/cicadaquarantine/report.go
+++ b/internal/cicadaquarantine/report.go
@@ -40,8 +40,9 @@
 		if own {
 			c.own.add(&r.Suspects)
 		}
+		joined := !own && q.joinCrash(r.Runner, c)
 		_, mustReport := q.applyAnswers(c.suspects.all())
-		changed = changed || mustReport
+		changed = changed || mustReport || joined
 	}
 	for t, ms := range report.Cleared {
 		q.mergeClearance(t, time.Duration(ms)*time.Millisecond, own)
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -176,8 +176,9 @@
 // isLikelierThan reports whether g is more likely to be the cause than o. If each suspect with the
 // one has the other too, it is the more special one, unless the other one explains wideMargin
 // incidents more: a widely shared trait is in some crashes by chance. Between traits that explain equally
-// many incidents, one is likelier only if it has more likely suspects and no more suspects: a trait that
-// many requests share has begun to be answered at each runner.
+// many incidents, the one with more likely suspects is likelier. If the other one has none, it may crash
+// runners before its answers begin: then it has to have fewer suspects besides, as something that many
+// requests share has begun at each runner.
 func (g *group) isLikelierThan(o *group) bool {
 	margin := g.incidents - o.incidents
 	switch common := countCommon(g.suspects, o.suspects); common {
@@ -186,7 +187,7 @@
 	case len(o.suspects):
 		return margin >= wideMargin
 	default:
-		return margin > 0 || margin == 0 && g.likely > o.likely && len(g.suspects) <= len(o.suspects)
+		return margin > 0 || margin == 0 && g.likely > o.likely && (o.likely > 0 || len(g.suspects) < len(o.suspects))
 	}
 }
 
