--- a/internal/cicadasoak/process_test.go
+++ b/internal/cicadasoak/process_test.go
@@ -22,6 +22,9 @@
 	processInterval     = 50 * time.Millisecond
 	// processListenTime bounds the wait for an address that the process before has.
 	processListenTime = 5 * time.Second
+	// processID is the id of each process, which it states at processHealthPath.
+	processID         = "i-0"
+	processHealthPath = "/health"
 )
 
 func TestMain(m *testing.M) {
@@ -57,6 +60,10 @@
 	if err != nil {
 		return
 	}
+	if req.URL.Path == processHealthPath {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRunner-Id: %s\r\nContent-Length: 0\r\n\r\n", processID)
+		return
+	}
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n", req.Header.Get("Request-Id"))
 	for n := range processEvents {
 		fmt.Fprintf(conn, "%s", streamEvent("x", n+1))
@@ -92,8 +99,20 @@
 	return string(body), err == nil && resp.StatusCode == http.StatusOK
 }
 
-// The process is there again before the router can find its address empty.
+// The process is there again before the router can find its address empty. It may state its id, which is that
+// of the process before.
 func TestRestartedRunnerProcessCompletesItsResponses(t *testing.T) {
+	binary := buildRouter(t)
+	for name, healthPath := range map[string]string{"no statement": "", "the successor states the same id": processHealthPath} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkRestartedProcess(t, binary, healthPath)
+		})
+	}
+}
+
+func checkRestartedProcess(t *testing.T, binary, healthPath string) {
+	t.Helper()
 	s := &soak{t: t, verifier: newVerifier(), store: newStore(t, 1)}
 	kinds := []string{"idempotent", "non_idempotent", "streaming", "resumable"}
 	var routes []any
@@ -108,15 +127,15 @@
 		routes = append(routes, route)
 	}
 	s.store.putRow("op", "config", map[string]any{
-		"Version": 1, "Routes": routes, "Services": []any{map[string]any{"Name": "svc", "MaxConns": 200}},
+		"Version": 1, "Routes": routes, "Services": []any{map[string]any{"Name": "svc", "MaxConns": 200, "HealthPath": healthPath}},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 20000},
 	})
 	addr := freeAddr(t)
-	s.store.putRow("servers", "i-0", map[string]any{
+	s.store.putRow("servers", processID, map[string]any{
 		"Service": "svc", "Address": addr, "Zone": "z", "Version": "1", "Slots": 32, "State": "ready", "Seq": 1,
 	})
 	process := startProcess(t, addr)
-	s.addRouter(buildRouter(t), t.TempDir())
+	s.addRouter(binary, t.TempDir())
 	whole := func() bool {
 		body, complete := s.callProcess("/streaming/", "ready")
 		return complete && strings.Count(body, "\n\n") == processEvents
