Test of connection ends: the write is in progress before the connection ends

Traced: under load the write had not begun after 50 ms, so the read returned at once, as it should, and the reset came after the end of the test.

--- a/internal/cicadanet/conn_test.go
+++ b/internal/cicadanet/conn_test.go
@@ -12,6 +12,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"golang.org/x/sys/unix"
 )
 
 // largeWriteBytes is more than the buffers of a connection hold.
@@ -48,17 +49,42 @@
 	return (&net.Dialer{}).DialContext(ctx, network, addr)
 }
 
-// writeLarge writes more than the peer takes without reading. The channel receives the error.
-func writeLarge(conn net.Conn) <-chan error {
+// writeLarge writes more than the peer takes without reading. It returns while the write is in progress. The
+// channel receives the error.
+func writeLarge(t *testing.T, conn net.Conn, peer *net.TCPConn) <-chan error {
+	t.Helper()
+	done := startLargeWrite(conn)
+	for unread(t, peer) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond) // the buffers are full
+	return done
+}
+
+// startLargeWrite starts a write of more than the peer takes without reading. The channel receives the error.
+func startLargeWrite(conn net.Conn) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		_, err := conn.Write(make([]byte, largeWriteBytes))
 		done <- err
 	}()
-	time.Sleep(50 * time.Millisecond) // the buffers are full
 	return done
 }
 
+// unread returns the number of bytes that a connection has received and that were not read.
+func unread(t *testing.T, conn *net.TCPConn) int {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	if ctlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); ctlErr != nil || err != nil {
+		t.Fatal(ctlErr, err)
+	}
+	return n
+}
+
 func reset(t *testing.T, conn *net.TCPConn) {
 	t.Helper()
 	if err := conn.SetLinger(0); err != nil {
@@ -76,7 +102,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			conn, peer := connPair(t, dial)
-			done := writeLarge(conn)
+			done := writeLarge(t, conn, peer)
 			reset(t, peer)
 			if err := <-done; !errors.Is(err, syscall.ECONNRESET) {
 				t.Fatalf("write: %v", err)
@@ -109,6 +135,17 @@
 	}
 }
 
+// later calls f in 300 ms. The test ends after it, and closes its connections after that.
+func later(t *testing.T, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	t.Cleanup(func() { <-done })
+	time.AfterFunc(300*time.Millisecond, func() {
+		defer close(done)
+		f()
+	})
+}
+
 func TestConnEnds(t *testing.T) {
 	t.Parallel()
 	for _, tt := range []struct {
@@ -126,22 +163,22 @@
 			time.Sleep(50 * time.Millisecond)
 			_ = peer.Close()
 		}, syscall.ECONNRESET},
-		{"closed in order with all read later", func(_ *testing.T, conn net.Conn, peer *net.TCPConn) {
-			writeLarge(conn)
+		{"closed in order with all read later", func(t *testing.T, conn net.Conn, peer *net.TCPConn) {
+			writeLarge(t, conn, peer)
 			_ = peer.CloseWrite()
 			time.AfterFunc(300*time.Millisecond, func() { _, _ = io.Copy(io.Discard, peer) })
 		}, io.EOF},
 		{"closed in order and reset later", func(t *testing.T, conn net.Conn, peer *net.TCPConn) {
-			writeLarge(conn)
+			writeLarge(t, conn, peer)
 			_ = peer.CloseWrite()
-			time.AfterFunc(300*time.Millisecond, func() { reset(t, peer) })
+			later(t, func() { reset(t, peer) })
 		}, io.ErrUnexpectedEOF},
-		{"closed in order and nothing read", func(_ *testing.T, conn net.Conn, peer *net.TCPConn) {
-			writeLarge(conn)
+		{"closed in order and nothing read", func(t *testing.T, conn net.Conn, peer *net.TCPConn) {
+			writeLarge(t, conn, peer)
 			_ = peer.CloseWrite()
 		}, io.ErrUnexpectedEOF},
-		{"closed in order and given up meanwhile", func(_ *testing.T, conn net.Conn, peer *net.TCPConn) {
-			writeLarge(conn)
+		{"closed in order and given up meanwhile", func(t *testing.T, conn net.Conn, peer *net.TCPConn) {
+			writeLarge(t, conn, peer)
 			_ = peer.CloseWrite()
 			time.AfterFunc(300*time.Millisecond, func() { _ = conn.Close() })
 		}, io.ErrUnexpectedEOF},
--- a/internal/cicadanet/watch_test.go
+++ b/internal/cicadanet/watch_test.go
@@ -42,7 +42,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			conn, peer := dialWatched(t, watchedUserTimeout)
-			done := writeLarge(conn)
+			done := writeLarge(t, conn, peer)
 			served := make(chan error, 1)
 			go func() {
 				for range steps {
@@ -89,7 +89,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			conn, peer := dialWatched(t, 0)
-			done := writeLarge(conn)
+			done := writeLarge(t, conn, peer)
 			read := make(chan error, 1)
 			go func() {
 				_, err := io.Copy(io.Discard, conn)
@@ -138,17 +138,17 @@
 		},
 		"before a large write": func(t *testing.T, conn net.Conn, peer *net.TCPConn) {
 			cutLink(t, peer)
-			writeLarge(conn)
+			startLargeWrite(conn)
 		},
 		"while the peer reads": func(t *testing.T, conn net.Conn, peer *net.TCPConn) {
-			writeLarge(conn)
+			writeLarge(t, conn, peer)
 			if _, err := io.CopyN(io.Discard, peer, 4<<20); err != nil {
 				t.Error(err)
 			}
 			cutLink(t, peer)
 		},
 		"with a full window": func(t *testing.T, conn net.Conn, peer *net.TCPConn) {
-			writeLarge(conn)
+			writeLarge(t, conn, peer)
 			cutLink(t, peer)
 		},
 	} {
