--- a/internal/cicadasoak/soak_test.go
+++ b/internal/cicadasoak/soak_test.go
@@ -75,6 +75,8 @@
 		activeFaults sync.WaitGroup
 		// storeAddrs holds the addresses at which the first routers reach the store, if not at its own.
 		storeAddrs []string
+		// limits replaces the routers' memory and descriptors in their settings, if set.
+		limits string
 		// repeats replaces the rule on repeats in the routers' settings, if set.
 		repeats *repeatRule
 	}
@@ -130,10 +132,14 @@
 	if n := len(s.routers); n < len(s.storeAddrs) {
 		storeAddr = s.storeAddrs[n]
 	}
+	limits := "{MemoryMb: 134, MaxFds: 2000}"
+	if s.limits != "" {
+		limits = s.limits
+	}
 	text := fmt.Sprintf("NodeName: %s\nIp: 127.0.0.1\nZone: z\nListen: {Front: %q, Ready: %q, Control: %q}\nBootstrap: true\nSeeds: [%s]\n"+
-		"BeatIntervalMs: 1200\nLimits: {MemoryMb: 134, MaxFds: 2000}\nPlatform: {Address: %q}\n"+
+		"BeatIntervalMs: 1200\nLimits: %s\nPlatform: {Address: %q}\n"+
 		"Bounds: {GraceS: 6, ConfigMs: 2000, StretchMs: 5000, BudgetWindowS: %g, RetryBudgetRatio: %g, RetrySlack: %d}\n",
-		name, r.callerAddr, r.readyAddr, r.peerAddr, strings.Join(seeds, ", "), storeAddr, retryWindow.Seconds(), repeats.ratio, repeats.slack)
+		name, r.callerAddr, r.readyAddr, r.peerAddr, strings.Join(seeds, ", "), limits, storeAddr, retryWindow.Seconds(), repeats.ratio, repeats.slack)
 	if err := os.WriteFile(r.settingsFile, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
