Routers bound what uncontrolled clients make them hold

The callers', health and routers' listeners of cicadaedge and the callers' listener of cicadarouter have a guard each. The first 64 KB of request bodies, which the memory for bodies leaves out, count for the callers' guard. A request that finds as many in progress as the descriptors allow ends the oldest body that is slow.

--- a/internal/cicadaedge/conn.go
+++ b/internal/cicadaedge/conn.go
@@ -40,6 +40,9 @@
 	return &callerConn{Conn: conn, rt: l.rt, number: l.accepted.Add(1)}, nil
 }
 
+// NetConn returns the connection within.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Read counts the bytes read towards the load of the host's link.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -69,7 +72,7 @@
 
 // setReset sets whether the connection ends by a reset, whoever closes it, the kernel too.
 func (c *callerConn) setReset(reset bool) error {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := tcpConn(c.Conn)
 	if !ok {
 		return errors.Errorf("a connection of type %T cannot be reset", c.Conn)
 	}
@@ -103,11 +106,12 @@
 	return overloaded
 }
 
-// trackIdle records whether a connection is waiting for its next request.
-func trackIdle(conn net.Conn, state http.ConnState) {
+// trackState records whether a connection is waiting for its next request.
+func (rt *Router) trackState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*callerConn); ok {
 		c.idle.Store(state == http.StateIdle)
 	}
+	rt.callerGuard.ConnState(conn, state)
 }
 
 func (rt *Router) idleTimeout() time.Duration {
--- a/internal/cicadaedge/metrics.go
+++ b/internal/cicadaedge/metrics.go
@@ -23,6 +23,7 @@
 	Metrics struct {
 		Requests expvar.Map // by outcome
 		Errors   expvar.Map // by kind
+		Ingress  expvar.Map // limits that clients reached, by limit
 		Store    expvar.Map // calls, failures and bytes by path
 		TakeUps  expvar.Map // broken streams that callers take up, by how it is known where they began
 		InFlight expvar.Int
@@ -59,6 +60,7 @@
 	m := &Metrics{FirstByte: newLatencyHistogram(), Total: newLatencyHistogram(), StoreCall: newLatencyHistogram()}
 	m.Requests.Init()
 	m.Errors.Init()
+	m.Ingress.Init()
 	m.Store.Init()
 	m.TakeUps.Init()
 	return m
@@ -98,10 +100,10 @@
 // ServeHTTP writes the metrics as JSON.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"requests":%s,"errors":%s,"store":%s,"inFlight":%s,"dials":%s,"relayed":%s,"relayedForOthers":%s,`+
+	fmt.Fprintf(w, `{"requests":%s,"errors":%s,"ingress":%s,"store":%s,"inFlight":%s,"dials":%s,"relayed":%s,"relayedForOthers":%s,`+
 		`"relayedRunners":%s,"resumed":%s,"takeUps":%s,"repeated":%s,"limited":%s,"paused":%s,"roomWaits":%s,"evacuated":%s,"linkOverloads":%s,`+
 		`"crashes":%s,"quarantined":%s,"blocks":%s,"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s}`+"\n",
-		m.Requests.String(), m.Errors.String(), m.Store.String(), m.InFlight.String(), m.Dials.String(), m.Relayed.String(),
+		m.Requests.String(), m.Errors.String(), m.Ingress.String(), m.Store.String(), m.InFlight.String(), m.Dials.String(), m.Relayed.String(),
 		m.RelayedForOthers.String(), m.RelayedRunners.String(), m.Resumed.String(), m.TakeUps.String(),
 		m.Retried.String(), m.RateLimited.String(), m.Paused.String(), m.RoomWaits.String(), m.Evacuated.String(), m.LinkOverloads.String(),
 		m.Crashes.String(), m.Quarantined.String(), m.Blocks.String(), m.DeployVersion.String(), m.FirstByte, m.Total, m.StoreCall)
--- a/internal/cicadaedge/peer_listener.go
+++ b/internal/cicadaedge/peer_listener.go
@@ -130,6 +130,9 @@
 	return err
 }
 
+// NetConn returns the connection within.
+func (c *peerConn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection, beginning with its first byte.
 func (c *peerConn) Read(p []byte) (int, error) { return c.r.Read(p) }
 
--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -75,7 +75,7 @@
 		methodStarted: handler.New(rt.placementServer.handleStarted), methodEnded: handler.New(rt.placementServer.handleEnded),
 		methodLend: handler.New(rt.handleLend), methodPermit: handler.New(rt.handlePermit),
 	}
-	ln := newPeerListener(rt.cfg.PeerListener)
+	ln := newPeerListener(rt.peerGuard.Listen(rt.cfg.PeerListener))
 	stop := context.AfterFunc(ctx, func() {
 		if err := ln.Close(); err != nil {
 			rt.cfg.Log.WithError(err).Warn("failed to close the peer listener")
--- a/internal/cicadaedge/relay_conn.go
+++ b/internal/cicadaedge/relay_conn.go
@@ -161,8 +161,12 @@
 
 // tcpConn returns the TCP connection of a connection to another router.
 func tcpConn(conn net.Conn) (*net.TCPConn, bool) {
-	if c, ok := conn.(*peerConn); ok {
-		conn = c.Conn
+	for {
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		conn = outer.NetConn()
 	}
 	tcp, ok := conn.(*net.TCPConn)
 	return tcp, ok
--- a/internal/cicadaedge/relay_server.go
+++ b/internal/cicadaedge/relay_server.go
@@ -28,8 +28,7 @@
 
 // serve serves the connections of a listener until it is closed.
 func (s *relayServer) serve(ln net.Listener) {
-	srv := s.rt.newServer(s)
-	s.rt.serveListener(srv, ln)
+	s.rt.serveListener(s.rt.peerGuard.NewServer(s), ln)
 }
 
 // ServeHTTP handles a CONNECT request. It answers 502 if the runner alone refuses connections, 504 if
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -32,27 +32,25 @@
 	finalAnswerMargin = 250 * time.Millisecond
 	// defaultIdleTimeout applies to idle connections until a configuration sets another value.
 	defaultIdleTimeout = 60 * time.Second
-	// defaultHeaderTimeout bounds the reading of request headers.
-	defaultHeaderTimeout = 10 * time.Second
 	// announceRetryDelay is the delay after a failed write of this router's row.
 	announceRetryDelay = 500 * time.Millisecond
 	// announceInterval is the minimum time between two writes of this router's row.
 	announceInterval = time.Second
-	maxHeaderBytes   = 64 << 10
 )
 
 // Router is a router process.
 type Router struct {
-	cfg             Config
-	balancer        *cicadaplace.Balancer
-	accounts        *cicadabudget.Accounts
-	retries         *cicadaretry.Budget
-	clock           *cicadalimit.Clock
-	limits          *cicadalimit.Limits
-	link            *cicadaadmission.Link
-	dialer          *runnerDialer
-	transports      *runnerTransports
-	relayServer     *relayServer
+	cfg         Config
+	balancer    *cicadaplace.Balancer
+	accounts    *cicadabudget.Accounts
+	retries     *cicadaretry.Budget
+	clock       *cicadalimit.Clock
+	limits      *cicadalimit.Limits
+	link        *cicadaadmission.Link
+	dialer      *runnerDialer
+	transports  *runnerTransports
+	relayServer *relayServer
+	guards
 	buffers         *bodyBuffers
 	requestBuffers  *bodyBuffers
 	poolSyncer      *poolSyncer
@@ -121,6 +119,7 @@
 		accounts:       cicadabudget.NewAccounts(),
 		retries:        cicadaretry.NewBudget(cfg.Runtime.RetryBudget),
 		link:           link,
+		guards:         newGuards(&cfg),
 		buffers:        newBodyBuffers(cfg.MemoryLimitBytes, responseMemoryShare),
 		requestBuffers: newBodyBuffers(cfg.MemoryLimitBytes, requestMemoryShare),
 
@@ -177,13 +176,15 @@
 		rt.runTask(func() { rt.pollPeers(ctx) })
 		rt.runTask(func() { rt.borrower.run(ctx) })
 	}
-	rt.callerServer = rt.newServer(rt)
+	rt.callerServer = rt.callerGuard.NewServer(rt)
 	rt.callerServer.IdleTimeout = defaultIdleTimeout
-	rt.callerServer.ConnState = trackIdle
+	rt.callerServer.ConnState = rt.trackState
 	rt.callerServer.ConnContext = withCallerConn
-	rt.healthServer = rt.newServer(rt.healthMux())
-	rt.runTask(func() { rt.serveListener(rt.callerServer, &callerListener{Listener: rt.cfg.CallerListener, rt: rt}) })
-	rt.runTask(func() { rt.serveListener(rt.healthServer, rt.cfg.HealthListener) })
+	rt.healthServer = rt.healthGuard.NewServer(rt.healthMux())
+	rt.runTask(func() {
+		rt.serveListener(rt.callerServer, &callerListener{Listener: rt.callerGuard.Listen(rt.cfg.CallerListener), rt: rt})
+	})
+	rt.runTask(func() { rt.serveListener(rt.healthServer, rt.healthGuard.Listen(rt.cfg.HealthListener)) })
 }
 
 // ApplySettings replaces the runtime settings. Listeners and held units are not affected.
@@ -204,13 +205,6 @@
 	}()
 }
 
-func (rt *Router) newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil, DisableGeneralOptionsHandler: true,
-	}
-}
-
 func (rt *Router) serveListener(s *http.Server, ln net.Listener) {
 	if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		rt.cfg.Log.WithError(err).Error("HTTP listener failed")
--- a/internal/cicadaedge/serve.go
+++ b/internal/cicadaedge/serve.go
@@ -47,6 +47,7 @@
 		org         *cicadadeploy.Organisation
 		body        []byte
 		bodyCounted int // bytes that count against the memory for request bodies
+		bodyHeld    int // the other ones, which count against the memory for callers
 		arrivedAt   time.Time
 		deadline    time.Time
 
@@ -101,13 +102,14 @@
 }
 
 func (q *request) serve() result {
-	if n := q.rt.cfg.Metrics.InFlight.Value(); q.rt.cfg.MaxOpenFiles > 0 && n > int64(q.rt.cfg.MaxOpenFiles/filesPerRequest) {
+	n := q.rt.cfg.Metrics.InFlight.Value()
+	if q.rt.cfg.MaxOpenFiles > 0 && n > int64(q.rt.cfg.MaxOpenFiles/filesPerRequest) && !q.rt.callerGuard.InterruptBody() {
 		return refuse(RefuseBusy, retrySoon, "this router has as many requests as its descriptors allow")
 	}
 	if f := q.resolve(); f != nil {
 		return result{refusal: f}
 	}
-	defer func() { q.rt.requestBuffers.add(-q.bodyCounted) }()
+	defer q.releaseBody()
 	if f := q.readBody(); f != nil {
 		return result{refusal: f}
 	}
@@ -221,6 +223,10 @@
 		q.w.Header().Set("Connection", "close")
 		return &refusal{kind: RefuseBodySize, detail: "the body is larger than the configuration allows"}
 	}
+	if !q.reserveUncounted() {
+		q.w.Header().Set("Connection", "close")
+		return &refusal{kind: RefuseBusy, retryAfter: retryAfterReturn, detail: errBuffersFull.Error()}
+	}
 	rc := http.NewResponseController(q.w)
 	if err := rc.SetReadDeadline(q.deadline); err != nil {
 		q.rt.cfg.Log.WithError(err).Warn("failed to set the read deadline")
--- a/internal/cicadarouter/metrics.go
+++ b/internal/cicadarouter/metrics.go
@@ -16,6 +16,7 @@
 	ConfigSeq    expvar.Int
 	Router       *expvar.Map // request events
 	Refusals     *expvar.Map // refusals, by code
+	Ingress      *expvar.Map // limits that callers reached, by limit
 	PeerCalls    *expvar.Map // calls to peers, by method
 	Session      *expvar.Map
 	Home         *expvar.Map
@@ -29,6 +30,7 @@
 	return &Metrics{
 		Router:    new(expvar.Map).Init(),
 		Refusals:  new(expvar.Map).Init(),
+		Ingress:   new(expvar.Map).Init(),
 		PeerCalls: new(expvar.Map).Init(),
 		Session:   new(expvar.Map).Init(),
 		Home:      new(expvar.Map).Init(),
@@ -42,10 +44,10 @@
 func (m *Metrics) String() string {
 	return fmt.Sprintf(`{"uptimeSeconds":%.1f,"processCPUSeconds":%.3f,`+
 		`"peerBytesIn":%s,"peerBytesOut":%s,"configSeq":%s,`+
-		`"requests":%s,"refusals":%s,"peerCalls":%s,"session":%s,"home":%s,"fleet":%s,"platform":%s}`,
+		`"requests":%s,"refusals":%s,"ingress":%s,"peerCalls":%s,"session":%s,"home":%s,"fleet":%s,"platform":%s}`,
 		time.Since(m.startedAt).Seconds(), ProcessCPUTime().Seconds(),
 		m.PeerBytesIn.String(), m.PeerBytesOut.String(), m.ConfigSeq.String(),
-		m.Router, m.Refusals, m.PeerCalls, m.Session, m.Home, m.Fleet, m.Platform)
+		m.Router, m.Refusals, m.Ingress, m.PeerCalls, m.Session, m.Home, m.Fleet, m.Platform)
 }
 
 // PeerBytes returns the number of bytes received from and sent to peers.
--- a/internal/cicadarouter/router.go
+++ b/internal/cicadarouter/router.go
@@ -183,12 +183,14 @@
 	if err != nil {
 		return err
 	}
+	guard := r.newGuard()
+	callers.ConnState = guard.ConnState
 	r.httpServers = []*http.Server{callers, operators}
 	r.peerServer.Start()
 	r.fleet.Start(r.home)
 	r.home.Start()
 	r.watcher.Start()
-	r.serveHTTP(callers, r.cfg.CallerListener)
+	r.serveHTTP(callers, guard.Listen(r.cfg.CallerListener))
 	r.serveHTTP(operators, r.cfg.OperatorListener)
 	r.wg.Add(1)
 	go r.pollLoads()
--- a/internal/cicadarouter/serve.go
+++ b/internal/cicadarouter/serve.go
@@ -3,12 +3,15 @@
 import (
 	"crypto/subtle"
 	"crypto/tls"
+	"math"
 	"net/http"
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaingress"
 	"github.com/pkg/errors"
 )
 
@@ -19,6 +22,10 @@
 	// writeTimeout is the maximum time for one write to a slow caller.
 	writeTimeout   = 15 * time.Second
 	maxHeaderBytes = 32 << 10
+	// maxCallerMemory bounds the memory for callers' connections and request headers, in bytes.
+	maxCallerMemory = 64 << 20
+	// filesPerCaller is the number of descriptors for each connection of a caller: its own and one to an upstream.
+	filesPerCaller = 2
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes = 1 << 20
 	// certificateCheckInterval is the minimum time between checks of the
@@ -45,6 +52,19 @@
 	}
 )
 
+// newGuard returns the guard of the callers' listener.
+func (r *Router) newGuard() *cicadaingress.Guard {
+	cfg := cicadaingress.Config{
+		Name: "callers", MemoryBytes: maxCallerMemory, Limits: cicadaingress.Limits{HeaderBytes: maxHeaderBytes, WriteStall: writeTimeout},
+		Encrypted: r.cfg.CallerTLS != nil, Log: r.cfg.Log, Counts: r.metrics.Ingress,
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
+		cfg.MaxConns = int(min(limit.Cur/filesPerCaller, math.MaxInt32))
+	}
+	return cicadaingress.NewGuard(cfg)
+}
+
 func (r *Router) newServer(h http.Handler, files *TLSFiles) (*http.Server, error) {
 	s := &http.Server{
 		Handler:           h,
--- a/internal/cicadasoak/ingress_test.go
+++ b/internal/cicadasoak/ingress_test.go
@@ -31,7 +31,6 @@
 		// attack uses a connection until it is closed. Afterwards it is called with a new one.
 		attack func(ctx context.Context, conn net.Conn)
 	}
-	addrs = func(r *router) string
 )
 
 // repeat sends head, then part until the connection ends.
@@ -65,8 +64,10 @@
 }
 
 func crowds() []crowd {
-	callers, health, peers := addrs(func(r *router) string { return r.callerAddr }), addrs(func(r *router) string { return r.readyAddr }),
-		addrs(func(r *router) string { return r.peerAddr })
+	callers := func(r *router) string { return r.callerAddr }
+	health := func(r *router) string { return r.readyAddr }
+	peers := func(r *router) string { return r.peerAddr }
+	chunked := requestStart + "Transfer-Encoding: chunked\r\n\r\n1"
 	same := func(int) string { return "x:\r\n" }
 	known := func(int) string { return "TE:\r\n" }
 	different := func(i int) string { return fmt.Sprintf("%x:\r\n", i) }
@@ -83,8 +84,8 @@
 		{name: "endless headers", addr: callers, conns: 300, attack: repeat(requestStart, lines(100, different), 10*time.Millisecond)},
 		{name: "endless lines", addr: callers, conns: 300, attack: repeat("", "\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n", time.Millisecond)},
 		{name: "endless message of a router", addr: peers, conns: 100, attack: repeat(`{"jsonrpc":"2.0","x":"`, strings.Repeat("x", 4<<10), time.Millisecond)},
-		{name: "trailers", addr: callers, conns: 300, attack: repeat(requestStart+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "x:\r\n", time.Millisecond)},
-		{name: "chunk extensions", addr: callers, conns: 300, attack: repeat(requestStart+"Transfer-Encoding: chunked\r\n\r\n1", ";x=xxxxxxxxxxxx", time.Millisecond)},
+		{name: "trailers", addr: callers, conns: 300, attack: repeat(chunked+"\r\nx\r\n0\r\n", "x:\r\n", time.Millisecond)},
+		{name: "chunk extensions", addr: callers, conns: 300, attack: repeat(chunked, ";x=xxxxxxxxxxxx", time.Millisecond)},
 		{name: "slow headers", addr: callers, conns: 700, attack: repeat("", "P", 200*time.Millisecond)},
 		{name: "idle connections", addr: callers, conns: 700, attack: hold},
 		{name: "idle connections at the health listener", addr: health, conns: 700, attack: hold},
@@ -108,6 +109,22 @@
 	}
 }
 
+// Guards against limits that a request within the configuration's limits reaches.
+func TestRequestWithinLimits(t *testing.T) {
+	s := &soak{t: t, verifier: newVerifier(), store: newStore(t, 1), limits: fmt.Sprintf("{MemoryMb: %d, MaxFds: %d}", crowdMemoryMb, crowdFiles)}
+	s.putPlainService()
+	s.addRouter(buildRouter(t), t.TempDir())
+	s.awaitOrdinary(s.routers[0])
+	parts := []string{requestStart + lines(95, func(i int) string { return fmt.Sprintf("X-%d: %s\r\n", i, strings.Repeat("x", 155)) })}
+	parts = append(parts, "Transfer-Encoding: chunked\r\n\r\n")
+	for range 4 << 20 / 1024 {
+		parts = append(parts, "400\r\n"+strings.Repeat("x", 1024)+"\r\n")
+	}
+	if status := s.sendRaw(s.routers[0].callerAddr, append(parts, "0\r\n\r\n")...); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
+
 func testCrowd(t *testing.T, binary string, c *crowd) {
 	s := &soak{t: t, verifier: newVerifier(), store: newStore(t, 1), limits: fmt.Sprintf("{MemoryMb: %d, MaxFds: %d}", crowdMemoryMb, crowdFiles)}
 	s.putPlainService()
