--- a/internal/cicadaingress/guard_test.go
+++ b/internal/cicadaingress/guard_test.go
@@ -21,12 +21,16 @@
 
 // start serves with a guard and returns the address. The response has the number of bytes of the body.
 func start(tb testing.TB, cfg cicadaingress.Config) string {
+	tb.Helper()
+	return serve(tb, cicadaingress.NewGuard(cfg))
+}
+
+func serve(tb testing.TB, guard *cicadaingress.Guard) string {
 	tb.Helper()
 	ln, err := (&net.ListenConfig{}).Listen(tb.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
 	}
-	guard := cicadaingress.NewGuard(cfg)
 	server := guard.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n, err := io.Copy(io.Discard, r.Body)
 		fmt.Fprintf(w, "%d %d %v", n, len(r.Header), err)
@@ -214,6 +218,35 @@
 	}
 }
 
+// Guards against slow bodies that hold all requests that a process may have: the oldest one is interrupted, a recent
+// one and a whole one are not.
+func TestSlowBodyIsInterrupted(t *testing.T) {
+	guard := cicadaingress.NewGuard(cicadaingress.Config{MemoryBytes: 100 << 10})
+	addr := serve(t, guard)
+	conn := dial(t, addr)
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n1234"); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(10 * time.Second); !guard.InterruptBody(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no body is interrupted")
+		}
+	}
+	if got := read(bufio.NewReader(conn)); !strings.Contains(got, "i/o timeout") {
+		t.Errorf("the response is %q", got)
+	}
+	if guard.InterruptBody() {
+		t.Error("a body is interrupted twice")
+	}
+	if !guard.Reserve(60<<10) || guard.Reserve(60<<10) {
+		t.Error("not one of two bodies gets memory")
+	}
+	guard.Release(60 << 10)
+	if !guard.Reserve(60 << 10) {
+		t.Error("memory of a body is not given back")
+	}
+}
+
 // BenchmarkRequest measures a request over a kept connection, with and without a guard.
 func BenchmarkRequest(b *testing.B) {
 	request := []byte("POST /v1/chat HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" + strings.Repeat("X-Header: some usual value\r\n", 12) + "\r\n")
