--- a/internal/cicadaingress/guard_test.go
+++ b/internal/cicadaingress/guard_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -247,6 +248,35 @@
 	}
 }
 
+// Guards against a guard that takes encrypted bytes for request headers, or keeps callers with TLS out.
+func TestEncryptedConnections(t *testing.T) {
+	guard := cicadaingress.NewGuard(cicadaingress.Config{MemoryBytes: 100 << 10, MaxConns: 4, Encrypted: true})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body) // the client may have left
+	}))
+	addr := server.Listener.Addr().String()
+	server.Listener, server.Config.ConnState = guard.Listen(server.Listener), guard.ConnState
+	server.EnableHTTP2 = true
+	server.StartTLS()
+	defer server.Close()
+	body := strings.Repeat("\n", 1<<20)
+	for range 3 {
+		for range 8 {
+			dial(t, addr)
+		}
+		resp, err := server.Client().Post(server.URL, "text/plain", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		if err != nil || len(got) != len(body) {
+			t.Errorf("%d of %d bytes, %v", len(got), len(body), err)
+		}
+		_ = resp.Body.Close()
+		server.Client().CloseIdleConnections()
+	}
+}
+
 // BenchmarkRequest measures a request over a kept connection, with and without a guard.
 func BenchmarkRequest(b *testing.B) {
 	request := []byte("POST /v1/chat HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" + strings.Repeat("X-Header: some usual value\r\n", 12) + "\r\n")
