--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -141,7 +141,11 @@
 	}
 
 	// Load is the load that a runner reports with a response.
-	Load struct{ Running, Waiting, Slots int }
+	Load struct {
+		Running, Waiting, Slots int
+		// Slowness is how long work takes on the runner's machine, in percent of the usual; zero if not stated.
+		Slowness int
+	}
 )
 
 // NewBalancer returns a Balancer without runners.
