A request that waited for a connection is not sent to a runner that is leaving

A caller's request reached a runner 4,099 ms after the store had acknowledged that the runner leaves, 0.73 s after it came. The request waits for a connection after its runner was chosen: for one of the pool, a dial, or a dial through another router. The runner was checked every 400 ms during that wait and not at its end, and the check ended with the first connection that the request got. If that one was closed before the first byte, as idle connections through other routers always are, the next wait had no check at all.

The check now runs during each wait (GetConn to GotConn), and once more when the request has its connection. If the runner is unavailable then, or the attempt was cancelled meanwhile, the connection is closed before anything is written, and the request goes to another runner as not sent.

--- a/internal/cicadaedge/limit.go
+++ b/internal/cicadaedge/limit.go
@@ -16,14 +16,17 @@
 // still accepts it. Dialling takes no longer than that.
 const connCheckInterval = dialTimeout
 
-// connWaitMonitor monitors a request that waits for a connection.
+// connWaitMonitor monitors the waits of a request for connections. There are several if a connection turns
+// out to be closed before the first byte.
 type connWaitMonitor struct {
-	// unavailable returns why the request must stop waiting, or nil.
-	unavailable func() error
-	cancel      context.CancelCauseFunc
+	// unavailable returns why the request must not be sent to its runner, or nil. limited returns why it
+	// must stop waiting besides.
+	unavailable, limited func() error
+	cancel               context.CancelCauseFunc
 
 	mu      sync.Mutex // guards the fields below
-	stopped bool
+	waiting bool
+	ended   bool // the attempt was cancelled
 	timer   *time.Timer
 }
 
@@ -79,45 +82,88 @@
 }
 
 // monitorConnWait cancels an attempt that still waits for a connection when its runner becomes
-// unavailable, or advertises a rate limit: the waiting requests would exceed it in one burst. The
+// unavailable, or advertises a rate limit: the waiting requests would exceed it in one burst. When the
+// request gets a connection, its runner is checked again, and nothing is written if it is unavailable. The
 // request has to use the returned context.
 func (x *exchange) monitorConnWait(ctx context.Context, p *placement, cancel context.CancelCauseFunc) (context.Context, *connWaitMonitor) {
 	m := &connWaitMonitor{cancel: cancel, unavailable: func() error {
-		now := time.Now()
-		if err := x.rt.balancer.Unavailability(p.Runner(), now); err != nil {
+		if err := x.rt.balancer.Unavailability(p.Runner(), time.Now()); err != nil {
 			return errors.Wrap(err, "while the request waited for a connection")
 		}
 		if _, ok := x.matchingBlock(); ok {
 			return errQuarantined
 		}
-		if _, limited := x.rt.limits.Rate(p.Runner().Key(), now); limited {
+		return nil
+	}, limited: func() error {
+		if _, limited := x.rt.limits.Rate(p.Runner().Key(), time.Now()); limited {
 			return errRateLimited
 		}
 		return nil
 	}}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { m.begin() },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*countedConn); ok && !m.end() {
+				_ = conn.retire() // nothing is written to it
+			}
+		},
+	}), m
+}
+
+// begin begins a wait.
+func (m *connWaitMonitor) begin() {
 	m.mu.Lock()
-	m.timer = time.AfterFunc(connCheckInterval, m.check)
-	m.mu.Unlock()
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { m.stop() }}), m
+	defer m.mu.Unlock()
+	m.waiting = true
+	if m.timer == nil {
+		m.timer = time.AfterFunc(connCheckInterval, m.check)
+		return
+	}
+	m.timer.Reset(connCheckInterval)
 }
 
 func (m *connWaitMonitor) check() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stopped {
+	if !m.waiting || m.ended {
 		return
 	}
-	if err := m.unavailable(); err != nil {
-		m.stopped = true
+	err := m.unavailable()
+	if err == nil {
+		err = m.limited()
+	}
+	if err != nil {
+		m.ended = true
 		m.cancel(err)
 		return
 	}
 	m.timer.Reset(connCheckInterval)
 }
 
+// end ends a wait. It reports whether the request may be sent.
+func (m *connWaitMonitor) end() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopLocked()
+	if m.ended {
+		return false
+	}
+	if err := m.unavailable(); err != nil {
+		m.ended = true
+		m.cancel(err)
+	}
+	return !m.ended
+}
+
 func (m *connWaitMonitor) stop() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stopped = true
-	m.timer.Stop()
+	m.stopLocked()
+}
+
+func (m *connWaitMonitor) stopLocked() {
+	m.waiting = false
+	if m.timer != nil {
+		m.timer.Stop()
+	}
 }
