A relay checks a runner again after it has dialled it

A router that connects another one to a runner checked the runner before the dial only, which may take 400 ms. A runner that began to leave during the dial still got the request: the other router may be cut off from the store and not know. The relay now checks again when it has the connection, closes it unused and answers 503, with which the other router knows that nothing was sent.

Test: the case 'dial of the relay, which alone knows'. Before the change the runner got the request (status 200), after it nothing (status 503).

--- a/internal/cicadaedge/leaving_runner_test.go
+++ b/internal/cicadaedge/leaving_runner_test.go
@@ -43,8 +43,9 @@
 
 // leavingCase is a wait of a request before it is sent, during which its runner must get no more requests.
 type leavingCase struct {
-	// relayed states that the host reaches runners through another router only.
-	relayed bool
+	// relayed states that the host reaches runners through another router only. lateHost states that the
+	// host itself does not learn that the runner leaves, while the other one does.
+	relayed, lateHost bool
 	// reused states that a connection to the runner exists that is closed when the request gets it.
 	reused bool
 	// pool states that the request waits for a connection of the pool.
@@ -68,6 +69,7 @@
 	for name, tt := range map[string]leavingCase{
 		"dial":                                   {},
 		"relay dial":                             {relayed: true},
+		"dial of the relay, which alone knows":   {relayed: true, lateHost: true},
 		"relay dial after a connection ended":    {relayed: true, reused: true},
 		"connection of the pool, evacuated":      {pool: true},
 		"connection of the pool, entry draining": {pool: true, leave: drain},
@@ -113,6 +115,7 @@
 	} else {
 		gate.held.Store(true)
 	}
+	host.store.down.Store(c.lateHost)
 	before := r.runs.Load()
 	got := make(chan response, 1)
 	go func() { got <- call(t, host, "/once/", nil, "x") }()
@@ -127,7 +130,7 @@
 	if c.leave == nil {
 		f.store.put(tableDeploy, "evacuate/p", struct{}{})
 		for _, n := range []*node{host, known} {
-			eventually(t, "the evacuation is known", func() bool { return n.Runners()[0].Evacuated })
+			eventually(t, "the evacuation is known", func() bool { return n.Runners()[0].Evacuated || n == host && c.lateHost })
 		}
 	} else {
 		c.leave(f, r, host)
--- a/internal/cicadaedge/relay_server.go
+++ b/internal/cicadaedge/relay_server.go
@@ -57,6 +57,12 @@
 		w.WriteHeader(status)
 		return
 	}
+	if !s.mayConnect(r.Header.Get(relayRunnerHeader), r.Host) {
+		// The runner became unavailable during the dial. The other router may not know.
+		_ = runnerConn.Close() // nothing was sent
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	framed := r.Header.Get(relayFramingHeader) == chunkedFraming
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err == nil {
