A router that cannot reach a runner asks no further router once one knows that it is draining

A host that reaches runners through other routers, and is cut off from the store, got a connection to a draining runner: the router that had connected it before answered 503, as for any reason of its own, so the host asked the next one, which did not know. A router that knows that the runner is draining now answers the CONNECT request with 410; the host then gives up this runner as not sent and chooses another one.

--- a/internal/cicadaedge/leaving_runner_test.go
+++ b/internal/cicadaedge/leaving_runner_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
 	"github.com/google/go-cmp/cmp"
@@ -15,6 +16,9 @@
 // poolSize is the number of connections to a runner that a single router opens if the service allows few.
 const poolSize = 4
 
+// storeCallPeriod is longer than calls that wait for changes take, so that those begun before an outage are over.
+const storeCallPeriod = 600 * time.Millisecond
+
 // dialGate holds up new connections to runners.
 type dialGate struct {
 	held    atomic.Bool
@@ -142,3 +146,30 @@
 	}
 	calls.Wait()
 }
+
+// The router that connected the host to the runner before knows that the runner is draining. Neither the
+// host nor a third router, which would connect the host too, is in contact with the store.
+func TestRelayThatDoesNotKnowConnectsToADrainingRunner(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	r := f.addRunner(nil)
+	r.setHandler(r.respondWith("whole"))
+	var cut runnerCut
+	host, other := f.waitReady(f.startNode("n1", cut.configure)), f.waitReady(f.startNode("n2"))
+	eventually(t, "the host knows the other one", func() bool { return host.RouterCount() == 2 })
+	cut.begin(cutReset)
+	if diff := cmp.Diff("whole", call(t, host, "/once/", nil, "x").body); diff != "" {
+		t.Fatalf("response through the other router (-want +got):\n%s", diff)
+	}
+	late := f.waitReady(f.startNode("n3"))
+	eventually(t, "the host knows the third one", func() bool { return host.RouterCount() == 3 })
+	host.store.down.Store(true)
+	late.store.down.Store(true)
+	time.Sleep(storeCallPeriod)
+	f.putEntry(r, true)
+	eventually(t, "the runner is draining", func() bool { return other.Runners()[0].Draining })
+	got := call(t, host, "/once/", nil, "x")
+	if diff := cmp.Diff([]int64{http.StatusServiceUnavailable, 1}, []int64{int64(got.status), r.runs.Load()}); diff != "" {
+		t.Errorf("status and requests at the runner (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cicadaedge/relay_client.go
+++ b/internal/cicadaedge/relay_client.go
@@ -155,6 +155,8 @@
 		return nil, err
 	case resp.StatusCode == http.StatusBadGateway:
 		return nil, errRunnerEnded
+	case resp.StatusCode == http.StatusGone:
+		return nil, cicadaplace.ErrDraining
 	case resp.StatusCode != http.StatusOK:
 		return nil, errors.Errorf("the router answered with status %d", resp.StatusCode)
 	case br.Buffered() > 0:
@@ -259,7 +261,8 @@
 )
 
 // firstConn calls the functions one after the other, each relayDelay after the one before or when that
-// fails, and returns the first connection. Other connections are closed.
+// fails, and returns the first connection. Other connections are closed. It ends early if another router
+// knows that the runner is draining.
 func firstConn(ctx context.Context, dials []connFunc) (net.Conn, error) {
 	if len(dials) == 0 {
 		return nil, errNoRelay
@@ -291,6 +294,8 @@
 			}
 			failures = append(failures, res.err.Error())
 			switch {
+			case errors.Is(res.err, cicadaplace.ErrDraining):
+				return nil, res.err // other routers may not know
 			case len(dials) > 0:
 				start()
 			case running == 0 && len(failures) == 1:
--- a/internal/cicadaedge/relay_server.go
+++ b/internal/cicadaedge/relay_server.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/pkg/errors"
 )
 
@@ -33,7 +34,7 @@
 }
 
 // ServeHTTP handles a CONNECT request. It answers 502 if the runner alone refuses connections, 504 if
-// it is not reached, and 503 if this router does not connect to it.
+// it is not reached, 410 if it is draining, and 503 if this router does not connect to it otherwise.
 func (s *relayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodConnect {
 		w.WriteHeader(http.StatusMethodNotAllowed)
@@ -41,8 +42,8 @@
 	}
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	if !s.mayConnect(r.Header.Get(relayRunnerHeader), r.Host) {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if status := s.refusal(r); status != 0 {
+		w.WriteHeader(status)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), dialTimeout)
@@ -57,10 +58,10 @@
 		w.WriteHeader(status)
 		return
 	}
-	if !s.mayConnect(r.Header.Get(relayRunnerHeader), r.Host) {
+	if status := s.refusal(r); status != 0 {
 		// The runner became unavailable during the dial. The other router may not know.
 		_ = runnerConn.Close() // nothing was sent
-		w.WriteHeader(http.StatusServiceUnavailable)
+		w.WriteHeader(status)
 		return
 	}
 	framed := r.Header.Get(relayFramingHeader) == chunkedFraming
@@ -93,12 +94,21 @@
 	return err
 }
 
-// mayConnect reports whether this router connects others to a runner. It does not if it would not
-// send requests there itself, or reaches the runner through another router only.
-func (s *relayServer) mayConnect(id, addr string) bool {
-	runner := s.rt.balancer.Find(id)
-	return runner != nil && runner.Addr() == addr && !s.rt.stopping.Load() && !s.rt.linkOverloaded() &&
-		s.rt.balancer.Unavailability(runner, time.Now()) == nil && !s.rt.dialer.isRelayed(runner)
+// refusal returns the status with which this router refuses to connect another one to a runner, or zero. It
+// refuses if it would not send requests there itself, or reaches the runner through another router only.
+func (s *relayServer) refusal(r *http.Request) int {
+	runner := s.rt.balancer.Find(r.Header.Get(relayRunnerHeader))
+	if runner == nil || runner.Addr() != r.Host || s.rt.stopping.Load() || s.rt.linkOverloaded() || s.rt.dialer.isRelayed(runner) {
+		return http.StatusServiceUnavailable
+	}
+	switch err := s.rt.balancer.Unavailability(runner, time.Now()); {
+	case err == nil:
+		return 0
+	case errors.Is(err, cicadaplace.ErrDraining):
+		return http.StatusGone
+	default:
+		return http.StatusServiceUnavailable
+	}
 }
 
 // wait waits until no connection with a request is relayed or ctx ends.
