A router whose view of the runners is stale asks other routers

A router asked other routers for their views only when its view of the configuration was 2.5 s old. Each table has its own calls to the store: with the runners' entries unread and the configuration read, the router kept sending requests to a runner that drains, for as long as that lasted. It now asks when one of the two views is stale. The view of the runners counts as stale from 2 s on, so that the answer of another router comes before the 3 s are over within which a draining runner may get requests.

Test: TestRunnerLeavesWhileItsEntriesAreNotRead.

--- a/internal/cicadaedge/harness_test.go
+++ b/internal/cicadaedge/harness_test.go
@@ -64,6 +64,8 @@
 		down atomic.Bool
 		// crashesDown makes reads of the table of crashes fail.
 		crashesDown atomic.Bool
+		// runnersDown makes reads of changes of the runners' entries fail.
+		runnersDown atomic.Bool
 		delay       atomic.Int64 // delay of each transaction, in nanoseconds
 		// feedsLate keeps calls that wait for changes from being answered.
 		feedsLate atomic.Bool
@@ -269,6 +271,9 @@
 		if err := v.unavailableErr(); err != nil {
 			return cicadastore.ChangeBatch{}, err
 		}
+		if req.Table == tableRunners && v.runnersDown.Load() {
+			return cicadastore.ChangeBatch{}, cicadastore.ErrUnavailable
+		}
 		v.mu.Lock()
 		if v.historyLost || req.Since > v.version {
 			v.historyLost = false
--- a/internal/cicadaedge/leaving_runner_test.go
+++ b/internal/cicadaedge/leaving_runner_test.go
@@ -173,3 +173,29 @@
 		t.Errorf("status and requests at the runner (-want +got):\n%s", diff)
 	}
 }
+
+// TestRunnerLeavesWhileItsEntriesAreNotRead guards against a router that cannot read the runners' entries and
+// does not ask others, because it still reads the configuration, or asks them too late.
+func TestRunnerLeavesWhileItsEntriesAreNotRead(t *testing.T) {
+	t.Parallel()
+	const mayGetRequests = 3 * time.Second // after the store has acknowledged that a runner drains
+	for name, cut := range map[string]func(s *storeClient) *atomic.Bool{
+		"these entries only": func(s *storeClient) *atomic.Bool { return &s.runnersDown },
+		"the whole store":    func(s *storeClient) *atomic.Bool { return &s.down },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			r := f.addRunner(nil)
+			host, other := f.waitReady(f.startNode("n1")), f.waitReady(f.startNode("n2"))
+			eventually(t, "the routers know each other", func() bool { return host.RouterCount() == 2 && other.RouterCount() == 2 })
+			cut(host.store).Store(true)
+			time.Sleep(storeCallPeriod)
+			f.putEntry(r, true)
+			time.Sleep(mayGetRequests)
+			if !host.Runners()[0].Draining {
+				t.Errorf("%v after the store knew that the runner drains, the host does not", mayGetRequests)
+			}
+		})
+	}
+}
--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -21,6 +21,10 @@
 	// healthy watcher's view is at most twice its maximum wait old. The value is well below the
 	// time within which changes must be applied while the store is unreachable.
 	staleViewAge = 2*deploymentMaxWait + 500*time.Millisecond
+	// staleRunnersAge is the same for the view of the runners, which a healthy watcher keeps within two waits
+	// and an interval, 1.45 s. It leaves time to ask other routers before a runner that drains must get no
+	// more requests, 3 s after the store has acknowledged that.
+	staleRunnersAge = runnerInterval + 2*tableMaxWait + 550*time.Millisecond
 	// peerPollInterval is the time between two polls of other routers. It grows by the factor
 	// peerPollBackoff up to maxPeerPollInterval while no router has a newer view. peerTimeout
 	// bounds a single call.
@@ -120,13 +124,13 @@
 	return reply
 }
 
-// pollPeers keeps the view current from other routers while this router cannot reach the store.
+// pollPeers keeps the views current from other routers while this router cannot read them from the store.
 func (rt *Router) pollPeers(ctx context.Context) {
 	stale, interval := false, peerPollInterval
 	for ctx.Err() == nil {
 		sleep(ctx, interval)
-		age := rt.deploymentAge(time.Now())
-		if age < staleViewAge {
+		age, isStale := rt.viewAge(time.Now())
+		if !isStale {
 			if stale {
 				rt.cfg.Log.WithField("ageMillis", age.Milliseconds()).Info("view is current again")
 			}
@@ -137,17 +141,18 @@
 			rt.cfg.Log.WithField("ageMillis", age.Milliseconds()).Info("view is stale, other routers are asked")
 		}
 		stale = true
-		previous := rt.viewTime()
+		previous := time.Now().Add(-age)
 		for _, addr := range rt.peers.viewPeers() {
 			if err := rt.pollPeer(ctx, addr); err != nil {
 				rt.cfg.Log.WithField("peer", addr).WithError(err).Debug("call to peer failed")
 				continue
 			}
-			if rt.deploymentAge(time.Now()) < staleViewAge {
+			if _, isStale := rt.viewAge(time.Now()); !isStale {
 				break
 			}
 		}
-		if rt.viewTime().Sub(previous) < interval {
+		now := time.Now()
+		if age, _ := rt.viewAge(now); now.Add(-age).Sub(previous) < interval {
 			interval = min(time.Duration(peerPollBackoff*float64(interval)), maxPeerPollInterval)
 		} else {
 			interval = peerPollInterval
@@ -155,6 +160,13 @@
 	}
 }
 
+// viewAge returns the age of the older one of the views of the deployment and the runners, and whether one of
+// them is stale. Each has its own calls to the store.
+func (rt *Router) viewAge(now time.Time) (time.Duration, bool) {
+	deployment, runners := rt.deploymentAge(now), rt.runnersAge(now)
+	return max(deployment, runners), deployment >= staleViewAge || runners >= staleRunnersAge
+}
+
 // viewTime returns the time at which the deployment view was last known to be current.
 func (rt *Router) viewTime() time.Time {
 	now := time.Now()
