An outage of the store at one router only keeps no removed runner in use

After an outage of the store a removed entry may have expired, so a router keeps its runner in use for the hold period of 2.2 s. A router that alone was cut off from the store did the same, although runners could write their entries all the time: a runner that had left during the cut got requests for 2.2 s after the router had read that its entry is gone. While the router is cut off, it reads the entries of other routers with their age. The outage now counts from the latest of these times on, as the store has served until then.

Test: TestOutageOfOneRouterHoldsNothing.

--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -210,7 +210,7 @@
 	if now := time.Now(); now.Sub(runnersAt) < rt.runnersAge(now) {
 		switch {
 		case reply.RunnersSame && rt.balancer.Digest(now) == req.RunnersDigest:
-			rt.peerRunnersAt.set(runnersAt)
+			rt.recordPeerRunners(runnersAt)
 		case len(reply.Runners) > 0:
 			rt.applyPeerRunners(reply.Runners, runnersAt)
 		}
@@ -230,5 +230,11 @@
 	rt.removeMissingRunners(&changes, seen, "missing from another router's view", now)
 	rt.logRunnerChanges(&changes, "another router")
 	rt.versions.observe(now)
+	rt.recordPeerRunners(at)
+}
+
+// recordPeerRunners records that the runner entries are those that another router has read from the store.
+func (rt *Router) recordPeerRunners(at time.Time) {
 	rt.peerRunnersAt.set(at)
+	rt.balancer.StoreServed(at)
 }
--- a/internal/cicadaplace/hold.go
+++ b/internal/cicadaplace/hold.go
@@ -91,6 +91,16 @@
 	b.storeDownSince = since
 }
 
+// StoreServed records that the store has served another router at the given time, during an outage at this
+// one. Runners have written their entries until then, and entries that were removed have not expired.
+func (b *Balancer) StoreServed(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.storeDownSince.IsZero() && at.After(b.storeDownSince) {
+		b.storeDownSince = at
+	}
+}
+
 // StoreRecovered records the end of a store outage. It starts a new hold period if the entry of a
 // live runner can have expired during the outage. A shorter outage only extends a hold period
 // that is in progress.
--- a/internal/cicadaplace/hold_test.go
+++ b/internal/cicadaplace/hold_test.go
@@ -99,6 +99,25 @@
 	}
 }
 
+// TestOutageOfOneRouterHoldsNothing guards against requests to a runner that has left during an outage of the
+// store at this router only. Other routers have read the entries from the store meanwhile.
+func TestOutageOfOneRouterHoldsNothing(t *testing.T) {
+	for _, tt := range []struct {
+		servedAt float64 // when the store has last served another router
+		want     []int
+	}{{0.5, []int{0, 1}}, {8, []int{0, 1}}, {8.5, []int{1}}, {9.9, []int{1}}} {
+		lb := newHoldBalancer()
+		lb.StoreServed(at(0.9))
+		lb.StoreUnavailable(at(1))
+		lb.StoreServed(at(tt.servedAt))
+		lb.StoreRecovered(at(10))
+		lb.Remove(entry(0).ID, at(10))
+		if diff := cmp.Diff(tt.want, used(lb, at(10))); diff != "" {
+			t.Errorf("store seen to serve at %g s: runners in use (-want +got):\n%s", tt.servedAt, diff)
+		}
+	}
+}
+
 // TestFailingCallsDoNotHoldForEver checks that store calls that fail every half second after an
 // outage do not extend the hold period without end.
 func TestFailingCallsDoNotHoldForEver(t *testing.T) {
