An entry that names no usable runner is logged once until its fault changes

An entry of another writer that cannot be decoded was logged each time that it was read: at each write, which come every second, and each time that the whole table was read. An entry of a service that the configuration does not have was not logged. The reason is now logged once for each entry, until it changes or the entry is removed.

--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -69,6 +69,9 @@
 	evacuations  evacuations
 
 	deploymentWatcher, runnerWatcher *tableWatcher
+	// unusableEntries are the reasons logged why entries name no usable runners, by id. Only runnerWatcher
+	// uses it.
+	unusableEntries map[string]string
 	// peerDeploymentAt and peerRunnersAt are the times at which the deployment and the runners
 	// received from other routers were current.
 	peerDeploymentAt, peerRunnersAt atomicTime
@@ -128,6 +131,8 @@
 		crashSignal:    newSignal(),
 		quarantine:     cicadaquarantine.New(cicadaquarantine.Config{}),
 		streams:        cicadaresume.NewStreams(),
+
+		unusableEntries: map[string]string{},
 	}
 	rt.requests, rt.endRequests = context.WithCancelCause(context.Background())
 	rt.dialer = newRunnerDialer(rt)
--- a/internal/cicadaedge/tables.go
+++ b/internal/cicadaedge/tables.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -138,22 +140,25 @@
 		c := &b.Changes[i]
 		seen[c.Key] = !c.Deleted
 		if c.Deleted {
+			delete(rt.unusableEntries, c.Key)
 			rt.recordRemoval(&changes, rt.balancer.Remove(c.Key, now), "entry removed")
 			continue
 		}
 		e, err := rt.cfg.Sources.DecodeRunner(c.Key, c.Value)
 		if err != nil {
 			rt.cfg.Metrics.Errors.Add("runnerUnreadable", 1)
-			rt.cfg.Log.WithError(err).Warn("failed to decode a runner entry")
+			rt.recordUsability(c.Key, err)
 			rt.recordRemoval(&changes, rt.balancer.Discard(c.Key, now), "entry cannot be decoded")
 			continue
 		}
+		rt.recordUsability(c.Key, rt.checkService(&e))
 		if c := rt.applyRunner(&changes, e, now); c.Stale() {
 			rt.cfg.Log.WithField("runner", e.ID).WithField("seq", e.Seq).Info("runner entry ignored: it is older than the last one")
 		}
 	}
 	if full {
 		rt.removeMissingRunners(&changes, seen, "entry missing", now)
+		maps.DeleteFunc(rt.unusableEntries, func(id, _ string) bool { return !seen[id] })
 	}
 	for _, r := range rt.balancer.RemoveExpired(now) {
 		changes.removed.add(r.ID(), "entry not written again after the store outage")
@@ -163,6 +168,35 @@
 	rt.versions.observe(now)
 }
 
+// checkService returns an error if no request can reach the runner of an entry, because the configuration in
+// force does not have its service. A later one may.
+func (rt *Router) checkService(e *cicadaplace.Entry) error {
+	d := rt.deployment.Load()
+	if d == nil || d.Service(e.Service) != nil {
+		return nil
+	}
+	routes := d.Document().Routes
+	if slices.ContainsFunc(routes, func(r cicadadeploy.Route) bool {
+		return slices.ContainsFunc(r.Targets, func(t cicadadeploy.Target) bool { return t.Service == e.Service })
+	}) {
+		return nil
+	}
+	return errors.Errorf("entry of runner %q: the configuration has no service %.40q", e.ID, e.Service)
+}
+
+// recordUsability logs why an entry names no usable runner, once until the reason changes: runners write
+// their entries again every second or so.
+func (rt *Router) recordUsability(id string, cause error) {
+	if cause == nil {
+		delete(rt.unusableEntries, id)
+		return
+	}
+	if reason := cause.Error(); rt.unusableEntries[id] != reason {
+		rt.unusableEntries[id] = reason
+		rt.cfg.Log.WithField("runner", id).WithError(cause).Warn("entry names no usable runner")
+	}
+}
+
 // applyRunner applies the entry of one runner, from the store or from another router.
 func (rt *Router) applyRunner(changes *runnerChanges, e cicadaplace.Entry, now time.Time) cicadaplace.Change {
 	c := rt.balancer.Apply(e, now)
