Test: a runner that starts again under its id starts anew

A pause, an ejection, a draining or gone state and the load of the process before must not carry over to another start of the same id. The cases pass without a change of the product.

--- a/internal/cicadaplace/balancer_test.go
+++ b/internal/cicadaplace/balancer_test.go
@@ -193,6 +193,53 @@
 	}
 }
 
+// TestRestartedRunnerStartsAnew guards against a runner that is not used, or estimated by the load and the cached
+// parts of the process before, after it has started again under the same id.
+func TestRestartedRunnerStartsAnew(t *testing.T) {
+	for name, disturb := range map[string]func(lb *cicadaplace.Balancer, a *cicadaplace.Assignment){
+		"paused":   func(_ *cicadaplace.Balancer, a *cicadaplace.Assignment) { a.Pause(time.Minute, start) },
+		"draining": func(_ *cicadaplace.Balancer, a *cicadaplace.Assignment) { a.MarkDraining() },
+		"entry draining": func(lb *cicadaplace.Balancer, _ *cicadaplace.Assignment) {
+			e := entry(0)
+			e.StartMillis, e.Seq, e.Draining = 5, 9, true
+			lb.Apply(e, start)
+		},
+		"gone": func(lb *cicadaplace.Balancer, _ *cicadaplace.Assignment) { lb.Remove(entry(0).ID, start) },
+		"ejected": func(lb *cicadaplace.Balancer, a *cicadaplace.Assignment) {
+			other := entry(1) // not all runners can be ejected
+			lb.Apply(other, start)
+			a.Finish(cicadaplace.Failed, start)
+			for range 2 {
+				next, err := lb.AssignTo(entry(0).ID, prompt("a", 10_000, 1_000), start)
+				if err != nil {
+					t.Fatal(err)
+				}
+				next.Finish(cicadaplace.Failed, start)
+			}
+			lb.Remove(other.ID, start)
+		},
+		"loaded": func(_ *cicadaplace.Balancer, a *cicadaplace.Assignment) {
+			a.ReportLoad(cicadaplace.Load{Running: 60, Waiting: 40, Slots: 64}, start)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lb := newBalancer(0)
+			e := entry(0)
+			e.StartMillis, e.Seq = 5, 8
+			lb.Apply(e, start)
+			disturb(lb, choose(t, lb, prompt("a", 10_000, 1_000), start))
+			e.StartMillis, e.Seq = 6, 1
+			lb.Apply(e, start)
+			state := lb.State(start)[0]
+			got := []any{state.Draining, state.Ejected, state.PausedMS, state.InFlight, state.Running, state.Waiting, state.PendingPromptTokens}
+			if diff := cmp.Diff([]any{false, false, int64(0), 0, 0, 0, 0}, got); diff != "" {
+				t.Errorf("state after the restart (-want +got):\n%s", diff)
+			}
+			choose(t, lb, prompt("a", 10_000, 1_000), start)
+		})
+	}
+}
+
 // TestLapsedEntries checks entries that are removed after a store outage: the runners are held, and
 // removed only if their entries do not return within the hold period.
 func TestLapsedEntries(t *testing.T) {
