Crashes: a connection that the runner closes after a response shows no end of its process

Two causes, both traced: a connection that the runner closes after a framed response counted as an idle one that ends together with the next response's, so that sound responses were broken; and, in the test, the second request was sent on the connection that the runner was closing.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -375,6 +375,7 @@
 	a.cancel(nil)
 	a.resp.Body.Close()
 	if a.conn != nil {
+		a.conn.idleAt.set(time.Now())
 		a.conn.users.Add(-1) // it is closed unless it is idle now
 	}
 	a.spare.end()
--- a/internal/cicadaedge/restarted_runner_test.go
+++ b/internal/cicadaedge/restarted_runner_test.go
@@ -72,6 +72,7 @@
 				calls.Go(func() { call(t, n, "/again/", nil, "x") })
 			}
 			calls.Wait()
+			time.Sleep(50 * time.Millisecond) // the connections do not end as those of responses
 			calls.Go(func() { call(t, n, "/once/", nil, "harmful") })
 			var open []net.Conn
 			inUse := <-last
--- a/internal/cicadaedge/statement_test.go
+++ b/internal/cicadaedge/statement_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -49,6 +50,7 @@
 				})
 				host := f.startHost(false)
 				call(t, host, "/once/", nil, "x")
+				time.Sleep(50 * time.Millisecond) // its connection has ended, and is not used again
 				got := call(t, host, path, nil, "x")
 				whole := got.status == http.StatusOK && got.body == unframedEvents && got.err == nil
 				if diff := cmp.Diff(tt.complete, whole); diff != "" {
--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -65,6 +65,7 @@
 		retired atomic.Bool
 		ended   atomic.Bool  // by the runner or the network
 		usedAt  atomicTime   // when the last request was assigned to it
+		idleAt  atomicTime   // when the last of users ended
 		users   atomic.Int32 // requests assigned to it whose responses were not read to the end
 		// Set by runnerConns.add. The runner's process is known to be the same since processSince.
 		conns                       *runnerConns
--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -41,7 +41,7 @@
 	// connEnd is the end of a direct connection to a runner.
 	connEnd struct {
 		at      time.Time
-		idle    bool // no response was due on it
+		idle    bool // no response was due on it for CollectionPeriod: a runner may close after a response
 		inOrder bool // not by a reset or a time-out
 	}
 
@@ -100,7 +100,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ends = slices.DeleteFunc(c.ends, func(e connEnd) bool { return now.Sub(e.at) > endMemory })
-	c.ends = append(c.ends, connEnd{at: now, idle: conn.users.Load() == 0, inOrder: inOrder})
+	idleFor := min(now.Sub(conn.establishedAt), conn.idleAt.age(now))
+	c.ends = append(c.ends, connEnd{at: now, idle: conn.users.Load() == 0 && idleFor >= cicadacrash.CollectionPeriod, inOrder: inOrder})
 }
 
 // processEnded reports whether the process behind the connections ended around a time: all of them ended
