Placing: estimates by engine models, parts held by memory, second runner of a prefix

Requests were placed by constants, parts counted as held for 20 s whatever an engine's memory, and requests that a prefix's runner had no room for had the prefix prefilled at any runner.

A service with 32 observations is placed by its models. A runner holds a part while fewer tokens than 0.75 of its memory were prefilled since. Overflow of a prefix goes to the second runner by rendezvous hashing. The preferred runner is still taken to hold all parts, which keeps prefixes apart; the models learn from what was really sent. A service without observations is placed as before.

--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaengine"
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
 	"github.com/pkg/errors"
 )
@@ -90,6 +91,8 @@
 		warmups   map[string]Warmup        // by service
 		brittle   map[string]*brittleState // by service
 		routers   int                      // number of routers that use the runners
+		models    *cicadaengine.Models
+		engines   map[string]*engineState // by service
 	}
 
 	// removedEntry is the last entry of a removed runner. It is kept as long as the store may be
@@ -115,6 +118,7 @@
 
 		inFlight      int
 		pendingTokens int // prompt tokens of this router's requests that await their first token
+		pendingKnown  int // the same by what this router knows to be cached
 
 		reportedLoad Load
 		reportedAt   time.Time
@@ -134,6 +138,7 @@
 		ejections    int // since the last success
 
 		cachedParts partSet
+		model       *cicadaengine.Runner
 
 		// mayBeLimited is valid for limitGeneration only.
 		mayBeLimited    bool
@@ -141,7 +146,12 @@
 	}
 
 	// Load is the load that a runner reports with a response.
-	Load struct{ Running, Waiting, Slots int }
+	Load struct {
+		Running, Waiting, Slots int
+		// Slowness is how long work takes on the runner's machine at this moment, in percent; 100 is
+		// usual, 0 if it is not stated.
+		Slowness int
+	}
 )
 
 // NewBalancer returns a Balancer without runners.
@@ -151,7 +161,7 @@
 	}
 	return &Balancer{
 		cfg: cfg, byID: map[string]*Runner{}, services: map[string][]*Runner{}, removed: map[string]removedEntry{}, brittle: map[string]*brittleState{},
-		versionsSeen: map[string]map[string]time.Time{},
+		versionsSeen: map[string]map[string]time.Time{}, models: cicadaengine.NewModels(),
 	}
 }
 
@@ -197,7 +207,7 @@
 	if old != nil {
 		b.removeLocked(old, now)
 	}
-	r := &Runner{entry: e, hash: xxhash.Sum64String(e.ID), firstSeen: now, heldUntil: e.heldUntil(now)}
+	r := &Runner{entry: e, hash: xxhash.Sum64String(e.ID), firstSeen: now, heldUntil: e.heldUntil(now), model: b.models.Runner(e.Service)}
 	if last, ok := b.removed[e.ID]; ok && last.entry.sameRunner(&e) {
 		// The runner has announced that it is draining, and its entry was only removed for a while.
 		r.draining = last.draining
--- a/internal/cicadaplace/choose.go
+++ b/internal/cicadaplace/choose.go
@@ -7,19 +7,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cicadadyke/cicadadyke/internal/cicadaengine"
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
 	"github.com/pkg/errors"
 )
 
 const (
-	// prefillTokensPerMilli is the prefill throughput of an engine, in prompt tokens per millisecond.
-	prefillTokensPerMilli = 55.0
-	// decodeMillisPerRequest is the delay that each running request adds to the time to first
-	// token. It slows one decode step by about 0.02 ms, and several steps pass before the first token.
-	decodeMillisPerRequest = 0.4
-	// queueMillisPerRequest is the delay that each request queued at an engine adds: the size of a
-	// typical uncached prompt divided by prefillTokensPerMilli.
-	queueMillisPerRequest = 70.0
 	// plainMillisPerRequest is the cost of one request at a runner without an inference engine,
 	// divided by the runner's slots. It is about the processing time of such a request.
 	plainMillisPerRequest = 60.0
@@ -96,11 +89,16 @@
 		runner         *Runner
 		version        string // of the runner's software
 		uncachedTokens int
+		knownTokens    int // of these and of those assumed to be cached, the ones known not to be
 		started        bool
 		ended          bool
 		estimateMillis float64
 		cachedTokens   int
 		assignedAt     time.Time
+		prediction     cicadaengine.Prediction // without a prompt it is not set
+		predicted      bool
+		waitMillis     float64
+		observed       bool // the time to the first event was recorded
 	}
 
 	// Result is the outcome of a request at a runner.
@@ -132,7 +130,9 @@
 	var best *Runner
 	var bestCost, limitedRate float64
 	noRoom := false
-	preferred := b.preferredRunner(req, now)
+	v := b.view(req, now)
+	preferred, second := b.preferredRunners(req, &v, now)
+	secondUsable := false
 	for _, r := range list {
 		if b.isExcluded(r, req, ignoreEjection, now) {
 			continue
@@ -145,15 +145,19 @@
 			noRoom = true
 			continue
 		}
-		cost := b.cost(r, req, r == preferred, now)
+		secondUsable = secondUsable || r == second
+		cost := b.cost(r, req, v.cachedTokens(r, req, r == preferred, now), &v, now)
 		if best == nil || cost < bestCost || cost == bestCost && r.hash < best.hash {
 			best, bestCost = r, cost
 		}
 	}
 	switch {
 	case best != nil:
+		if secondUsable && best != preferred {
+			best = b.overflow(best, second, bestCost, req, &v, now)
+		}
 		b.takeRoom(best, req, now)
-		return b.assign(best, req, best == preferred, now), nil
+		return b.assign(best, req, best == preferred, &v, now), nil
 	case limitedRate > 0:
 		return nil, &RateLimitedError{Rate: limitedRate}
 	case noRoom:
@@ -164,18 +168,20 @@
 }
 
 // assign counts the request towards the load of r. It uses up a permit if r is rate-limited.
-func (b *Balancer) assign(r *Runner, req *Request, preferred bool, now time.Time) *Assignment {
+func (b *Balancer) assign(r *Runner, req *Request, preferred bool, v *view, now time.Time) *Assignment {
 	if !req.ForPeer {
 		b.cfg.Limits.TryAcquire(r.Key(), req.class(), now)
 	}
 	a := &Assignment{
 		balancer: b, runner: r, version: r.entry.SoftwareVersion, assignedAt: now,
-		estimateMillis: b.cost(r, req, preferred, now), cachedTokens: r.cachedTokens(req, preferred, now),
+		estimateMillis: b.cost(r, req, v.cachedTokens(r, req, preferred, now), v, now), cachedTokens: v.cachedTokens(r, req, preferred, now),
 	}
 	a.uncachedTokens = max(req.Tokens-a.cachedTokens, 0)
+	a.predict(req, preferred, v, now)
 	r.inFlight++
 	r.sinceReport++
 	r.pendingTokens += a.uncachedTokens
+	r.cachedParts.prefilled += a.knownTokens
 	for i := range len(req.Parts) - 1 {
 		r.cachedParts.add(req.Parts[i].ID, now)
 	}
@@ -262,24 +268,32 @@
 	return out
 }
 
-// preferredRunner returns the runner that all routers prefer for the request's shared parts, by
-// rendezvous hashing of the last shared part. It returns nil if there are no shared parts.
-func (b *Balancer) preferredRunner(req *Request, now time.Time) *Runner {
+// preferredRunners returns the runner that all routers prefer for the request's shared parts, by
+// rendezvous hashing of the last shared part, and the next one. The first one is passed over if it has
+// no memory for the parts and the next one has. Both are nil if there are no shared parts.
+func (b *Balancer) preferredRunners(req *Request, v *view, now time.Time) (preferred, second *Runner) {
 	if len(req.Parts) < 2 {
-		return nil
+		return nil, nil
 	}
 	key := xxhash.Sum64String(req.Parts[len(req.Parts)-2].ID)
-	var preferred *Runner
-	var highest uint64
+	var highest, next uint64
 	for _, r := range b.services[req.Service] {
-		if b.isLimited(r, now) || b.isExcluded(r, req, true, now) {
+		w := mix(r.hash ^ key)
+		// The hash is compared first: few runners are left for the checks, which take longer.
+		if second != nil && w <= next || b.isLimited(r, now) || b.isExcluded(r, req, true, now) {
 			continue
 		}
-		if w := mix(r.hash ^ key); preferred == nil || w > highest {
-			preferred, highest = r, w
+		if preferred == nil || w > highest {
+			preferred, second = r, preferred
+			highest, next = w, highest
+		} else {
+			second, next = r, w
 		}
 	}
-	return preferred
+	if second != nil && !v.holdsPrefix(preferred, req, now) && v.holdsPrefix(second, req, now) {
+		return second, preferred
+	}
+	return preferred, second
 }
 
 // mix is the finalizer of splitmix64, which spreads a hash over all bits.
@@ -290,16 +304,18 @@
 }
 
 // cost returns the estimated time to first token at r plus penalties, in milliseconds.
-func (b *Balancer) cost(r *Runner, req *Request, preferred bool, now time.Time) float64 {
+func (b *Balancer) cost(r *Runner, req *Request, cached int, v *view, now time.Time) float64 {
 	var cost float64
-	running, waiting := r.load(now)
 	if len(req.Parts) > 0 {
-		uncached := req.Tokens - r.cachedTokens(req, preferred, now)
-		cost = float64(r.pendingTokens+uncached)/prefillTokensPerMilli + float64(running)*decodeMillisPerRequest + float64(waiting)*queueMillisPerRequest
+		uncached := req.Tokens - cached
+		work := r.work(uncached, now)
+		cost = r.model.Millis(&v.coefficients, &work, now)
 		if uncached >= longPromptTokens {
-			cost += float64(r.inFlight) * min(float64(req.Tokens)/maxPausePromptTokens, 1) * pauseMillisPerStream
+			pause := float64(r.inFlight) * min(float64(req.Tokens)/maxPausePromptTokens, 1) * pauseMillisPerStream
+			cost += v.coefficients.Scaled(pause)
 		}
 	} else {
+		running, waiting := r.load(now)
 		cost = float64(running+waiting) / float64(max(r.entry.Slots, 1)) * plainMillisPerRequest
 	}
 	if r.entry.DataCentre != cmp.Or(req.DataCentre, b.cfg.DataCentre) {
@@ -320,21 +336,12 @@
 	return max(r.reportedLoad.Running, r.inFlight), r.reportedLoad.Waiting
 }
 
-// cachedTokens returns the tokens of the leading shared parts that the runner is assumed to have cached.
-func (r *Runner) cachedTokens(req *Request, preferred bool, now time.Time) int {
-	n := 0
-	for i := range len(req.Parts) - 1 {
-		if !preferred && !r.cachedParts.has(req.Parts[i].ID, now) {
-			break
-		}
-		n += req.Parts[i].Tokens
-	}
-	return n
-}
-
 // tooManyEjected reports whether more than maxEjectedShare of the runners that the request may use are
 // ejected.
 func (b *Balancer) tooManyEjected(list []*Runner, req *Request, now time.Time) bool {
+	if !slices.ContainsFunc(list, func(r *Runner) bool { return now.Before(r.ejectedUntil) }) {
+		return false
+	}
 	ejected, total := 0, 0
 	for _, r := range list {
 		if b.unavailability(r, now) != nil || r.hasOtherVersion(req) || b.isUnsettled(r, req, now) {
@@ -382,16 +389,10 @@
 	if !a.started {
 		a.started = true
 		a.runner.pendingTokens -= a.uncachedTokens
+		a.runner.pendingKnown -= a.knownTokens
 	}
 }
 
-// ReportLoad records a load report of the runner.
-func (a *Assignment) ReportLoad(l Load, now time.Time) {
-	a.balancer.mu.Lock()
-	defer a.balancer.mu.Unlock()
-	a.runner.reportedLoad, a.runner.reportedAt, a.runner.sinceReport = l, now, 0
-}
-
 // Finish ends the assignment. It returns the duration of the runner's ejection, or zero if the
 // runner is not ejected by this result. Further calls have no effect.
 func (a *Assignment) Finish(res Result, now time.Time) time.Duration {
--- a/internal/cicadaplace/exclude.go
+++ b/internal/cicadaplace/exclude.go
@@ -96,6 +96,9 @@
 
 // isOutsideHomes reports whether the request must not reach r's region.
 func (b *Balancer) isOutsideHomes(r *Runner, req *Request) bool {
+	if len(req.Homes) == 0 {
+		return false
+	}
 	region := b.cfg.Regions[r.entry.DataCentre]
 	return slices.ContainsFunc(req.Homes, func(homes []string) bool { return !slices.Contains(homes, region) })
 }
--- a/internal/cicadaplace/group.go
+++ b/internal/cicadaplace/group.go
@@ -56,5 +56,7 @@
 	if r == nil || r.entry.Service != req.Service || b.isExcluded(r, req, true, now) || !b.canSend(r, req, now) {
 		return nil, ErrNoRunner
 	}
-	return b.assign(r, req, r == b.preferredRunner(req, now), now), nil
+	v := b.view(req, now)
+	preferred, _ := b.preferredRunners(req, &v, now)
+	return b.assign(r, req, r == preferred, &v, now), nil
 }
--- a/internal/cicadaplace/parts.go
+++ b/internal/cicadaplace/parts.go
@@ -12,39 +12,50 @@
 	partTTL = 20 * time.Second
 )
 
-// partSet tracks the prompt parts that a runner has used recently.
-type partSet struct {
-	lastUsed map[string]time.Time
-}
+type (
+	// partSet tracks the prompt parts that a runner has used recently.
+	partSet struct {
+		uses      map[string]partUse
+		prefilled int // tokens that this router's requests have prefilled at the runner
+	}
+
+	// partUse is the last use of a part: when, and how many tokens had been prefilled then. An engine that
+	// evicts the least recently used parts still has it if fewer were prefilled since than it has memory for.
+	partUse struct {
+		at        time.Time
+		prefilled int
+	}
+)
 
 func (s *partSet) add(id string, now time.Time) {
-	if s.lastUsed == nil {
-		s.lastUsed = map[string]time.Time{}
+	if s.uses == nil {
+		s.uses = map[string]partUse{}
 	}
-	if _, ok := s.lastUsed[id]; !ok && len(s.lastUsed) >= maxParts {
+	if _, ok := s.uses[id]; !ok && len(s.uses) >= maxParts {
 		s.evict(now)
 	}
-	s.lastUsed[id] = now
+	s.uses[id] = partUse{at: now, prefilled: s.prefilled}
 }
 
-func (s *partSet) has(id string, now time.Time) bool {
-	at, ok := s.lastUsed[id]
-	return ok && now.Sub(at) < partTTL
+// lastUse returns the last use of a part, unless it is too long ago.
+func (s *partSet) lastUse(id string, now time.Time) (partUse, bool) {
+	use, ok := s.uses[id]
+	return use, ok && now.Sub(use.at) < partTTL
 }
 
 // evict removes expired parts, or the least recently used part if none has expired.
 func (s *partSet) evict(now time.Time) {
 	oldest, oldestAt := "", now
-	for id, at := range s.lastUsed {
-		if now.Sub(at) >= partTTL {
-			delete(s.lastUsed, id)
+	for id, use := range s.uses {
+		if now.Sub(use.at) >= partTTL {
+			delete(s.uses, id)
 			continue
 		}
-		if at.Before(oldestAt) || oldest == "" {
-			oldest, oldestAt = id, at
+		if use.at.Before(oldestAt) || oldest == "" {
+			oldest, oldestAt = id, use.at
 		}
 	}
-	if len(s.lastUsed) >= maxParts {
-		delete(s.lastUsed, oldest)
+	if len(s.uses) >= maxParts {
+		delete(s.uses, oldest)
 	}
 }
