Edge: times to the first event are predicted, measured and told to the placing router

The models of cicadaplace saw neither times nor, at a router that places for others, load reports. The first event of a stream is an observation now. The notice that a response has started carries its time, and the load report if that states a slowness; the reply to a placement carries the forecast. Predicted and actual time and the expected wait are in the request's log line, and the errors of the models and of the constants in the metrics. The memory of engines comes from the configuration.

--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -134,6 +134,7 @@
 		x.sentAt = time.Now()
 	}
 	x.beginTry(x.runnerID)
+	x.firstEvent.predict(p)
 	eventsBefore := x.eventsSent
 	res, retry := x.sendTo(ctx, p)
 	x.endTry(eventsBefore, &res)
--- a/internal/cicadaedge/metrics.go
+++ b/internal/cicadaedge/metrics.go
@@ -45,6 +45,10 @@
 		FirstByte        *LatencyHistogram // until the first byte of a response
 		Total            *LatencyHistogram // until the end of a response
 		StoreCall        *LatencyHistogram
+		// FirstEventError is the error of the predicted times to the first event. ConstantsError is what it
+		// would be without the models of runners, by which their gain is measured.
+		FirstEventError *LatencyHistogram
+		ConstantsError  *LatencyHistogram
 	}
 
 	// LatencyHistogram is a histogram of latencies in milliseconds. It is safe for concurrent use.
@@ -56,7 +60,10 @@
 
 // NewMetrics returns metrics with all counters at zero.
 func NewMetrics() *Metrics {
-	m := &Metrics{FirstByte: newLatencyHistogram(), Total: newLatencyHistogram(), StoreCall: newLatencyHistogram()}
+	m := &Metrics{
+		FirstByte: newLatencyHistogram(), Total: newLatencyHistogram(), StoreCall: newLatencyHistogram(),
+		FirstEventError: newLatencyHistogram(), ConstantsError: newLatencyHistogram(),
+	}
 	m.Requests.Init()
 	m.Errors.Init()
 	m.Store.Init()
@@ -100,9 +107,11 @@
 	w.Header().Set("Content-Type", "application/json")
 	fmt.Fprintf(w, `{"requests":%s,"errors":%s,"store":%s,"inFlight":%s,"dials":%s,"relayed":%s,"relayedForOthers":%s,`+
 		`"relayedRunners":%s,"resumed":%s,"takeUps":%s,"repeated":%s,"limited":%s,"paused":%s,"roomWaits":%s,"evacuated":%s,"linkOverloads":%s,`+
-		`"crashes":%s,"quarantined":%s,"blocks":%s,"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s}`+"\n",
+		`"crashes":%s,"quarantined":%s,"blocks":%s,"deployVersion":%s,"firstByte":%s,"whole":%s,"storeCall":%s,`+
+		`"firstEventError":%s,"constantsError":%s}`+"\n",
 		m.Requests.String(), m.Errors.String(), m.Store.String(), m.InFlight.String(), m.Dials.String(), m.Relayed.String(),
 		m.RelayedForOthers.String(), m.RelayedRunners.String(), m.Resumed.String(), m.TakeUps.String(),
 		m.Retried.String(), m.RateLimited.String(), m.Paused.String(), m.RoomWaits.String(), m.Evacuated.String(), m.LinkOverloads.String(),
-		m.Crashes.String(), m.Quarantined.String(), m.Blocks.String(), m.DeployVersion.String(), m.FirstByte, m.Total, m.StoreCall)
+		m.Crashes.String(), m.Quarantined.String(), m.Blocks.String(), m.DeployVersion.String(), m.FirstByte, m.Total, m.StoreCall,
+		m.FirstEventError, m.ConstantsError)
 }
--- a/internal/cicadaedge/placement.go
+++ b/internal/cicadaedge/placement.go
@@ -26,6 +26,8 @@
 	// leaseGracePeriod is how long a lease that was not ended is kept after the deadline of its
 	// request.
 	leaseGracePeriod = time.Second
+	// maxLoadAgeMillis bounds the age of a load in a notice. Older ones say nothing either.
+	maxLoadAgeMillis = 60_000
 	methodPlace      = "place"
 	methodStarted    = "started"
 	methodEnded      = "ended"
@@ -83,10 +85,26 @@
 		LeaseID  uint64 `json:"place"`
 		RunnerID string `json:"runner"`
 		NoRoom   bool   `json:"noRoom,omitempty"` // the runners are brittle and may have no room
+		// Forecast is what is expected of the request; nil without a prompt.
+		Forecast *forecast `json:"forecast,omitempty"`
 	}
 
 	startedNotice struct {
 		LeaseID uint64 `json:"place"`
+		// TookMillis is the time from the choice of the runner to the first event, at least 1; 0 if it does
+		// not tell how fast the runner is.
+		TookMillis int64       `json:"tookMillis,omitempty"`
+		Load       *loadNotice `json:"load,omitempty"`
+	}
+
+	// loadNotice is the load that a runner reported with its response. It is sent for runners that state the
+	// slowness of their machines: a router that places the requests of others sees few reports itself.
+	loadNotice struct {
+		Running   int   `json:"running"`
+		Waiting   int   `json:"waiting"`
+		Slots     int   `json:"slots"`
+		Slowness  int   `json:"slowness"`
+		AgeMillis int64 `json:"ageMillis"`
 	}
 
 	endedNotice struct {
@@ -101,6 +119,7 @@
 		client      *jrpc2.Client
 		leaseID     uint64
 		server      string
+		forecast    *forecast // of the server, which knows more of the runner's queue; nil if it sent none
 		startedSent bool
 		endedSent   bool
 	}
@@ -133,7 +152,7 @@
 	s.removeExpired(now)
 	s.lastLeaseID++
 	s.leases[s.lastLeaseID] = &lease{assignment: assignment, expiresAt: now.Add(time.Duration(req.RemainingMillis)*time.Millisecond + leaseGracePeriod)}
-	return placementReply{LeaseID: s.lastLeaseID, RunnerID: assignment.Runner().ID()}, nil
+	return placementReply{LeaseID: s.lastLeaseID, RunnerID: assignment.Runner().ID(), Forecast: newForecast(assignment)}, nil
 }
 
 // removeExpired ends the leases that were not ended in time.
@@ -150,8 +169,17 @@
 	s.mu.Lock()
 	l := s.leases[n.LeaseID]
 	s.mu.Unlock()
-	if l != nil {
-		l.assignment.ResponseStarted()
+	if l == nil {
+		return nil
+	}
+	now := time.Now()
+	l.assignment.ResponseStarted()
+	if n.TookMillis > 0 {
+		l.assignment.ObserveFirstEvent(time.Duration(n.TookMillis)*time.Millisecond, now)
+	}
+	if n.Load != nil {
+		load := cicadaplace.Load{Running: n.Load.Running, Waiting: n.Load.Waiting, Slots: n.Load.Slots, Slowness: n.Load.Slowness}
+		l.assignment.ReportLoad(load, now.Add(-time.Duration(min(max(n.Load.AgeMillis, 0), maxLoadAgeMillis))*time.Millisecond))
 	}
 	return nil
 }
@@ -266,17 +294,33 @@
 		c.notify(client, methodEnded, endedNotice{LeaseID: reply.LeaseID, Result: cicadaplace.CallerCancelled})
 		return nil, err
 	}
-	return &placement{Assignment: assignment, client: client, leaseID: reply.LeaseID, server: name}, nil
+	return &placement{Assignment: assignment, client: client, leaseID: reply.LeaseID, server: name, forecast: reply.Forecast}, nil
 }
 
-// responseStarted records that the runner has processed the prompt, here and at the placement
-// server.
-func (c *placementClient) responseStarted(p *placement) {
+// responseStarted records that the runner has processed the prompt, here and at the placement server. took
+// is the time to the first event, or zero if that says nothing about the runner. load is what the runner
+// reported at reportedAt, or nil.
+func (c *placementClient) responseStarted(p *placement, took time.Duration, load *cicadaplace.Load, reportedAt time.Time) {
+	now := time.Now()
 	p.ResponseStarted()
-	if p.client != nil && !p.startedSent {
-		p.startedSent = true
-		c.notify(p.client, methodStarted, startedNotice{LeaseID: p.leaseID})
+	if took > 0 {
+		p.ObserveFirstEvent(took, now)
+	}
+	if p.client == nil || p.startedSent {
+		return
+	}
+	p.startedSent = true
+	notice := startedNotice{LeaseID: p.leaseID}
+	if took > 0 {
+		notice.TookMillis = max(took.Milliseconds(), 1)
+	}
+	if load != nil && load.Slowness > 0 {
+		notice.Load = &loadNotice{
+			Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowness: load.Slowness,
+			AgeMillis: now.Sub(reportedAt).Milliseconds(),
+		}
 	}
+	c.notify(p.client, methodStarted, notice)
 }
 
 // finish ends the assignment here and the lease at the placement server. It returns for how long
--- a/internal/cicadaedge/request_record.go
+++ b/internal/cicadaedge/request_record.go
@@ -17,7 +17,8 @@
 	relay          string        // router that the last attempt went through; empty for none
 	estimateMillis float64
 	cachedTokens   int
-	runnerRate     float64 // rate limit known of the runner, if any
+	firstEvent     firstEventRecord // of the last runner
+	runnerRate     float64          // rate limit known of the runner, if any
 	runnerLimited  bool
 	headerAt       time.Time // when the last runner began to answer; zero if it did not
 	firstByteAt    time.Time
@@ -127,8 +128,10 @@
 	rt.cfg.Log.WithFields(f).Info("request")
 }
 
-// addStream adds which runs the events of a stream came from, and which stream the caller has taken up.
+// addStream adds when the first event of a stream came, which runs its events came from, and which stream the
+// caller has taken up.
 func (q *request) addStream(f log.Fields) {
+	q.firstEvent.addTo(f)
 	if version := q.requiredVersion(); version != "" {
 		f["software"] = version
 	}
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -172,7 +172,7 @@
 	now := time.Now()
 	if x.eventsSent == 0 {
 		x.firstByteAt = now
-		x.rt.placementClient.responseStarted(a.placement)
+		x.rt.placementClient.responseStarted(a.placement, x.recordFirstEvent(now), a.info.Load, x.headerAt)
 	} else {
 		x.longestGap = max(x.longestGap, now.Sub(x.lastEventAt))
 	}
--- a/internal/cicadaedge/tables.go
+++ b/internal/cicadaedge/tables.go
@@ -107,6 +107,7 @@
 		}
 	}
 	rt.applyWarmups(doc)
+	rt.applyEngines(doc)
 	rt.deployment.Store(snapshot)
 	rt.cfg.Metrics.DeployVersion.Set(int64(doc.Version))
 	rt.cfg.Log.WithField("version", doc.Version).WithField("before", before).WithField("from", source).
@@ -130,6 +131,17 @@
 	rt.balancer.SetWarmups(warmups, time.Now())
 }
 
+// applyEngines sets the memory of the services' engines.
+func (rt *Router) applyEngines(doc *cicadadeploy.Document) {
+	engines := map[string]cicadaplace.Engine{}
+	for i := range doc.Services {
+		if s := &doc.Services[i]; s.Engine != nil {
+			engines[s.Name] = cicadaplace.Engine{KVTokens: s.Engine.KVTokens}
+		}
+	}
+	rt.balancer.SetEngines(engines)
+}
+
 // applyRunners applies changed runner entries from the store.
 func (rt *Router) applyRunners(b cicadastore.ChangeBatch, full bool, now time.Time) {
 	seen := map[string]bool{}
--- a/internal/cicadaengine/engine_test.go
+++ b/internal/cicadaengine/engine_test.go
@@ -128,3 +128,23 @@
 		t.Errorf("a service with the factor 1.6 is taken for %.2f after 62 requests, want 1.2 to 1.6", got)
 	}
 }
+
+// TestFullRunnersAreSlower guards against requests that are sent to a runner with its last slots as if it
+// were as fast as the others.
+func TestFullRunnersAreSlower(t *testing.T) {
+	models := cicadaengine.NewModels()
+	s, r := models.Service("s"), models.Runner("s")
+	full, half := cicadaengine.Work{Tokens: 8000, Running: 64, Slots: 64}, cicadaengine.Work{Tokens: 8000, Running: 32, Slots: 64}
+	now := start
+	for range 300 {
+		now = now.Add(100 * time.Millisecond)
+		for w, factor := range map[cicadaengine.Work]float64{full: 1.8, half: 1} {
+			c := s.Coefficients(now)
+			p := r.Predict(&c, w, now)
+			r.ObserveFirstEvent(&p, time.Duration(float64(p.WithConstants())*factor), now)
+		}
+	}
+	if got := estimate(s, r, full, now) / estimate(s, r, half, now); got < 1.5 || got > 2.2 {
+		t.Errorf("a full runner takes %.2f times as long as one that is half full, want about 1.8", got)
+	}
+}
