--- a/internal/cicadaengine/runner.go
+++ b/internal/cicadaengine/runner.go
@@ -117,7 +117,7 @@
 
 // WithConstants returns the time that the constants predict, by which the gain of the models is measured.
 func (p *Prediction) WithConstants() time.Duration {
-	c := Coefficients{speed: 1, decode: 1, queue: 1}
+	c := Constants()
 	return fromMillis(c.workMillis(&p.work))
 }
 
--- a/internal/cicadaengine/service.go
+++ b/internal/cicadaengine/service.go
@@ -100,9 +100,12 @@
 	if c := s.learned(now); c.observed {
 		return c
 	}
-	return Coefficients{speed: 1, decode: 1, queue: 1}
+	return Constants()
 }
 
+// Constants returns the coefficients with which all services start.
+func Constants() Coefficients { return Coefficients{speed: 1, decode: 1, queue: 1} }
+
 // learned returns what was learned, as far as it has not become too old.
 func (s *Service) learned(now time.Time) Coefficients {
 	weight := 1.0
--- a/internal/cicadaplace/engine.go
+++ b/internal/cicadaplace/engine.go
@@ -16,6 +16,9 @@
 	// secondShare is the share of a prefix's prefill time that a request may wait longer at the second
 	// runner than elsewhere, for later requests to find the prefix there.
 	secondShare = 0.5
+	// minModelRouters is the number of routers from which on the learned models are used. In smaller fleets,
+	// which see all requests of a few runners, the constants place as well.
+	minModelRouters = 16
 	// maxWaiting bounds a reported queue. A longer one is a misreading.
 	maxWaiting = 10_000
 )
@@ -68,6 +71,9 @@
 		return view{}
 	}
 	v := view{coefficients: b.models.Service(req.Service).Coefficients(now), spread: 1, placesGroup: req.PlacesGroup}
+	if b.routers > 0 && b.routers < minModelRouters {
+		v.coefficients = cicadaengine.Constants()
+	}
 	v.observed = v.coefficients.Observed()
 	if st := b.engines[req.Service]; st != nil && v.observed {
 		v.kvTokens, v.ownTokens = float64(st.kvTokens), st.ownTokens
