--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -261,7 +261,8 @@
 		own := func(name string) cicadaquarantine.Trait { return cicadaquarantine.Trait(fmt.Sprint(name, i)) }
 		record(q, crash{
 			fmt.Sprint("r", i), time.Duration(i+1) * time.Second,
-			[]traits{{"shared", own("x")}, {"shared", own("y")}}, []traits{{"shared", "harmful"}, {own("z")}},
+			[]traits{{"shared", own("x")}, {"shared", own("y")}},
+			[]traits{{"shared", "harmful"}, {own("z")}},
 		})
 		got = append(got, blocked(q))
 	}
--- a/internal/cicadasoak/crash_runner_test.go
+++ b/internal/cicadasoak/crash_runner_test.go
@@ -82,12 +82,12 @@
 		w.Header().Set("Response-Seal", "s")
 		if !kindOf(req.URL.Path).isStream() {
 			time.Sleep(crashDelay)
-			fmt.Fprint(w, responseBody(req.Header.Get("Request-Id")))
+			fmt.Fprintf(w, "%s", responseBody(req.Header.Get("Request-Id")))
 			return
 		}
 		w.Header().Set("Content-Type", "text/event-stream")
 		for n := range crashStreamEvents {
-			fmt.Fprint(w, streamEvent("x", n+1))
+			fmt.Fprintf(w, "%s", streamEvent("x", n+1))
 			w.(http.Flusher).Flush()
 			if harmful && n+1 == crashEvent {
 				time.Sleep(crashDelay)
