Runner list: the runner whose address a new entry has is found without a search

A new entry was compared with all runners, a square of their number at the start: 4.5 million comparisons at 3,000 runners (by arithmetic, not measured).

--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -76,6 +76,7 @@
 
 		mu       sync.Mutex // guards the fields below
 		byID     map[string]*Runner
+		byAddr   map[string]*Runner   // the last one of each address
 		services map[string][]*Runner // unordered
 		// versionsSeen holds, by service, when the versions of the software were first seen that runners have.
 		versionsSeen map[string]map[string]time.Time
@@ -160,7 +161,7 @@
 		cfg.Limits = cicadalimit.New(&cicadalimit.Clock{})
 	}
 	return &Balancer{
-		cfg: cfg, byID: map[string]*Runner{}, services: map[string][]*Runner{}, removed: map[string]removedEntry{}, brittle: map[string]*brittleState{},
+		cfg: cfg, byID: map[string]*Runner{}, byAddr: map[string]*Runner{}, services: map[string][]*Runner{}, removed: map[string]removedEntry{}, brittle: map[string]*brittleState{},
 		versionsSeen: map[string]map[string]time.Time{}, models: cicadaengine.NewModels(),
 	}
 }
@@ -213,7 +214,7 @@
 		r.draining = last.draining
 	}
 	b.limitWarmup(r, e.WarmupRemaining, now)
-	b.byID[e.ID] = r
+	b.byID[e.ID], b.byAddr[e.Addr] = r, r
 	b.services[e.Service] = append(b.services[e.Service], r)
 	b.recordVersion(r, now)
 	return Change{id: e.ID, removed: old, ended: ended, changed: true}
@@ -224,11 +225,9 @@
 	if old := b.byID[e.ID]; old != nil && old.entry.StartMillis < e.StartMillis && !old.entry.Draining {
 		return old
 	}
-	for _, r := range b.byID {
-		// The successor may have answered for it, which looks like draining.
-		if r.entry.Addr == e.Addr && r.entry.ID != e.ID && !r.entry.Draining {
-			return r
-		}
+	// The successor may have answered for it, which looks like draining.
+	if r := b.byAddr[e.Addr]; r != nil && r.entry.ID != e.ID && !r.entry.Draining {
+		return r
 	}
 	return nil
 }
@@ -386,6 +385,9 @@
 	if b.byID[r.entry.ID] == r {
 		delete(b.byID, r.entry.ID)
 	}
+	if b.byAddr[r.entry.Addr] == r {
+		delete(b.byAddr, r.entry.Addr)
+	}
 	b.services[r.entry.Service] = slices.DeleteFunc(b.services[r.entry.Service], func(other *Runner) bool { return other == r })
 	b.forgetVersion(r.entry.Service, r.entry.SoftwareVersion)
 }
