--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -10,6 +10,8 @@
 //   - An incident is what happens within incidentWindow. If most of the runners that crash in it
 //     were not serving a trait, the trait does not explain it. So runners that crash together for a
 //     common reason, as at a loss of power, put no trait in quarantine.
+//   - All requests at a runner are suspects. Those that wait beside others whose answers had just begun
+//     need one incident more: they may crash runners before they are answered, or be there by chance.
 //   - A trait that explains a crash takes it from all others. A sound trait that often occurs
 //     together with a harmful one is not quarantined for its crashes.
 //   - Traits that only ever occur together cannot be told apart. Requests that have all of them are
