--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -161,7 +161,8 @@
 		cfg.Limits = cicadalimit.New(&cicadalimit.Clock{})
 	}
 	return &Balancer{
-		cfg: cfg, byID: map[string]*Runner{}, byAddr: map[string]*Runner{}, services: map[string][]*Runner{}, removed: map[string]removedEntry{}, brittle: map[string]*brittleState{},
+		cfg: cfg, byID: map[string]*Runner{}, byAddr: map[string]*Runner{}, services: map[string][]*Runner{},
+		removed: map[string]removedEntry{}, brittle: map[string]*brittleState{},
 		versionsSeen: map[string]map[string]time.Time{}, models: cicadaengine.NewModels(),
 	}
 }
