Quarantine: a crash whose cause is not known takes none of the cause's other crashes

Traced by its logs: a runner crashed six times in two seconds; a router whose entry of it was old recorded one crash under the start before. The part that sound requests at that runner share kept the crashes that the cause explains by requests that waited, as it also explained the one without the cause, and stayed in quarantine.

Such crashes stay with a trait only if it explains as many others. TestCrashWithoutItsCauseBlamesWhatIsServedEverywhere fails before ({shared} is blocked beside {harmful}).

--- a/internal/cicadaquarantine/quarantine_test.go
+++ b/internal/cicadaquarantine/quarantine_test.go
@@ -271,6 +271,25 @@
 	}
 }
 
+// The router that sent the cause of the second crash did not see it.
+func TestCrashWithoutItsCauseBlamesWhatIsServedEverywhere(t *testing.T) {
+	t.Parallel()
+	q := cicadaquarantine.New(cicadaquarantine.Config{})
+	for i, c := range []struct{ begun, waiting traits }{
+		{traits{"shared"}, traits{"harmful"}},
+		{traits{"shared"}, nil},
+		{traits{"shared"}, traits{"harmful"}},
+		{traits{"other"}, traits{"harmful"}},
+		{traits{"another"}, traits{"harmful"}},
+	} {
+		own := cicadaquarantine.Trait(fmt.Sprint("own", i))
+		record(q, crash{fmt.Sprint("r", i), time.Duration(i+1) * time.Second, []traits{append(c.begun, own)}, []traits{c.waiting}})
+	}
+	if diff := cmp.Diff([][]cicadaquarantine.Trait{{"harmful"}}, blocked(q)); diff != "" {
+		t.Errorf("blocks (-want +got):\n%s", diff)
+	}
+}
+
 // Half of 18 runners crash together three times; requests with one of 60 rare traits are not answered.
 func TestUnrelatedWavesOfCrashesRefuseSoundRequests(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -278,10 +278,19 @@
 	}
 }
 
-// explainBy removes the crashes that a group explains. If the trait explains another crash as well, one that
-// the group explains only by requests that waited may have been a second cause's.
+// explainBy removes the crashes that a group explains. If the trait explains other crashes as well, those that
+// the group explains only by requests that waited may have been a second cause's, as far as they are no more
+// than these: what is served at each runner is in some crash that the group's requests are not known of.
 func (e *explanation) explainBy(g *group) {
-	hasOther := slices.ContainsFunc(e.likely, func(i int) bool { return !slices.Contains(g.crashes, i) })
+	others, doubtful := 0, 0
+	for _, i := range e.likely {
+		switch {
+		case !slices.Contains(g.crashes, i):
+			others++
+		case !slices.Contains(g.likelyCrashes, i):
+			doubtful++
+		}
+	}
 	likely := slices.Clone(e.likely)
 	isExplained := func(i int) bool {
 		switch {
@@ -290,7 +299,7 @@
 		case slices.Contains(g.likelyCrashes, i):
 			return true
 		default:
-			return !hasOther || !slices.Contains(likely, i)
+			return doubtful > others || !slices.Contains(likely, i)
 		}
 	}
 	e.crashes, e.likely = slices.DeleteFunc(e.crashes, isExplained), slices.DeleteFunc(e.likely, isExplained)
