Responses with a malformed status line are refused

What callers saw: of a response with status 000 (or 001 to 099, or with a sign: "-00", "+20") the closed connection only, and no `request` line in the log: net/http panics at such a status when it is written to the caller. The units reserved for the request were not given back. Responses with the statuses 101, 600 and 999, of HTTP/0.9 and HTTP/2.0, and with a control byte in the status line were passed on as responses.

Cause: net/http takes any three bytes that strconv.Atoi accepts for a status and any version for its own, and nothing behind it checks them.

Evidence: TestMalformedResponseReachesTheCaller failed on the code before in each of its eight cases (four kinds of route, directly and through another router): "control byte in the status line: the caller received status 200", then "status 000: the reservation is settled" not met within 10 s.

Fix: cicadanet.ResponseChecker reads the bytes of a runner's connection before net/http does. The status line must have the form of RFC 9112, a status from 100 to 599, and not 101, as no request asks for another protocol. Otherwise the read fails, and the request ends as after any other bytes that are no response: 502, or another runner if it may run again. Through another router the check is the same, as the bytes of the runner's connection arrive unchanged. Unusual responses that RFC 9112 allows still pass (TestWellFormedResponseIsRejected, green before too).

--- /dev/null
+++ b/internal/cicadaedge/malformed_response_test.go
@@ -0,0 +1,119 @@
+package cicadaedge_test
+
+import (
+	"bufio"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+const (
+	responseFields = "X-Id: ID\r\nX-Sealed: yes\r\nContent-Type: text/event-stream\r\n"
+	framedEvent    = "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n"
+)
+
+// malformedResponses are responses of a runner to the request ID.
+var malformedResponses = map[string]string{
+	"status 000":                      "HTTP/1.1 000 OK\r\n" + responseFields + framedEvent,
+	"status 099":                      "HTTP/1.1 099 OK\r\n" + responseFields + framedEvent,
+	"status 600":                      "HTTP/1.1 600 OK\r\n" + responseFields + framedEvent,
+	"status 999":                      "HTTP/1.1 999 OK\r\n" + responseFields + framedEvent,
+	"status of another protocol":      "HTTP/1.1 101 OK\r\n" + responseFields + framedEvent,
+	"status with a sign":              "HTTP/1.1 +20 OK\r\n" + responseFields + framedEvent,
+	"status of two digits":            "HTTP/1.1 20 OK\r\n" + responseFields + framedEvent,
+	"status of four digits":           "HTTP/1.1 2000 OK\r\n" + responseFields + framedEvent,
+	"status 000 after early hints":    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + responseFields + framedEvent,
+	"no status":                       "HTTP/1.1\r\n" + responseFields + framedEvent,
+	"control byte in the status line": "HTTP/1.1 200 O\x00K\r\n" + responseFields + framedEvent,
+	"another protocol":                "HTTX/1.1 200 OK\r\n" + responseFields + framedEvent,
+	"version 0.9":                     "HTTP/0.9 200 OK\r\n" + responseFields + framedEvent,
+	"version 2.0":                     "HTTP/2.0 200 OK\r\n" + responseFields + framedEvent,
+}
+
+// wellFormedResponses are unusual ones.
+var wellFormedResponses = map[string]string{
+	"no reason":       "HTTP/1.1 200\r\n" + responseFields + framedEvent,
+	"empty reason":    "HTTP/1.1 200 \r\n" + responseFields + framedEvent,
+	"foreign reason":  "HTTP/1.1 200 \xe9t\xe9\tOK\r\n" + responseFields + framedEvent,
+	"early hints":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + responseFields + framedEvent,
+	"line feeds only": strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+responseFields+framedEvent, "\r", ""),
+	"version 1.0":     "HTTP/1.0 200 OK\r\n" + responseFields + framedEvent,
+}
+
+// responseCaller sends requests to a router whose only runner answers with the bytes that are set.
+type responseCaller struct {
+	t        *testing.T
+	node     *node
+	path     string
+	response atomic.Pointer[string]
+	runs     atomic.Int64
+}
+
+// forEachWay runs test for each kind of route, with the runner reached directly and through another router.
+func forEachWay(t *testing.T, test func(c *responseCaller)) {
+	t.Parallel()
+	for _, path := range paths {
+		for way, relayed := range ways {
+			t.Run(strings.Trim(path, "/")+" "+way, func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t)
+				c := &responseCaller{t: t, path: path}
+				f.addRawRunner(func(conn *rawConn, req *http.Request) bool {
+					c.runs.Add(1)
+					conn.write(strings.ReplaceAll(*c.response.Load(), "ID", req.Header.Get("X-Id")))
+					return false
+				})
+				c.node = f.startHost(relayed)
+				test(c)
+			})
+		}
+	}
+}
+
+// call returns what the caller receives of a response of the runner. It is nil if that is not complete.
+func (c *responseCaller) call(name, response string) *http.Response {
+	c.t.Helper()
+	c.response.Store(&response)
+	runs := c.runs.Load()
+	received, err := rawCall(c.t, c.node.addr, c.path, "1.1", "X-Tokens: 8,8\r\nConnection: close\r\n")
+	if c.runs.Load() == runs {
+		c.t.Fatalf("%s: the request was not sent to the runner, and the caller received %q", name, received)
+	}
+	eventually(c.t, name+": the reservation is settled", func() bool { return c.node.Accounts()[0].Reserved == 0 })
+	if err != nil {
+		return nil
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(received)), nil)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return nil
+	}
+	return resp
+}
+
+func TestMalformedResponseReachesTheCaller(t *testing.T) {
+	forEachWay(t, func(c *responseCaller) {
+		for _, name := range slices.Sorted(maps.Keys(malformedResponses)) {
+			if resp := c.call(name, malformedResponses[name]); resp != nil && (resp.StatusCode != http.StatusBadGateway || resp.Header.Get("X-Sealed") != "") {
+				c.t.Errorf("%s: the caller received status %d, header %v", name, resp.StatusCode, resp.Header)
+			}
+		}
+	})
+}
+
+func TestWellFormedResponseIsRejected(t *testing.T) {
+	forEachWay(t, func(c *responseCaller) {
+		for _, name := range slices.Sorted(maps.Keys(wellFormedResponses)) {
+			if resp := c.call(name, wellFormedResponses[name]); resp == nil || resp.StatusCode != http.StatusOK || resp.Header.Get("X-Sealed") == "" {
+				c.t.Errorf("%s: the caller received %+v", name, resp)
+			}
+		}
+	})
+}
--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -16,6 +16,7 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadaadmission"
 	"github.com/cicadadyke/cicadadyke/internal/cicadadeploy"
+	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/pkg/errors"
 )
@@ -60,6 +61,7 @@
 	countedConn struct {
 		net.Conn
 		link    *cicadaadmission.Link
+		checker cicadanet.ResponseChecker
 		relay   string // name of the router that the connection goes through; empty for none
 		written atomic.Int64
 		retired atomic.Bool
@@ -110,13 +112,16 @@
 	return c.Conn.Write(p)
 }
 
-// Read counts the bytes read.
+// Read counts the bytes read, and checks that they form responses.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.link.RecordReceived(n, time.Now())
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		c.conns.recordEnd(c, errors.Is(err, io.EOF))
 	}
+	if malformed := c.checker.Check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
@@ -238,6 +243,7 @@
 				return
 			}
 			writtenBefore = conn.written.Load()
+			conn.checker.Expect()
 			conn.usedAt.set(time.Now())
 			conn.users.Add(1)
 			// Another router may not send there any more, which is known when a connection is opened.
--- /dev/null
+++ b/internal/cicadanet/response.go
@@ -0,0 +1,135 @@
+package cicadanet
+
+import (
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// statusLineForm is the beginning of a status line, with 0 for any digit.
+	statusLineForm = "HTTP/1.0 000"
+	// statusOffset is where the status code begins in a status line.
+	statusOffset = len("HTTP/1.0 ")
+)
+
+// headerPhase is the part of a response that the next byte belongs to.
+type headerPhase uint8
+
+const (
+	phaseStatusLine headerPhase = iota // in statusLineForm
+	phaseReason                        // in the rest of the status line
+	phaseLineStart                     // at the beginning of a line after the status line
+	phaseLine                          // in such a line
+	phaseHeaderEnd                     // after the carriage return of the empty line
+	phaseBody                          // after the header; not checked
+)
+
+// ResponseChecker checks the headers of the responses on a connection, before net/http parses them. net/http
+// accepts headers that RFC 9112 does not allow. The zero value expects a response.
+type ResponseChecker struct {
+	mu     sync.Mutex // guards the fields below
+	phase  headerPhase
+	offset int // in the status line
+	status int
+	cr     bool // the byte before was a carriage return
+}
+
+// Expect is called before each request that is sent on the connection.
+func (c *ResponseChecker) Expect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begin()
+}
+
+// Check checks the next bytes that were read from the connection. After an error they must not be used.
+func (c *ResponseChecker) Check(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range p {
+		if c.phase == phaseBody {
+			return nil
+		}
+		if err := c.next(b); err != nil {
+			return errors.WithMessage(err, "malformed response")
+		}
+	}
+	return nil
+}
+
+// begin expects a status line.
+func (c *ResponseChecker) begin() { c.phase, c.offset, c.status, c.cr = phaseStatusLine, 0, 0, false }
+
+func (c *ResponseChecker) next(b byte) error {
+	switch c.phase {
+	case phaseStatusLine:
+		return c.nextOfStatusLine(b)
+	case phaseReason:
+		return c.nextOfReason(b)
+	case phaseLineStart:
+		c.nextOfLineStart(b)
+	case phaseLine:
+		if b == '\n' {
+			c.phase = phaseLineStart
+		}
+	case phaseHeaderEnd:
+		if b != '\n' {
+			return errors.Errorf("byte %q after a carriage return", b)
+		}
+		c.endHeader()
+	case phaseBody:
+	}
+	return nil
+}
+
+func (c *ResponseChecker) nextOfStatusLine(b byte) error {
+	isDigit := b >= '0' && b <= '9'
+	if want := statusLineForm[c.offset]; b != want && (want != '0' || !isDigit) {
+		return errors.Errorf("byte %q at offset %d of the status line", b, c.offset)
+	}
+	if c.offset >= statusOffset {
+		c.status = c.status*10 + int(b-'0')
+	}
+	if c.offset++; c.offset < len(statusLineForm) {
+		return nil
+	}
+	c.phase = phaseReason
+	// No request asks for another protocol.
+	if c.status < 100 || c.status > 599 || c.status == 101 {
+		return errors.Errorf("status %03d", c.status)
+	}
+	return nil
+}
+
+func (c *ResponseChecker) nextOfReason(b byte) error {
+	isFirst := c.offset == len(statusLineForm)
+	c.offset++
+	switch {
+	case b == '\n':
+		c.phase = phaseLineStart
+	case isFirst && b != ' ' && b != '\r':
+		return errors.Errorf("byte %q after the status code", b)
+	case c.cr, b < ' ' && b != '\t' && b != '\r', b == 0x7f:
+		return errors.Errorf("byte %q in the status line", b)
+	}
+	c.cr = b == '\r'
+	return nil
+}
+
+func (c *ResponseChecker) nextOfLineStart(b byte) {
+	switch b {
+	case '\n':
+		c.endHeader()
+	case '\r':
+		c.phase = phaseHeaderEnd
+	default:
+		c.phase = phaseLine
+	}
+}
+
+// endHeader expects the body, or the next response if this is an interim one.
+func (c *ResponseChecker) endHeader() {
+	if c.phase = phaseBody; c.status < 200 {
+		c.begin()
+	}
+}
