Responses with a space in the name of a field are refused

What callers saw: of a response with "Transfer-Encoding : chunked", status 200 with the chunk sizes as part of the body; with "Content-Length : 3", a body of another length; with " Content-Length: 3" (a space before the name), the line as part of the value of the field before it; with "X Note: a", the response without that field.

Cause: net/http accepts names with spaces in responses and files the field under a name that nothing looks up, so that the field that frames the body is missed; it leaves such names out when it writes a header. A line that begins with a space is joined to the line before.

Fix: ResponseChecker follows the field lines too. A name is a token of RFC 9110, at least one byte long, up to the colon. A line that begins with whitespace is refused, as section 5.2 of RFC 9112 allows for folded values.

--- a/internal/cicadaedge/malformed_response_test.go
+++ b/internal/cicadaedge/malformed_response_test.go
@@ -13,25 +13,46 @@
 
 const (
 	responseFields = "X-Id: ID\r\nX-Sealed: yes\r\nContent-Type: text/event-stream\r\n"
-	framedEvent    = "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n"
+	okStatus       = "HTTP/1.1 200 OK\r\n"
+	oneEvent       = "id: 1\ndata: a\n\n"
+	framedEvent    = "Content-Length: 15\r\n\r\n" + oneEvent
 )
 
 // malformedResponses are responses of a runner to the request ID.
 var malformedResponses = map[string]string{
-	"status 000":                      "HTTP/1.1 000 OK\r\n" + responseFields + framedEvent,
-	"status 099":                      "HTTP/1.1 099 OK\r\n" + responseFields + framedEvent,
-	"status 600":                      "HTTP/1.1 600 OK\r\n" + responseFields + framedEvent,
-	"status 999":                      "HTTP/1.1 999 OK\r\n" + responseFields + framedEvent,
-	"status of another protocol":      "HTTP/1.1 101 OK\r\n" + responseFields + framedEvent,
-	"status with a sign":              "HTTP/1.1 +20 OK\r\n" + responseFields + framedEvent,
-	"status of two digits":            "HTTP/1.1 20 OK\r\n" + responseFields + framedEvent,
-	"status of four digits":           "HTTP/1.1 2000 OK\r\n" + responseFields + framedEvent,
-	"status 000 after early hints":    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + responseFields + framedEvent,
-	"no status":                       "HTTP/1.1\r\n" + responseFields + framedEvent,
-	"control byte in the status line": "HTTP/1.1 200 O\x00K\r\n" + responseFields + framedEvent,
-	"another protocol":                "HTTX/1.1 200 OK\r\n" + responseFields + framedEvent,
-	"version 0.9":                     "HTTP/0.9 200 OK\r\n" + responseFields + framedEvent,
-	"version 2.0":                     "HTTP/2.0 200 OK\r\n" + responseFields + framedEvent,
+	"status 000":                            "HTTP/1.1 000 OK\r\n" + responseFields + framedEvent,
+	"status 099":                            "HTTP/1.1 099 OK\r\n" + responseFields + framedEvent,
+	"status 600":                            "HTTP/1.1 600 OK\r\n" + responseFields + framedEvent,
+	"status 999":                            "HTTP/1.1 999 OK\r\n" + responseFields + framedEvent,
+	"status of another protocol":            "HTTP/1.1 101 OK\r\n" + responseFields + framedEvent,
+	"status with a sign":                    "HTTP/1.1 +20 OK\r\n" + responseFields + framedEvent,
+	"status of two digits":                  "HTTP/1.1 20 OK\r\n" + responseFields + framedEvent,
+	"status of four digits":                 "HTTP/1.1 2000 OK\r\n" + responseFields + framedEvent,
+	"status 000 after early hints":          "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + responseFields + framedEvent,
+	"no status":                             "HTTP/1.1\r\n" + responseFields + framedEvent,
+	"control byte in the status line":       "HTTP/1.1 200 O\x00K\r\n" + responseFields + framedEvent,
+	"another protocol":                      "HTTX/1.1 200 OK\r\n" + responseFields + framedEvent,
+	"space in a name":                       okStatus + responseFields + "X Note: a\r\n" + framedEvent,
+	"space before a colon":                  okStatus + responseFields + "X-Note : a\r\n" + framedEvent,
+	"space before a name":                   okStatus + responseFields + " X-Note: a\r\n" + framedEvent,
+	"space before the first name":           okStatus + " X-Note: a\r\n" + responseFields + framedEvent,
+	"space in the name of the length":       okStatus + responseFields + "Content-Length : 3\r\n\r\n" + oneEvent,
+	"space before the name of the length":   okStatus + responseFields + " Content-Length: 3\r\n\r\n" + oneEvent,
+	"space in the name of another length":   okStatus + responseFields + "Content-Length : 3\r\n" + framedEvent,
+	"space in the name of the encoding":     okStatus + responseFields + "Transfer-Encoding : chunked\r\n\r\n" + chunk(oneEvent) + lastChunk,
+	"space before the name of the encoding": okStatus + responseFields + " Transfer-Encoding: chunked\r\n\r\n" + chunk(oneEvent) + lastChunk,
+	"space in a name of early hints":        "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\n" + okStatus + responseFields + framedEvent,
+	"tab in a name":                         okStatus + responseFields + "X\tNote: a\r\n" + framedEvent,
+	"byte 0x00 in a name":                   okStatus + responseFields + "X\x00Note: a\r\n" + framedEvent,
+	"byte 0x01 in a name":                   okStatus + responseFields + "X\x01Note: a\r\n" + framedEvent,
+	"byte 0x7f in a name":                   okStatus + responseFields + "X\x7fNote: a\r\n" + framedEvent,
+	"carriage return in a name":             okStatus + responseFields + "X\rNote: a\r\n" + framedEvent,
+	"line feed in a name":                   okStatus + responseFields + "X\nNote: a\r\n" + framedEvent,
+	"empty name":                            okStatus + responseFields + ": a\r\n" + framedEvent,
+	"no colon":                              okStatus + responseFields + "X-Note\r\n" + framedEvent,
+	"control byte in a value":               okStatus + responseFields + "X-Note: a\x01b\r\n" + framedEvent,
+	"version 0.9":                           "HTTP/0.9 200 OK\r\n" + responseFields + framedEvent,
+	"version 2.0":                           "HTTP/2.0 200 OK\r\n" + responseFields + framedEvent,
 }
 
 // wellFormedResponses are unusual ones.
@@ -41,6 +62,8 @@
 	"foreign reason":  "HTTP/1.1 200 \xe9t\xe9\tOK\r\n" + responseFields + framedEvent,
 	"early hints":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + responseFields + framedEvent,
 	"line feeds only": strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+responseFields+framedEvent, "\r", ""),
+	"unusual names":   okStatus + responseFields + "x!#$%&'*+-.^_`|~09: a\r\nX-Empty:\r\n" + framedEvent,
+	"unusual value":   okStatus + responseFields + "X-Note:\t\xe9t\xe9 : a \t\r\n" + framedEvent,
 	"version 1.0":     "HTTP/1.0 200 OK\r\n" + responseFields + framedEvent,
 }
 
--- a/internal/cicadanet/response.go
+++ b/internal/cicadanet/response.go
@@ -1,6 +1,7 @@
 package cicadanet
 
 import (
+	"strings"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -19,8 +20,9 @@
 const (
 	phaseStatusLine headerPhase = iota // in statusLineForm
 	phaseReason                        // in the rest of the status line
-	phaseLineStart                     // at the beginning of a line after the status line
-	phaseLine                          // in such a line
+	phaseLineStart                     // at the beginning of a field line
+	phaseName                          // in the name of a field
+	phaseValue                         // in the value of a field, which net/http checks
 	phaseHeaderEnd                     // after the carriage return of the empty line
 	phaseBody                          // after the header; not checked
 )
@@ -67,8 +69,10 @@
 	case phaseReason:
 		return c.nextOfReason(b)
 	case phaseLineStart:
-		c.nextOfLineStart(b)
-	case phaseLine:
+		return c.nextOfLineStart(b)
+	case phaseName:
+		return c.nextOfName(b)
+	case phaseValue:
 		if b == '\n' {
 			c.phase = phaseLineStart
 		}
@@ -116,15 +120,38 @@
 	return nil
 }
 
-func (c *ResponseChecker) nextOfLineStart(b byte) {
-	switch b {
-	case '\n':
+func (c *ResponseChecker) nextOfLineStart(b byte) error {
+	switch {
+	case b == '\n':
 		c.endHeader()
-	case '\r':
+	case b == '\r':
 		c.phase = phaseHeaderEnd
+	case b == ' ' || b == '\t':
+		// RFC 9112, section 5.2, allows to reject a folded value. It may be a line whose name begins with a space.
+		return errors.New("a field line begins with whitespace")
+	case !isTokenByte(b):
+		return errors.Errorf("byte %q in the name of a field", b)
 	default:
-		c.phase = phaseLine
+		c.phase = phaseName
 	}
+	return nil
+}
+
+func (c *ResponseChecker) nextOfName(b byte) error {
+	switch {
+	case b == ':':
+		c.phase = phaseValue
+	case !isTokenByte(b):
+		return errors.Errorf("byte %q in the name of a field", b)
+	}
+	return nil
+}
+
+// isTokenByte reports whether a byte may be in the name of a field.
+func isTokenByte(b byte) bool {
+	isLetter := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
+	isDigit := b >= '0' && b <= '9'
+	return isLetter || isDigit || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
 
 // endHeader expects the body, or the next response if this is an interim one.
--- a/internal/cicadanet/response_test.go
+++ b/internal/cicadanet/response_test.go
@@ -1,6 +1,9 @@
 package cicadanet_test
 
 import (
+	"bufio"
+	"bytes"
+	"net/http"
 	"slices"
 	"testing"
 
@@ -28,11 +31,20 @@
 		{"sign", "HTTP/1.1 +20 OK\r\n", "malformed response: byte '+' at offset 9 of the status line"},
 		{"two digits", "HTTP/1.1 20 OK\r\n", "malformed response: byte ' ' at offset 11 of the status line"},
 		{"four digits", "HTTP/1.1 2000 OK\r\n", "malformed response: byte '0' after the status code"},
-		{"two blanks", "HTTP/1.1  200 OK\r\n", "malformed response: byte ' ' at offset 9 of the status line"},
+		{"two spaces", "HTTP/1.1  200 OK\r\n", "malformed response: byte ' ' at offset 9 of the status line"},
 		{"empty line first", "\r\n" + header, "malformed response: byte '\\r' at offset 0 of the status line"},
 		{"version 2.0", "HTTP/2.0 200 OK\r\n", "malformed response: byte '2' at offset 5 of the status line"},
 		{"control byte", "HTTP/1.1 200 O\x00K\r\n", "malformed response: byte '\\x00' in the status line"},
 		{"carriage return", "HTTP/1.1 200 O\rK\r\n", "malformed response: byte 'K' in the status line"},
+		{"unusual names", "HTTP/1.1 200 OK\r\nx!#$%&'*+-.^_`|~09AZ:y\r\nX:\r\n\r\n\x00", none},
+		{"space before a name", "HTTP/1.1 200 OK\r\nX: y\r\n Z: y\r\n", "malformed response: a field line begins with whitespace"},
+		{"tab before a name", "HTTP/1.1 200 OK\r\nX: y\r\n\tZ: y\r\n", "malformed response: a field line begins with whitespace"},
+		{"space in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\n", "malformed response: byte ' ' in the name of a field"},
+		{"space before a colon", "HTTP/1.1 200 OK\r\nX : z\r\n", "malformed response: byte ' ' in the name of a field"},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01: z\r\n", "malformed response: byte '\\x01' in the name of a field"},
+		{"control byte first in a name", "HTTP/1.1 200 OK\r\n\x7fX: z\r\n", "malformed response: byte '\\x7f' in the name of a field"},
+		{"empty name", "HTTP/1.1 200 OK\r\n: z\r\n", "malformed response: byte ':' in the name of a field"},
+		{"no colon", "HTTP/1.1 200 OK\r\nX\r\n", "malformed response: byte '\\r' in the name of a field"},
 		{"carriage return at the end", "HTTP/1.1 200 OK\r\nX: y\r\n\rx", "malformed response: byte 'x' after a carriage return"},
 	} {
 		for _, size := range []int{1, len(tt.response)} {
@@ -62,3 +74,47 @@
 		t.Error("the second response was not checked")
 	}
 }
+
+// FuzzResponseChecker compares where the checker and net/http see the end of a header. A difference would let
+// fields pass unchecked, or reject bodies.
+func FuzzResponseChecker(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nX: y\r\n\r\nbody", "HTTP/1.0 404 \nX:\n\nbody", "HTTP/1.1 204\r\n\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n\n",
+		"HTTP/1.1 200 OK\r\n\r\r\n",
+		"HTTP/1.1 200 OK\r\nX: y\r\n z\r\n\r\n", "HTTP/1.1 200 OK\r\nX y: z\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX: \r\n\r\n", "HTTP/1.1 200 OK\n \n\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(data)), nil)
+		if err != nil || resp.StatusCode < http.StatusOK {
+			return
+		}
+		_ = resp.Body.Close() // its bytes are part of data
+		header := data[:headerLength(data)]
+		var c cicadanet.ResponseChecker
+		if c.Check(header) != nil {
+			return
+		}
+		if err := c.Check([]byte{0}); err != nil {
+			t.Errorf("the checker expects more of the header %q: %v", header, err)
+		}
+		var early cicadanet.ResponseChecker
+		if err := early.Check(header[:len(header)-1]); err != nil || early.Check([]byte{0}) == nil {
+			t.Errorf("the header %q ends early: %v", header, err)
+		}
+	})
+}
+
+// headerLength returns the length of the header that net/http reads: up to the first empty line.
+func headerLength(data []byte) int {
+	length := 0
+	for line := range bytes.Lines(data) {
+		length += len(line)
+		if text := bytes.TrimSuffix(line, []byte("\n")); len(bytes.TrimSuffix(text, []byte("\r"))) == 0 {
+			break
+		}
+	}
+	return length
+}
