Encoded responses of HTTP/1.0 are refused

What callers saw: of a response "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked", status 200 with the chunk sizes as part of the body.

Cause: net/http ignores the encoding in version 1.0 and reads the body up to the Content-Length or the end of the connection. RFC 9112, section 6.1, wants the framing of such a message to be treated as faulty.

Fix: ResponseChecker refuses a field Transfer-Encoding in version 1.0. It is in the bytes only, as net/http deletes the field.

--- a/internal/cicadanet/response.go
+++ b/internal/cicadanet/response.go
@@ -12,6 +12,10 @@
 	statusLineForm = "HTTP/1.0 000"
 	// statusOffset is where the status code begins in a status line.
 	statusOffset = len("HTTP/1.0 ")
+	// versionOffset is where the minor version is in a status line.
+	versionOffset = len("HTTP/1.")
+	// transferEncoding is the name of a field in lower case.
+	transferEncoding = "transfer-encoding"
 )
 
 // headerPhase is the part of a response that the next byte belongs to.
@@ -34,7 +38,9 @@
 	phase  headerPhase
 	offset int // in the status line
 	status int
+	minor  byte // version of HTTP/1, a digit
 	cr     bool // the byte before was a carriage return
+	name   int  // length of the field's name so far, if it is the beginning of transferEncoding; -1 otherwise
 }
 
 // Expect is called before each request that is sent on the connection.
@@ -91,6 +97,9 @@
 	if want := statusLineForm[c.offset]; b != want && (want != '0' || !isDigit) {
 		return errors.Errorf("byte %q at offset %d of the status line", b, c.offset)
 	}
+	if c.offset == versionOffset {
+		c.minor = b
+	}
 	if c.offset >= statusOffset {
 		c.status = c.status*10 + int(b-'0')
 	}
@@ -132,7 +141,8 @@
 	case !isTokenByte(b):
 		return errors.Errorf("byte %q in the name of a field", b)
 	default:
-		c.phase = phaseName
+		c.phase, c.name = phaseName, 0
+		c.matchName(b)
 	}
 	return nil
 }
@@ -140,16 +150,38 @@
 func (c *ResponseChecker) nextOfName(b byte) error {
 	switch {
 	case b == ':':
+		// net/http ignores the encoding, and would take the chunks for the body.
+		if c.name == len(transferEncoding) && c.minor == '0' {
+			return errors.New("an encoded response of version 1.0")
+		}
 		c.phase = phaseValue
 	case !isTokenByte(b):
 		return errors.Errorf("byte %q in the name of a field", b)
+	default:
+		c.matchName(b)
 	}
 	return nil
 }
 
+// matchName compares the next byte of a name with transferEncoding.
+func (c *ResponseChecker) matchName(b byte) {
+	if c.name < 0 || c.name == len(transferEncoding) || toLower(b) != transferEncoding[c.name] {
+		c.name = -1
+		return
+	}
+	c.name++
+}
+
+func toLower(b byte) byte {
+	if b >= 'A' && b <= 'Z' {
+		b |= 0x20
+	}
+	return b
+}
+
 // isTokenByte reports whether a byte may be in the name of a field.
 func isTokenByte(b byte) bool {
-	isLetter := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
+	isLetter := toLower(b) >= 'a' && toLower(b) <= 'z'
 	isDigit := b >= '0' && b <= '9'
 	return isLetter || isDigit || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
--- a/internal/cicadanet/response_test.go
+++ b/internal/cicadanet/response_test.go
@@ -45,6 +45,9 @@
 		{"control byte first in a name", "HTTP/1.1 200 OK\r\n\x7fX: z\r\n", "malformed response: byte '\\x7f' in the name of a field"},
 		{"empty name", "HTTP/1.1 200 OK\r\n: z\r\n", "malformed response: byte ':' in the name of a field"},
 		{"no colon", "HTTP/1.1 200 OK\r\nX\r\n", "malformed response: byte '\\r' in the name of a field"},
+		{"encoding in version 1.0", "HTTP/1.0 200 OK\r\nTransfer-encoding: chunked\r\n", "malformed response: an encoded response of version 1.0"},
+		{"encoding in version 1.1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\x00", none},
+		{"other names in version 1.0", "HTTP/1.0 200 OK\r\nTransfer: a\r\nTransfer-Encodings: a\r\nX-Transfer-Encoding: a\r\n\r\n\x00", none},
 		{"carriage return at the end", "HTTP/1.1 200 OK\r\nX: y\r\n\rx", "malformed response: byte 'x' after a carriage return"},
 	} {
 		for _, size := range []int{1, len(tt.response)} {
@@ -80,7 +83,7 @@
 func FuzzResponseChecker(f *testing.F) {
 	for _, s := range []string{
 		"HTTP/1.1 200 OK\r\nX: y\r\n\r\nbody", "HTTP/1.0 404 \nX:\n\nbody", "HTTP/1.1 204\r\n\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n\n",
-		"HTTP/1.1 200 OK\r\n\r\r\n",
+		"HTTP/1.1 200 OK\r\n\r\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX: y\r\n z\r\n\r\n", "HTTP/1.1 200 OK\r\nX y: z\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX: \r\n\r\n", "HTTP/1.1 200 OK\n \n\n",
 	} {
