Responses with a space in the name of a trailer are refused

What callers saw: of a response in chunks that ends with the trailer "X Note: a" or "X-Note : a", a complete response with status 200.

Cause: net/http reads trailers as it reads headers, and accepts names with spaces. Trailers are not forwarded, so nothing else looked at them.

Fix: the body of a response in chunks ends with an error if a trailer has a malformed name. A buffered response is then refused with 502 or goes to another runner; a stream is broken off before its last chunk.

--- a/internal/cicadaedge/transport.go
+++ b/internal/cicadaedge/transport.go
@@ -256,6 +256,7 @@
 		}
 		resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace))) //nolint:bodyclose // see roundTripResult
 		if err == nil {
+			cicadanet.CheckTrailers(resp)
 			return roundTripResult{resp: resp, sent: true, conn: conn}, nil
 		}
 		sent = sent || conn != nil && conn.written.Load() > writtenBefore
--- a/internal/cicadanet/response.go
+++ b/internal/cicadanet/response.go
@@ -179,6 +179,16 @@
 	return b
 }
 
+// isToken reports whether a text may be the name of a field.
+func isToken(name string) bool {
+	for _, b := range []byte(name) {
+		if !isTokenByte(b) {
+			return false
+		}
+	}
+	return name != ""
+}
+
 // isTokenByte reports whether a byte may be in the name of a field.
 func isTokenByte(b byte) bool {
 	isLetter := toLower(b) >= 'a' && toLower(b) <= 'z'
