Test: malformed statements of runners' ids show nothing

A runner is asked for its id when a response ends with its connection, and another process may have its address by then.

--- a/internal/cicadaedge/statement_test.go
+++ b/internal/cicadaedge/statement_test.go
@@ -18,14 +18,17 @@
 func TestFirstResponseThatEndsWithItsConnectionIsCut(t *testing.T) {
 	t.Parallel()
 	for name, tt := range map[string]struct {
-		id       string // stated by whoever has the runner's address
-		silent   bool
-		complete bool
+		statement string // of whoever has the runner's address
+		silent    bool
+		complete  bool
 	}{
-		"by the runner":         {id: "raw1", complete: true},
-		"by another runner":     {id: "raw2"},
-		"without an id":         {},
-		"without any statement": {silent: true},
+		"by the runner":          {statement: okStatus + "X-Runner-Id: raw1\r\n", complete: true},
+		"by another runner":      {statement: okStatus + "X-Runner-Id: raw2\r\n"},
+		"without an id":          {statement: okStatus},
+		"without any statement":  {silent: true},
+		"with status 000":        {statement: "HTTP/1.1 000 OK\r\nX-Runner-Id: raw1\r\n"},
+		"with a space in a name": {statement: okStatus + "X-Runner-Id: raw1\r\nX Note: a\r\n"},
+		"with encoding in 1.0":   {statement: "HTTP/1.0 200 OK\r\nX-Runner-Id: raw1\r\nTransfer-Encoding: chunked\r\n"},
 	} {
 		for _, path := range paths {
 			t.Run(name+" "+strings.Trim(path, "/"), func(t *testing.T) {
@@ -37,7 +40,7 @@
 					id := req.Header.Get("X-Id")
 					switch {
 					case req.URL.Path == healthPath && !tt.silent:
-						c.write("HTTP/1.1 200 OK\r\nX-Runner-Id: " + tt.id + "\r\nContent-Length: 0\r\n\r\n")
+						c.write(tt.statement + "Content-Length: 0\r\n\r\n")
 						return false
 					case req.URL.Path == healthPath:
 						return true
