Malformed responses of relays to CONNECT are refused

What callers saw: nothing in the cases tested, as the runner's response behind the relay was whole. But a router took any process at the address of another one for a relay that had accepted its connection, or that knew the runner to have ended (502), whatever the rest of the header was like.

Evidence: TestMalformedResponseOfARelayCountsAsItsConsent failed without the change in four of five cases (status 200 and one run, want 503 and none); an early response was refused before.

Fix: the response to CONNECT is read through ResponseChecker. What the runner sends after it is checked at the end of the relay, as before.

--- a/internal/cicadaedge/relay_client.go
+++ b/internal/cicadaedge/relay_client.go
@@ -148,7 +148,7 @@
 	if err := req.Write(conn); err != nil {
 		return nil, err
 	}
-	br := bufio.NewReader(conn)
+	br := bufio.NewReader(cicadanet.CheckResponse(conn))
 	resp, err := http.ReadResponse(br, req) //nolint:bodyclose // the response to CONNECT has no body
 	switch {
 	case err != nil:
--- a/internal/cicadaedge/relay_upgrade_test.go
+++ b/internal/cicadaedge/relay_upgrade_test.go
@@ -9,10 +9,13 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
-// startUnframedRelay starts the peer interface of a router of the build before framed relays.
-func (f *fleet) startUnframedRelay(name string) {
+// startUnframedRelay starts the peer interface of a router of the build before framed relays. It accepts
+// connections with a response header.
+func (f *fleet) startUnframedRelay(name, accepted string) {
 	f.t.Helper()
 	ln, err := (&net.ListenConfig{}).Listen(f.t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -25,14 +28,14 @@
 			if err != nil {
 				return
 			}
-			go relayUnframed(conn)
+			go relayUnframed(conn, accepted)
 		}
 	}()
 	f.store.put("routers", name, map[string]string{"boot": name, "relay": ln.Addr().String(), "place": "p"})
 }
 
 // relayUnframed passes on what router and runner send, and closes both connections with either.
-func relayUnframed(conn net.Conn) {
+func relayUnframed(conn net.Conn, accepted string) {
 	defer func() { _ = conn.Close() }() // the other end may have closed it
 	br := bufio.NewReader(conn)
 	req, err := http.ReadRequest(br)
@@ -44,7 +47,7 @@
 		return
 	}
 	defer func() { _ = runner.Close() }()
-	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(conn, accepted+"\r\n"); err != nil {
 		return
 	}
 	go func() { _, _ = io.Copy(runner, br) }()
@@ -65,7 +68,7 @@
 	})
 	var cut runnerCut
 	host := f.waitReady(f.startNode("n1", cut.configure))
-	f.startUnframedRelay("older")
+	f.startUnframedRelay("older", okStatus)
 	eventually(t, "the host knows the other one", func() bool { return host.RouterCount() == 2 })
 	cut.begin(cutReset)
 	for _, path := range []string{"/once/", "/stream/"} {
@@ -78,6 +81,36 @@
 	}
 }
 
+func TestMalformedResponseOfARelayCountsAsItsConsent(t *testing.T) {
+	t.Parallel()
+	for name, accepted := range map[string]string{
+		"version 2.0":                          "HTTP/2.0 200 OK\r\n",
+		"control byte in the status line":      "HTTP/1.1 200 O\x00K\r\n",
+		"space in a name":                      okStatus + "X Note: a\r\n",
+		"space before a name":                  okStatus + "X-Note: a\r\n X-Other: b\r\n",
+		"space in a name of an early response": "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\n" + okStatus,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			r := f.addRawRunner(func(c *rawConn, req *http.Request) bool {
+				c.runner.runs.Add(1)
+				c.write(answerBytes(req.Header.Get("X-Id"), "whole"))
+				return false
+			})
+			var cut runnerCut
+			host := f.waitReady(f.startNode("n1", cut.configure))
+			f.startUnframedRelay("malformed", accepted)
+			eventually(t, "the host knows the other one", func() bool { return host.RouterCount() == 2 })
+			cut.begin(cutReset)
+			got := call(t, host, "/once/", nil, "x")
+			if diff := cmp.Diff([]any{http.StatusServiceUnavailable, int64(0)}, []any{got.status, r.runs.Load()}); diff != "" {
+				t.Errorf("status and runs (-want +got)\n%s", diff)
+			}
+		})
+	}
+}
+
 // A router of an earlier build takes the orderly end of a relayed connection for the runner's.
 func TestRouterOfAnEarlierBuildTakesTheEndOfARelayForTheRunners(t *testing.T) {
 	t.Parallel()
--- a/internal/cicadanet/response.go
+++ b/internal/cicadanet/response.go
@@ -1,6 +1,7 @@
 package cicadanet
 
 import (
+	"io"
 	"strings"
 	"sync"
 
@@ -43,6 +44,24 @@
 	name   int  // length of the field's name so far, if it is the beginning of transferEncoding; -1 otherwise
 }
 
+// responseReader checks the header of a response.
+type responseReader struct {
+	r       io.Reader
+	checker ResponseChecker
+}
+
+// CheckResponse returns a reader that checks the header of the response that r begins with.
+func CheckResponse(r io.Reader) io.Reader { return &responseReader{r: r} }
+
+// Read reads from the response.
+func (r *responseReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if malformed := r.checker.Check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
 // Expect is called before each request that is sent on the connection.
 func (c *ResponseChecker) Expect() {
 	c.mu.Lock()
