Malformed responses of the store are refused

What callers saw: nothing directly. A router took a transaction for committed and rows for current after a response of HTTP/2.0, one with a space in the name of a field, or one with such a trailer. Of "Store-Era : 4" it missed the era. Of an object of the older platform interface it took the chunk sizes for a part ("Transfer-Encoding : chunked", and an encoding in version 1.0).

Cause: net/http accepts such headers and trailers, as in responses of runners.

Status 000 and control bytes in names were refused before.

Fix: cicadanet.Transport, an http.Transport whose connections and bodies have the checks of the runners' ones.

--- /dev/null
+++ b/internal/cicadanet/transport.go
@@ -0,0 +1,59 @@
+package cicadanet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+type (
+	// Transport is an http.Transport for HTTP/1 that fails requests whose responses are malformed.
+	Transport struct{ *http.Transport }
+
+	// responseConn is a connection of a Transport.
+	responseConn struct {
+		net.Conn
+		checker ResponseChecker
+	}
+)
+
+// NewTransport returns a transport that uses t, which has a DialContext.
+func NewTransport(t *http.Transport) *Transport {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &responseConn{Conn: conn}, nil
+	}
+	return &Transport{Transport: t}
+}
+
+// RoundTrip sends a request.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*responseConn); ok {
+			conn.checker.Expect()
+		}
+	}}
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	CheckTrailers(resp)
+	return resp, nil
+}
+
+// Read reads what the server sends.
+func (c *responseConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if malformed := c.checker.Check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
+// NetConn returns the connection in use.
+func (c *responseConn) NetConn() net.Conn { return c.Conn }
--- a/internal/cicadastore/client.go
+++ b/internal/cicadastore/client.go
@@ -6,10 +6,12 @@
 	"encoding/json"
 	"expvar"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/pkg/errors"
 )
 
@@ -50,8 +52,8 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = 2 * time.Second
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
-	return &Client{cfg: cfg, httpClient: &http.Client{Transport: transport, Timeout: cfg.Timeout}}
+	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
+	return &Client{cfg: cfg, httpClient: &http.Client{Transport: cicadanet.NewTransport(transport), Timeout: cfg.Timeout}}
 }
 
 // Close closes idle connections.
