Responses of the store that break off while a request is sent are refused

What callers saw: nothing directly. A router took a transaction for committed, and an object for stored, after a response without a length that ended by a reset while the request was still being written.

Cause: the kernel reports the failure of a connection to one call only. If that is the write, the read finds an end in order, which is the end of a response without a length. Connections to runners have been checked for this since (cicadanet.Conn), those to the platform were not.

--- a/internal/cicadastore/client.go
+++ b/internal/cicadastore/client.go
@@ -52,7 +52,7 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = 2 * time.Second
 	}
-	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{DialContext: cicadanet.CheckEnds((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
 	return &Client{cfg: cfg, httpClient: &http.Client{Transport: cicadanet.NewTransport(transport), Timeout: cfg.Timeout}}
 }
 
--- a/internal/cicadastore/malformed_response_test.go
+++ b/internal/cicadastore/malformed_response_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/google/go-cmp/cmp"
@@ -86,3 +87,20 @@
 		}
 	}
 }
+
+// Writing the object takes the error of the connection, and reading the response finds an end in order.
+func TestObjectCountsAsStoredByAResponseThatIsBrokenOff(t *testing.T) {
+	t.Parallel()
+	c := startRawPlatform(t, func(conn *net.TCPConn, _ *http.Request) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		time.Sleep(50 * time.Millisecond) // the client has read the response and still sends
+		if err := conn.SetLinger(0); err != nil {
+			t.Error(err)
+		}
+	})
+	for i := range 20 {
+		if err := c.PutObject(t.Context(), "o", make([]byte, 8<<20)); !errors.Is(err, cicadastore.ErrUnavailable) {
+			t.Errorf("object %d: error %v", i, err)
+		}
+	}
+}
