--- a/internal/cicadaupstream/client.go
+++ b/internal/cicadaupstream/client.go
@@ -174,7 +174,7 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &http.Client{
-		Transport:     transport,
+		Transport:     cicadanet.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -351,7 +351,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("runner: status %d", resp.StatusCode)
 	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxControlBodyBytes)).Decode(out), "runner")
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBodyBytes))
+	if err != nil {
+		return errors.Wrap(err, "runner")
+	}
+	return errors.Wrap(json.Unmarshal(data, out), "runner")
 }
 
 // NewResponseError returns a ResponseError with a cause.
