Test: a response reset at once while its request is sent is refused

A runner answers a long upload at once, without a length, and resets the connection while the router still writes.

--- a/internal/cicadaedge/unread_body_test.go
+++ b/internal/cicadaedge/unread_body_test.go
@@ -208,6 +208,40 @@
 	}
 }
 
+// The runner answers before it reads the body, or having read a part of it.
+func TestResponseResetAtOnceWhileItsRequestIsSentLooksComplete(t *testing.T) {
+	t.Parallel()
+	for _, path := range paths {
+		for way, relayed := range ways {
+			for _, bytesRead := range []int64{0, unreadBodyBytes / 4} {
+				for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+					t.Run(fmt.Sprint(strings.Trim(path, "/"), " ", way, ", ", bytesRead, " bytes read, reset after ", delay), func(t *testing.T) {
+						t.Parallel()
+						var answers atomic.Int64
+						n := startUnreading(t, relayed, func(conn *net.TCPConn, req *http.Request) {
+							writeAnswer(conn, req, false, brokenOffEvents, 0)
+							answers.Add(1)
+							_, _ = io.CopyN(io.Discard, conn, bytesRead) // the router may have closed the connection
+							time.Sleep(delay)
+							if err := conn.SetLinger(0); err != nil {
+								t.Error(err)
+							}
+						})
+						for i, r := range callAtOnce(t, n, path) {
+							if r.status == http.StatusOK && r.err == nil {
+								t.Errorf("call %d: %d events of %d look complete", i, strings.Count(r.body, "id:"), longAnswerEvents)
+							}
+						}
+						if answers.Load() == 0 {
+							t.Error("no request reached the runner")
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
 type (
 	// partialConn is a connection whose peer answers and ends it in order once a part of the request has arrived.
 	partialConn struct {
