Operators' verbs refuse malformed responses of routers

What operators saw: `state` printed what net/http made of a malformed response, with exit code 0: chunk sizes within the state if the name of Transfer-Encoding ended in a space. `explain`, `top` and the wait of `apply` read by the same client.

Evidence: TestMalformedResponseIsPrintedAsState failed before for four of four malformed responses: three with exit code 0, status 000 with 1.

Fix: this client uses cicadanet.Transport, and the verb exits with 5 (not reached).

--- a/internal/cicadacmd/operator.go
+++ b/internal/cicadacmd/operator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sort"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/cicadadyke/cicadadyke/internal/cicadabudget"
 	"github.com/cicadadyke/cicadadyke/internal/cicadahome"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaledger"
+	"github.com/cicadadyke/cicadadyke/internal/cicadanet"
 	"github.com/cicadadyke/cicadadyke/internal/cicadarefusal"
 	"github.com/cicadadyke/cicadadyke/internal/cicadarouter"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
@@ -55,7 +57,8 @@
 )
 
 func newOperatorClient(token string) *operatorClient {
-	return &operatorClient{token: token, http: &http.Client{Timeout: operatorTimeout}}
+	transport := cicadanet.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, DialContext: (&net.Dialer{}).DialContext})
+	return &operatorClient{token: token, http: &http.Client{Transport: transport, Timeout: operatorTimeout}}
 }
 
 func (c *operatorClient) get(ctx context.Context, addr, path string) ([]byte, error) {
