Transport: a TLS handshake is no response

Cause: the connection below TLS expected a response from its first byte.

Evidence: TestTransportOverTLS failed before: "malformed response: byte '\x16' at offset 0 of the status line".

So headers are not checked over TLS, trailers are.

--- a/internal/cicadanet/transport.go
+++ b/internal/cicadanet/transport.go
@@ -8,7 +8,8 @@
 )
 
 type (
-	// Transport is an http.Transport for HTTP/1 that fails requests whose responses are malformed.
+	// Transport is an http.Transport for HTTP/1 that fails requests whose responses are malformed. Of responses
+	// over TLS it checks the trailers only.
 	Transport struct{ *http.Transport }
 
 	// responseConn is a connection of a Transport.
@@ -26,7 +27,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return &responseConn{Conn: conn}, nil
+		c := &responseConn{Conn: conn}
+		c.checker.phase = phaseBody // what comes before a request may be part of a TLS handshake
+		return c, nil
 	}
 	return &Transport{Transport: t}
 }
