--- a/internal/cicadanet/response.go
+++ b/internal/cicadanet/response.go
@@ -19,8 +19,30 @@
 	transferEncoding = "transfer-encoding"
 )
 
-// headerPhase is the part of a response that the next byte belongs to.
-type headerPhase uint8
+type (
+	// headerPhase is the part of a response that the next byte belongs to.
+	headerPhase uint8
+
+	// ResponseChecker checks the headers of the responses on a connection, before net/http parses them. net/http
+	// accepts headers that RFC 9112 does not allow, and may then miss the field that frames the body. The zero
+	// value expects a response.
+	ResponseChecker struct {
+		mu     sync.Mutex // guards the fields below
+		phase  headerPhase
+		offset int // in the status line
+		status int
+		minor  byte // version of HTTP/1, a digit
+		cr     bool // the byte before was a carriage return
+		// matched is how many bytes of transferEncoding the name of the field begins with; -1 if it is another name.
+		matched int
+	}
+
+	// responseReader checks the header of the response that it begins with.
+	responseReader struct {
+		r       io.Reader
+		checker ResponseChecker
+	}
+)
 
 const (
 	phaseStatusLine headerPhase = iota // in statusLineForm
@@ -32,28 +54,10 @@
 	phaseBody                          // after the header; not checked
 )
 
-// ResponseChecker checks the headers of the responses on a connection, before net/http parses them. net/http
-// accepts headers that RFC 9112 does not allow. The zero value expects a response.
-type ResponseChecker struct {
-	mu     sync.Mutex // guards the fields below
-	phase  headerPhase
-	offset int // in the status line
-	status int
-	minor  byte // version of HTTP/1, a digit
-	cr     bool // the byte before was a carriage return
-	name   int  // length of the field's name so far, if it is the beginning of transferEncoding; -1 otherwise
-}
-
-// responseReader checks the header of a response.
-type responseReader struct {
-	r       io.Reader
-	checker ResponseChecker
-}
-
 // CheckResponse returns a reader that checks the header of the response that r begins with.
 func CheckResponse(r io.Reader) io.Reader { return &responseReader{r: r} }
 
-// Read reads from the response.
+// Read reads the response and what follows it.
 func (r *responseReader) Read(p []byte) (int, error) {
 	n, err := r.r.Read(p)
 	if malformed := r.checker.Check(p[:n]); malformed != nil {
@@ -155,12 +159,13 @@
 	case b == '\r':
 		c.phase = phaseHeaderEnd
 	case b == ' ' || b == '\t':
-		// RFC 9112, section 5.2, allows to reject a folded value. It may be a line whose name begins with a space.
+		// Either a folded value, which RFC 9112, section 5.2, lets a proxy reject, or a malformed name. net/http
+		// would join it to the value before.
 		return errors.New("a field line begins with whitespace")
 	case !isTokenByte(b):
 		return errors.Errorf("byte %q in the name of a field", b)
 	default:
-		c.phase, c.name = phaseName, 0
+		c.phase, c.matched = phaseName, 0
 		c.matchName(b)
 	}
 	return nil
@@ -170,7 +175,7 @@
 	switch {
 	case b == ':':
 		// net/http ignores the encoding, and would take the chunks for the body.
-		if c.name == len(transferEncoding) && c.minor == '0' {
+		if c.matched == len(transferEncoding) && c.minor == '0' {
 			return errors.New("an encoded response of version 1.0")
 		}
 		c.phase = phaseValue
@@ -182,13 +187,20 @@
 	return nil
 }
 
+// endHeader expects the body, or the next response if this is an interim one.
+func (c *ResponseChecker) endHeader() {
+	if c.phase = phaseBody; c.status < 200 {
+		c.begin()
+	}
+}
+
 // matchName compares the next byte of a name with transferEncoding.
 func (c *ResponseChecker) matchName(b byte) {
-	if c.name < 0 || c.name == len(transferEncoding) || toLower(b) != transferEncoding[c.name] {
-		c.name = -1
+	if c.matched < 0 || c.matched == len(transferEncoding) || toLower(b) != transferEncoding[c.matched] {
+		c.matched = -1
 		return
 	}
-	c.name++
+	c.matched++
 }
 
 func toLower(b byte) byte {
@@ -214,10 +226,3 @@
 	isDigit := b >= '0' && b <= '9'
 	return isLetter || isDigit || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
-
-// endHeader expects the body, or the next response if this is an interim one.
-func (c *ResponseChecker) endHeader() {
-	if c.phase = phaseBody; c.status < 200 {
-		c.begin()
-	}
-}
