--- a/internal/cicadaedge/malformed_response_test.go
+++ b/internal/cicadaedge/malformed_response_test.go
@@ -173,3 +173,29 @@
 		}
 	})
 }
+
+func TestMalformedResponseOnAKeptConnectionReachesTheCaller(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	var onKept atomic.Int64
+	f.addRawRunner(func(c *rawConn, req *http.Request) bool {
+		id := req.Header.Get("X-Id")
+		if c.count == 1 {
+			c.write(answerBytes(id, "whole"))
+			return true
+		}
+		onKept.Add(1)
+		c.write(strings.ReplaceAll(malformedResponses["space in a name"], "ID", id))
+		return true
+	})
+	n := f.waitReady(f.startNode("n1"))
+	for i := range 6 {
+		got := call(t, n, "/once/", nil, "x")
+		if got.status == http.StatusOK && got.body != "whole" {
+			t.Errorf("call %d: the caller received body %q, header %v", i, got.body, got.header)
+		}
+	}
+	if onKept.Load() == 0 {
+		t.Error("no connection was kept")
+	}
+}
