Stand-in: one server that answers byte by byte

Three tests of malformed responses had the same server. They use cicadastandin.StartRawServer now; what they send and check is unchanged, and they pass.

--- a/internal/cicadacmd/operator_test.go
+++ b/internal/cicadacmd/operator_test.go
@@ -1,44 +1,29 @@
 package cicadacmd_test
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"net/http"
 	"testing"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadacmd"
+	"github.com/cicadadyke/cicadadyke/internal/cicadastandin"
 	"github.com/google/go-cmp/cmp"
 )
 
 // startRawRouter answers all calls of operators with a text, and returns its address.
 func startRawRouter(t *testing.T, response string) string {
 	t.Helper()
-	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	srv, err := cicadastandin.StartRawServer(t.Context(), func(conn *net.TCPConn, _ *http.Request) { fmt.Fprintf(conn, "%s", response) })
 	if err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				fmt.Fprintf(conn, "%s", response)
-			}
-			_ = conn.Close() // the response was written
-		}
-	}()
 	t.Cleanup(func() {
-		if err := ln.Close(); err != nil {
+		if err := srv.Close(); err != nil {
 			t.Error(err)
 		}
-		<-done
 	})
-	return ln.Addr().String()
+	return srv.Addr()
 }
 
 func TestMalformedResponseIsPrintedAsState(t *testing.T) {
--- a/internal/cicadastore/malformed_response_test.go
+++ b/internal/cicadastore/malformed_response_test.go
@@ -1,17 +1,16 @@
 package cicadastore_test
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadastandin"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/google/go-cmp/cmp"
 )
@@ -20,32 +19,16 @@
 // header of the call was read.
 func startRawPlatform(t *testing.T, answer func(conn *net.TCPConn, req *http.Request)) *cicadastore.Client {
 	t.Helper()
-	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	srv, err := cicadastandin.StartRawServer(t.Context(), answer)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var serving sync.WaitGroup
-	serving.Go(func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			serving.Go(func() {
-				defer func() { _ = conn.Close() }() // answer may have closed it
-				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(conn.(*net.TCPConn), req)
-				}
-			})
-		}
-	})
 	t.Cleanup(func() {
-		if err := ln.Close(); err != nil {
+		if err := srv.Close(); err != nil {
 			t.Error(err)
 		}
-		serving.Wait()
 	})
-	c := cicadastore.NewClient(cicadastore.ClientConfig{BaseURL: "http://" + ln.Addr().String()})
+	c := cicadastore.NewClient(cicadastore.ClientConfig{BaseURL: "http://" + srv.Addr()})
 	t.Cleanup(c.Close)
 	return c
 }
