A request that crashes all runners at the same time is put into quarantine

Sound requests got 503 all the while.

Cause: a refused connection shows a crash only if another runner accepts one, as a network may refuse connections too. If all runners are down, nobody can tell; the router threw the suspects away then. When a runner started again, its entry confirmed nothing. What was kept for later evidence counted for 2 s only, and not after the earlier entry had expired.

Evidence: each crash from the second request on is logged as "this host reaches no runner, and no other router was asked whether this one has ended", and none is recorded afterwards. With runners that are away for 0.8 s the crashes are missed as well, so the 2 s are not the only cause.

Change: a break whose cause is not known is kept until the entry of a successor, another router's report or a further check shows that the runner has ended, or until entries show that the same process goes on writing. The further checks find runners that come back under another id at another address: they go on refusing connections when others accept them again.

Why this works: crashed runners and a network that refuses connections differ in what follows. A process that lives on writes its entry again, which ends the suspicion; one that was crashed never does.

--- a/internal/cicadacrash/detector.go
+++ b/internal/cicadacrash/detector.go
@@ -24,6 +24,8 @@
 		RequestIDs []string
 		Relayed    bool // one of them at least was sent through another router
 		Leaving    bool // the runner was about to end, so that its end is no crash
+		// TimedOut is set if the network gave a connection up. Nobody knows then when the runner ended, if it did.
+		TimedOut bool
 		// OnResult are called by the caller with the outcome of the check: nil if the runner accepts
 		// connections.
 		OnResult []func(err error)
@@ -89,5 +91,6 @@
 	b.Suspects.Begun = append(b.Suspects.Begun, o.Suspects.Begun...)
 	b.Suspects.Waiting = append(b.Suspects.Waiting, o.Suspects.Waiting...)
 	b.Leaving = b.Leaving || o.Leaving
+	b.TimedOut = b.TimedOut || o.TimedOut
 	b.OnResult = append(b.OnResult, o.OnResult...)
 }
--- a/internal/cicadaedge/crash.go
+++ b/internal/cicadaedge/crash.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadacrash"
+	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/pkg/errors"
 )
@@ -17,10 +18,8 @@
 	entry := rt.cfg.Log.WithField("runner", r.ID()).WithField("requestIds", b.RequestIDs[:min(len(b.RequestIDs), maxRunnersLogged)]).
 		WithField("requests", len(b.RequestIDs))
 	if !errors.Is(err, errRunnerEnded) {
-		entry.WithError(err).Info("connections of a runner ended, and it has not crashed")
-		if at, ok := rt.clock.SharedTime(b.At); ok && err == nil && !b.Leaving {
-			rt.quarantine.RecordBreak(r.Key().String(), at, b.Suspects)
-		}
+		entry.WithError(err).Info("connections of a runner ended, and it is not known to have crashed")
+		rt.recordBreak(r, b, err)
 		return
 	}
 	if b.Leaving {
@@ -50,12 +49,31 @@
 	return err
 }
 
-// confirmCrash records the crash of a runner that has ended, if its connections have just broken.
-func (rt *Router) confirmCrash(r *cicadaplace.Runner) {
-	if !rt.quarantine.ConfirmBreak(r.Key().String(), rt.sharedTime()) {
+// recordBreak records that the connections of a runner broke, and that the check of the runner did not show a
+// crash. Later evidence may: if all runners crash at the same time, nothing tells them from runners behind a
+// network that refuses connections until some have started again.
+func (rt *Router) recordBreak(r *cicadaplace.Runner, b *cicadacrash.Broken, result error) {
+	at, ok := rt.clock.SharedTime(b.At)
+	if !ok || b.Leaving || b.TimedOut {
+		return
+	}
+	rt.quarantine.RecordBreak(r.Key().String(), at, b.Suspects)
+	if rt.balancer.HasEnded(r) {
+		// The entry of its successor was read during the check.
+		rt.confirmCrash(r.Key(), "entry of its successor")
+		return
+	}
+	if result != nil {
+		rt.breakTracker.add(r, b.Relayed)
+	}
+}
+
+// confirmCrash records the crash of a runner that is known to have ended, if its connections broke before.
+func (rt *Router) confirmCrash(runner cicadalimit.Key, evidence string) {
+	if !rt.quarantine.ConfirmBreak(runner.String(), rt.sharedTime()) {
 		return
 	}
-	rt.cfg.Log.WithField("runner", r.ID()).Info("runner crashed while it served requests, as the entry of its successor shows")
+	rt.cfg.Log.WithField("runner", runner.ID).WithField("how", evidence).Info("runner crashed while it served requests, as was found out later")
 	rt.cfg.Metrics.Crashes.Add(1)
 	rt.logBlocks()
 	rt.crashSignal.send()
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -353,7 +353,7 @@
 	}
 	x.finishAttempt(p, cicadaplace.Failed, err)
 	if !x.isTimeout(err) && !errors.Is(err, errStalled) {
-		x.recordBroken(p)
+		x.checkRunner(p, err)
 	}
 	if x.headerSent {
 		return result{abortErr: err}, true
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -116,18 +117,20 @@
 }
 
 // sharedTime returns the time of the store's clock, or zero if it is not known.
-func (rt *Router) sharedTime() time.Duration {
-	now, _ := rt.clock.SharedTime(time.Now())
-	return now
-}
+func (rt *Router) sharedTime() time.Duration { return rt.sharedTimeAt(time.Now()) }
 
-// recordBroken records that the connection of an attempt broke before the response was complete.
-func (x *exchange) recordBroken(p *placement) { x.checkRunner(p) }
+func (rt *Router) sharedTimeAt(local time.Time) time.Duration {
+	shared, _ := rt.clock.SharedTime(local)
+	return shared
+}
 
-// checkRunner finds out whether the runner of an attempt whose connection ended has crashed. It calls
-// onResult with the outcome, which is nil if the runner accepts connections.
-func (x *exchange) checkRunner(p *placement, onResult ...func(err error)) {
-	b := &cicadacrash.Broken{At: time.Now(), RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", OnResult: onResult}
+// checkRunner finds out whether the runner of an attempt whose connection ended has crashed, and records it.
+// It calls onResult with the outcome, which is nil if the runner accepts connections. cause is why the
+// connection ended, or nil.
+func (x *exchange) checkRunner(p *placement, cause error, onResult ...func(err error)) {
+	b := &cicadacrash.Broken{
+		At: time.Now(), RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", TimedOut: errors.Is(cause, syscall.ETIMEDOUT), OnResult: onResult,
+	}
 	suspect := []cicadaquarantine.Suspect{x.allTraits()}
 	switch {
 	case errors.Is(x.rt.balancer.Unavailability(p.Runner(), b.At), cicadaplace.ErrDraining) && !x.rt.balancer.HasRestarted(p.Runner()):
@@ -173,7 +176,7 @@
 func (x *exchange) awaitCheck(ctx context.Context, a *attempt) error {
 	traits, began := x.traits(), x.headerAt
 	result := make(chan error, 1)
-	x.checkRunner(a.placement, func(err error) {
+	x.checkRunner(a.placement, nil, func(err error) {
 		if err == nil && a.resp.StatusCode < http.StatusBadRequest {
 			x.rt.recordAnswer(traits, began)
 		}
--- a/internal/cicadaedge/response.go
+++ b/internal/cicadaedge/response.go
@@ -88,7 +88,7 @@
 			return x.timeoutResult(), false
 		}
 		if isBrokenByRunner(err) {
-			x.recordBroken(a.placement)
+			x.checkRunner(a.placement, err)
 		}
 		return x.handleUnusable(a, err)
 	}
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -79,6 +79,7 @@
 
 	quarantine    *cicadaquarantine.Quarantine
 	crashDetector *cicadacrash.Detector[*cicadaplace.Runner]
+	breakTracker  *breakTracker
 	// quarantineLoaded is set once the crashes that other processes reported are known.
 	quarantineLoaded atomic.Bool
 	// crashRowRead is set once this router's own row of crashes was read, which it may then overwrite.
@@ -152,6 +153,7 @@
 	rt.borrower = newBorrower(rt)
 	rt.streamRows = newStreamRows(rt)
 	rt.versions = newVersionTracker(rt)
+	rt.breakTracker = newBreakTracker(rt)
 	rt.crashDetector = cicadacrash.NewDetector(cicadacrash.Config[*cicadaplace.Runner]{Go: rt.runTask, Check: rt.checkBroken})
 	return rt
 }
--- a/internal/cicadaedge/stream.go
+++ b/internal/cicadaedge/stream.go
@@ -74,7 +74,7 @@
 	x.cause = err
 	x.finishAttempt(a.placement, cicadaplace.Failed, err)
 	if isBrokenByRunner(err) {
-		x.recordBroken(a.placement)
+		x.checkRunner(a.placement, err)
 	}
 	// A response with a Content-Length cannot be continued by another run.
 	return result{abortErr: err}, x.isContinuable() && a.resp.ContentLength < 0
--- a/internal/cicadaedge/tables.go
+++ b/internal/cicadaedge/tables.go
@@ -215,8 +215,11 @@
 	if c.Stale() {
 		rt.cfg.Metrics.Errors.Add("runnerStale", 1)
 	}
-	if r := c.Ended(); r != nil {
-		rt.confirmCrash(r)
+	for _, runner := range c.Ended() {
+		rt.confirmCrash(runner, "entry of its successor")
+	}
+	if r := c.Renewed(); r != nil && rt.quarantine.HasBreaks() {
+		rt.quarantine.RecordRenewal(r.Key().String(), rt.sharedTimeAt(now))
 	}
 	if r := c.Removed(); r != nil {
 		rt.transports.remove(r)
@@ -227,6 +230,7 @@
 		changes.draining.add(e.ID, e.Addr)
 	default:
 		changes.present.add(e.ID, e.Addr)
+		rt.breakTracker.runnerStarted()
 	}
 	return c
 }
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -171,9 +171,7 @@
 func (r *Runner) ID() string { return r.entry.ID }
 
 // Key identifies this start of the runner.
-func (r *Runner) Key() cicadalimit.Key {
-	return cicadalimit.Key{ID: r.entry.ID, StartMillis: r.entry.StartMillis}
-}
+func (r *Runner) Key() cicadalimit.Key { return r.entry.key() }
 
 // Addr returns the runner's address, IP:PORT.
 func (r *Runner) Addr() string { return r.entry.Addr }
@@ -191,7 +189,10 @@
 		return Change{id: e.ID, stale: true}
 	}
 	if old != nil && old.entry.sameRunner(&e) {
-		changed := old.entry.Draining != e.Draining || old.isHeld() != (e.HoldRemaining > 0)
+		c := Change{id: e.ID, changed: old.entry.Draining != e.Draining || old.isHeld() != (e.HoldRemaining > 0)}
+		if e.Seq > old.entry.Seq {
+			c.renewed = old
+		}
 		if !old.isHeld() || e.HoldRemaining <= 0 {
 			old.heldUntil = e.heldUntil(now)
 		}
@@ -203,7 +204,7 @@
 			b.forgetVersion(e.Service, "")
 		}
 		b.limitWarmup(old, e.WarmupRemaining, now)
-		return Change{id: e.ID, changed: changed}
+		return c
 	}
 	ended := b.endedBy(&e)
 	if old != nil {
@@ -221,18 +222,38 @@
 	return Change{id: e.ID, removed: old, ended: ended, changed: true}
 }
 
-// endedBy returns the runner whose end the entry of a new one shows, see Change.Ended.
-func (b *Balancer) endedBy(e *Entry) *Runner {
-	if old := b.byID[e.ID]; old != nil && old.entry.StartMillis < e.StartMillis && !old.entry.Draining {
-		return old
+// endedBy returns the runners whose ends the entry of a new one shows, see Change.Ended.
+func (b *Balancer) endedBy(e *Entry) []cicadalimit.Key {
+	var out []cicadalimit.Key
+	add := func(earlier *Entry) {
+		// A successor may have answered for it, which looks like draining. The entry tells.
+		if earlier.isEndedBy(e) && !earlier.Draining {
+			out = append(out, earlier.key())
+		}
+	}
+	if old := b.byID[e.ID]; old != nil {
+		add(&old.entry)
+	}
+	if r := b.byAddr[e.Addr]; r != nil && r.entry.ID != e.ID {
+		add(&r.entry)
 	}
-	// The successor may have answered for it, which looks like draining.
-	if r := b.byAddr[e.Addr]; r != nil && r.entry.ID != e.ID && !r.entry.Draining {
-		return r
+	// The entry of a runner that has crashed may have expired before the next one is written.
+	for _, d := range b.removed {
+		add(&d.entry)
+	}
+	return out
+}
+
+// isEndedBy reports whether the entry of a later runner shows that the one of e has ended.
+func (e *Entry) isEndedBy(next *Entry) bool {
+	if e.ID == next.ID {
+		return e.StartMillis < next.StartMillis
 	}
-	return nil
+	return e.Addr == next.Addr
 }
 
+func (e *Entry) key() cicadalimit.Key { return cicadalimit.Key{ID: e.ID, StartMillis: e.StartMillis} }
+
 // recordVersion records that a runner has its version of the software.
 func (b *Balancer) recordVersion(r *Runner, now time.Time) {
 	versions := b.versionsSeen[r.entry.Service]
@@ -320,6 +341,22 @@
 	return r.removed && !r.entry.Draining && !r.draining && next != nil && next.entry.StartMillis > r.entry.StartMillis
 }
 
+// HasEnded reports whether a runner has ended without draining, as the entry of a runner shows that has started
+// since, see Change.Ended.
+func (b *Balancer) HasEnded(r *Runner) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	isSuccessor := func(next *Runner) bool { return next != nil && next != r && r.entry.isEndedBy(&next.entry) }
+	return !r.entry.Draining && (isSuccessor(b.byID[r.entry.ID]) || isSuccessor(b.byAddr[r.entry.Addr]))
+}
+
+// IsRemoved reports whether the entry of a runner was removed or replaced.
+func (b *Balancer) IsRemoved(r *Runner) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return r.removed
+}
+
 // Len returns the number of runners in use.
 func (b *Balancer) Len() int {
 	b.mu.Lock()
--- a/internal/cicadaplace/hold.go
+++ b/internal/cicadaplace/hold.go
@@ -1,6 +1,10 @@
 package cicadaplace
 
-import "time"
+import (
+	"time"
+
+	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
+)
 
 // An entry disappears from the store if its runner has left, but also if a store outage was so
 // long that the runner could not renew it. The platform documents the period after an outage
@@ -19,7 +23,8 @@
 	changed bool
 	held    bool
 	stale   bool
-	ended   *Runner
+	ended   []cicadalimit.Key
+	renewed *Runner
 }
 
 // ID returns the id of the runner.
@@ -28,9 +33,12 @@
 // Removed returns the runner that was removed or replaced, or nil.
 func (c *Change) Removed() *Runner { return c.removed }
 
-// Ended returns the runner that has ended without draining, as the entry shows: it has started again under
-// the same id, or another one has its address. It returns nil if there is none.
-func (c *Change) Ended() *Runner { return c.ended }
+// Ended returns the runners that have ended without draining, as the entry shows: one has started again under
+// the same id, or another one has its address.
+func (c *Change) Ended() []cicadalimit.Key { return c.ended }
+
+// Renewed returns the runner that has written its entry again since the last one was read, or nil.
+func (c *Change) Renewed() *Runner { return c.renewed }
 
 // Changed reports whether the runner was added, removed or replaced, or its draining or held
 // state changed.
--- a/internal/cicadaplace/hold_test.go
+++ b/internal/cicadaplace/hold_test.go
@@ -204,3 +204,53 @@
 		t.Errorf("runners in use after an older entry (-want +got):\n%s", diff)
 	}
 }
+
+// The end of a runner is known by the entry of a later one, even if its own has expired before.
+func TestEndOfARunnerIsMissed(t *testing.T) {
+	t.Parallel()
+	first := cicadaplace.Entry{ID: "a", Service: "s", Addr: "10.0.0.1:1", DataCentre: "p", StartMillis: 1, Seq: 1}
+	with := func(change func(e *cicadaplace.Entry)) cicadaplace.Entry {
+		e := first
+		change(&e)
+		return e
+	}
+	ended := []string{"a@1"}
+	for name, tt := range map[string]struct {
+		draining, removed bool
+		next              cicadaplace.Entry
+		want              []string
+		renewed           bool
+	}{
+		"next start":                     {next: with(func(e *cicadaplace.Entry) { e.StartMillis = 2 }), want: ended},
+		"next start after its expiry":    {removed: true, next: with(func(e *cicadaplace.Entry) { e.StartMillis = 2 }), want: ended},
+		"another one's start":            {next: with(func(e *cicadaplace.Entry) { e.ID = "b" }), want: ended},
+		"another one's after its expiry": {removed: true, next: with(func(e *cicadaplace.Entry) { e.ID = "b" }), want: ended},
+		"another address":                {removed: true, next: with(func(e *cicadaplace.Entry) { e.ID, e.Addr = "b", "10.0.0.2:1" })},
+		"draining":                       {draining: true, next: with(func(e *cicadaplace.Entry) { e.StartMillis = 2 })},
+		"draining, expired":              {draining: true, removed: true, next: with(func(e *cicadaplace.Entry) { e.ID = "b" })},
+		"written again":                  {next: with(func(e *cicadaplace.Entry) { e.Seq = 2 }), renewed: true},
+		"read again":                     {next: first},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			lb := newBalancer(0)
+			e := first
+			e.Draining = tt.draining
+			lb.Apply(e, start)
+			if tt.removed {
+				lb.Remove("a", start)
+			}
+			c := lb.Apply(tt.next, start)
+			var got []string
+			for _, key := range c.Ended() {
+				got = append(got, key.String())
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("ended runners (-want +got)\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.renewed, c.Renewed() != nil); diff != "" {
+				t.Errorf("renewed (-want +got)\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/cicadaquarantine/broken.go
+++ b/internal/cicadaquarantine/broken.go
@@ -2,46 +2,104 @@
 
 import "time"
 
-// confirmPeriod is how long after connections broke a sign of their runner's end is taken for the cause. The
-// entry of a runner that starts again at once is read within it.
-const confirmPeriod = 2 * time.Second
+const (
+	// breakTTL is how long broken connections are kept whose cause is not known. A runner that has crashed is
+	// back after some seconds, but its entry cannot be read while the store is away.
+	breakTTL = 2 * time.Minute
+	// renewalDelay is how long after connections broke entries may be read that were written before.
+	renewalDelay = 3 * time.Second
+)
 
 // brokenRunner is a runner whose connections broke while it served suspects.
 type brokenRunner struct {
 	at       time.Duration
 	suspects Suspects
+	// renewedAt is when an entry was read that the runner had written again, after renewalDelay; zero for
+	// never.
+	renewedAt time.Duration
 }
 
 // RecordBreak records that the connections to a runner broke at a shared time while it served the suspects,
 // and that this router does not know of a crash. ConfirmBreak, or the report of another router, may tell of
-// one.
+// one, and RecordRenewal that there was none.
 func (q *Quarantine) RecordBreak(runner string, at time.Duration, suspects Suspects) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for r, b := range q.broken {
-		if at-b.at > answerTTL {
-			delete(q.broken, r)
+	if len(suspects.Begun)+len(suspects.Waiting) == 0 {
+		return
+	}
+	b, ok := q.broken[runner]
+	if !ok {
+		q.forgetBreaks(at)
+		b.at = at
+	}
+	b.at, b.renewedAt = min(b.at, at), 0
+	b.suspects.add(&Suspects{Begun: q.likeliestFirst(suspects.Begun), Waiting: q.likeliestFirst(suspects.Waiting)})
+	q.broken[runner] = b
+}
+
+// forgetBreaks removes breaks that are too old, and the oldest one if there is no room for another.
+func (q *Quarantine) forgetBreaks(now time.Duration) {
+	oldest := ""
+	for runner, b := range q.broken {
+		if now-b.at > breakTTL {
+			delete(q.broken, runner)
+			continue
+		}
+		if oldest == "" || b.at < q.broken[oldest].at {
+			oldest = runner
 		}
 	}
-	if len(q.broken) < maxCrashes && len(suspects.Begun)+len(suspects.Waiting) > 0 {
-		q.broken[runner] = brokenRunner{at: at, suspects: Suspects{Begun: q.likeliestFirst(suspects.Begun), Waiting: q.likeliestFirst(suspects.Waiting)}}
+	if len(q.broken) >= maxCrashes {
+		delete(q.broken, oldest)
 	}
 }
 
-// ConfirmBreak records a crash of a runner that is known to have ended, if its connections have broken
-// lately. It reports whether they have.
+// ConfirmBreak records a crash of a runner that is known to have ended, if its connections have broken and
+// nothing has shown since that it lived on. It reports whether they have.
 func (q *Quarantine) ConfirmBreak(runner string, now time.Duration) bool {
 	q.mu.Lock()
 	b, ok := q.broken[runner]
 	delete(q.broken, runner)
 	q.mu.Unlock()
-	if !ok || now-b.at > confirmPeriod {
+	if !ok || now-b.at > breakTTL {
 		return false
 	}
 	q.RecordCrash(runner, b.at, b.suspects)
 	return true
 }
 
+// RecordRenewal records that an entry was read at a shared time that a runner has written again. If two were
+// read one after the other since its connections broke, the second was written since, and the runner lives on.
+func (q *Quarantine) RecordRenewal(runner string, now time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b, ok := q.broken[runner]
+	switch {
+	case !ok || now-b.at <= renewalDelay:
+	case b.renewedAt == 0:
+		b.renewedAt = now
+		q.broken[runner] = b
+	case now > b.renewedAt:
+		delete(q.broken, runner)
+	}
+}
+
+// HasBreaks reports whether connections to any runner broke for a reason that is not known.
+func (q *Quarantine) HasBreaks() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.broken) > 0
+}
+
+// IsBroken reports whether connections to a runner broke for a reason that is not known at a shared time.
+func (q *Quarantine) IsBroken(runner string, now time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b, ok := q.broken[runner]
+	return ok && now-b.at <= breakTTL
+}
+
 // joinCrash adds the suspects of this router to a crash that another router has reported. It reports whether
 // there are any.
 func (q *Quarantine) joinCrash(runner string, c *crash) bool {
