Suspects of a crash that another router has already reported count

A check of a runner takes up to 2 s if routers and runners do not answer. If another router's report of the crash arrived meanwhile, the suspects of this router were never added to it: the report is joined with what is kept, and nothing was kept yet. The request that crashed the runner may be among them.

RecordBreak now joins a crash that is known as Merge does.

Test: a row of TestCrashThatIsFoundOutLaterIsForgotten, "another router reports the crash before"; without the change nothing is put in quarantine.

--- a/internal/cicadaedge/crash.go
+++ b/internal/cicadaedge/crash.go
@@ -57,7 +57,10 @@
 	if !ok || b.Leaving || b.TimedOut {
 		return
 	}
-	rt.quarantine.RecordBreak(r.Key().String(), at, b.Suspects)
+	if rt.quarantine.RecordBreak(r.Key().String(), at, b.Suspects) {
+		rt.logBlocks()
+		rt.crashSignal.send()
+	}
 	if rt.balancer.HasEnded(r) {
 		// The entry of its successor was read during the check.
 		rt.confirmCrash(r.Key(), "entry of its successor")
--- a/internal/cicadaquarantine/broken.go
+++ b/internal/cicadaquarantine/broken.go
@@ -21,12 +21,12 @@
 
 // RecordBreak records that the connections to a runner broke at a shared time while it served the suspects,
 // and that this router does not know of a crash. ConfirmBreak, or the report of another router, may tell of
-// one, and RecordRenewal that there was none.
-func (q *Quarantine) RecordBreak(runner string, at time.Duration, suspects Suspects) {
+// one, and RecordRenewal that there was none. It reports whether another router has told of one already.
+func (q *Quarantine) RecordBreak(runner string, at time.Duration, suspects Suspects) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(suspects.Begun)+len(suspects.Waiting) == 0 {
-		return
+		return false
 	}
 	b, ok := q.broken[runner]
 	if !ok {
@@ -36,6 +36,13 @@
 	b.at, b.renewedAt = min(b.at, at), 0
 	b.suspects.add(&Suspects{Begun: q.likeliestFirst(suspects.Begun), Waiting: q.likeliestFirst(suspects.Waiting)})
 	q.broken[runner] = b
+	c := q.crashes[runner]
+	if c == nil || !q.joinCrash(runner, c) {
+		return false
+	}
+	q.applyAnswers(c.suspects.all())
+	q.update(at)
+	return true
 }
 
 // forgetBreaks removes breaks that are too old, and the oldest one if there is no room for another.
--- a/internal/cicadaquarantine/broken_test.go
+++ b/internal/cicadaquarantine/broken_test.go
@@ -82,6 +82,15 @@
 			},
 			want: [][]cicadaquarantine.Trait{{"bad"}},
 		},
+		"another router reports the crash before": {
+			play: func(q *cicadaquarantine.Quarantine) {
+				q.Merge(reported("r1", 1*second), 3*second)
+				q.Merge(reported("r2", 2*second), 3*second)
+				q.RecordBreak("r1", 1*second, bad)
+				q.RecordBreak("r2", 2*second, bad)
+			},
+			want: [][]cicadaquarantine.Trait{{"bad"}},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
