The only runner of a deployment has not crashed when a network refuses connections

Cause: a refused connection counts as a crash if another runner accepts one, or if there is no other. So with a single runner each cut by a network that refuses connections counted as a crash over the requests that were there.

Change: if there is no other runner, nobody can tell, as if all of them refuse connections. The entry of its next start tells, or a further check once another runner accepts connections.

Tests: "the only runner" of TestNetworkThatRefusesConnectionsPutsSoundRequestsInQuarantine counted four crashes in four cuts before, none now. TestRequestThatCrashesAllRunnersIsForwardedAgainAndAgain has its six cases with a single runner as well; they pass with the change. TestEndOfADrainingRunnerCountsAsACrash had one runner and relied on the old rule. It has a second one now, which gets no requests and shows that the network connects; what it asks for is the same.

--- a/internal/cicadaedge/probe.go
+++ b/internal/cicadaedge/probe.go
@@ -39,8 +39,7 @@
 	return errRunnerUnknown
 }
 
-// reachesOthers reports whether this host reaches runners beside the one with an id, or there are
-// none.
+// reachesOthers reports whether this host reaches runners beside the one with an id.
 func (d *runnerDialer) reachesOthers(ctx context.Context, id string) bool {
 	entries := d.rt.balancer.Entries(time.Now())
 	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
@@ -57,7 +56,7 @@
 			return true
 		}
 	}
-	return tried == 0
+	return false
 }
 
 func (d *runnerDialer) tryConnect(ctx context.Context, addr string) error {
