Crashes are recorded by a router that has never reached the store

Crashes are kept by the store's clock. A router that starts while it does not reach the store has its view from another router and serves requests, but it did not know that time, and recorded no crash: a request crashed runner after runner through it. The line "runner crashed while it served requests" had "clockKnown":false.

Routers now tell the time with their view, within the bounds that the round trip gives, and it is used for crashes and answers until the store has answered. Rate limits and histories of versions go by the store's clock alone, as before.

--- a/internal/cicadaedge/crash.go
+++ b/internal/cicadaedge/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadacrash"
 	"github.com/cicadadyke/cicadadyke/internal/cicadalimit"
@@ -26,7 +27,7 @@
 		entry.Info("draining runner ended while it served requests")
 		return
 	}
-	at, ok := rt.clock.SharedTime(b.At)
+	at, ok := rt.crashTime(b.At)
 	entry.WithField("suspects", b.Suspects).WithField("clockKnown", ok).WithField("how", err.Error()).Info("runner crashed while it served requests")
 	rt.cfg.Metrics.Crashes.Add(1)
 	if ok {
@@ -53,7 +54,7 @@
 // crash. Later evidence may: if all runners crash at the same time, nothing tells them from runners behind a
 // network that refuses connections until some have started again.
 func (rt *Router) recordBreak(r *cicadaplace.Runner, b *cicadacrash.Broken, result error) {
-	at, ok := rt.clock.SharedTime(b.At)
+	at, ok := rt.crashTime(b.At)
 	if !ok || b.Leaving || b.TimedOut {
 		return
 	}
@@ -71,6 +72,13 @@
 	}
 }
 
+// recordRenewal records that a runner has written the entry again that was read at a time.
+func (rt *Router) recordRenewal(r *cicadaplace.Runner, readAt time.Time) {
+	if at, ok := rt.crashTime(readAt); ok {
+		rt.quarantine.RecordRenewal(r.Key().String(), at)
+	}
+}
+
 // confirmCrash records the crash of a runner that is known to have ended, if its connections broke before.
 func (rt *Router) confirmCrash(runner cicadalimit.Key, evidence string) {
 	if !rt.quarantine.ConfirmBreak(runner.String(), rt.sharedTime()) {
--- a/internal/cicadaedge/peer_rpc.go
+++ b/internal/cicadaedge/peer_rpc.go
@@ -68,7 +68,8 @@
 		// CrashesPending is set if the router itself has yet to learn them, as it has just started.
 		Crashes        *cicadaquarantine.Report `json:"crashes,omitempty"`
 		CrashesPending bool                     `json:"crashesPending,omitempty"`
-		Routers        int                      `json:"routers,omitempty"` // number of routers; zero if unknown
+		Routers        int                      `json:"routers,omitempty"`      // number of routers; zero if unknown
+		SharedMillis   int64                    `json:"sharedMillis,omitempty"` // shared time; zero if unknown
 	}
 )
 
@@ -121,6 +122,9 @@
 		reply.Crashes = &crashes
 	}
 	reply.CrashesPending = !rt.quarantineLoaded.Load()
+	if shared, ok := rt.clock.SharedTime(time.Now()); ok {
+		reply.SharedMillis = shared.Milliseconds()
+	}
 	return reply
 }
 
@@ -196,6 +200,9 @@
 	if err := client.CallResult(ctx, methodView, req, &reply); err != nil {
 		return errors.Wrap(err, "call peer")
 	}
+	if reply.SharedMillis > 0 {
+		rt.peerClock.Observe(sentAt, time.Now(), time.Duration(reply.SharedMillis)*time.Millisecond)
+	}
 	rt.shares.setFromPeer(rt, reply.Routers)
 	rt.applyPeerCrashes(&reply)
 	if reply.Deployment != nil {
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -116,12 +116,19 @@
 	return q.rt.quarantine.Match(q.allTraits(), q.rt.sharedTime())
 }
 
-// sharedTime returns the time of the store's clock, or zero if it is not known.
-func (rt *Router) sharedTime() time.Duration { return rt.sharedTimeAt(time.Now()) }
+// sharedTime returns the shared time of crashes, or zero if it is not known.
+func (rt *Router) sharedTime() time.Duration {
+	now, _ := rt.crashTime(time.Now())
+	return now
+}
 
-func (rt *Router) sharedTimeAt(local time.Time) time.Duration {
-	shared, _ := rt.clock.SharedTime(local)
-	return shared
+// crashTime returns the shared time of crashes and answers at a local time. It returns false if neither the
+// store nor another router has told it. A router that does not reach the store has its time from others.
+func (rt *Router) crashTime(local time.Time) (time.Duration, bool) {
+	if shared, ok := rt.clock.SharedTime(local); ok {
+		return shared, true
+	}
+	return rt.peerClock.SharedTime(local)
 }
 
 // checkRunner finds out whether the runner of an attempt whose connection ended has crashed, and records it.
@@ -203,7 +210,7 @@
 }
 
 func (rt *Router) recordAnswer(traits []cicadaquarantine.Trait, began time.Time) {
-	at, ok := rt.clock.SharedTime(began)
+	at, ok := rt.crashTime(began)
 	if ok && rt.quarantine.RecordAnswer(traits, at) {
 		rt.crashSignal.send()
 	}
--- a/internal/cicadaedge/quarantine_test.go
+++ b/internal/cicadaedge/quarantine_test.go
@@ -291,6 +291,20 @@
 	}
 }
 
+// The router starts while it does not reach the store, so that it has its view and the time from another one.
+func TestRouterThatNeverReachedTheStoreForwardsWhatCrashesRunners(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.addCrashingRunners(4, hasHarmfulPart)
+	other := f.startNodes(1)[0]
+	n := f.startNode("n1", func(cfg *cicadaedge.Config) {
+		cfg.Runtime.Seeds = []string{other.peerAddr}
+		cfg.Store.(*storeClient).down.Store(true)
+	})
+	eventually(t, "the router has its view from the other one", n.Ready)
+	sendUntilQuarantined(t, n, map[string]string{"X-Parts": "system,harmful,own"}) // it holds no units
+}
+
 func TestQuarantineThatAnOperatorLifts(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -77,7 +77,9 @@
 	// announceSignal requests another write of this router's row.
 	announceSignal signal
 
-	quarantine    *cicadaquarantine.Quarantine
+	quarantine *cicadaquarantine.Quarantine
+	// peerClock estimates the shared time by what other routers tell, until the store has answered.
+	peerClock     *cicadalimit.Clock
 	crashDetector *cicadacrash.Detector[*cicadaplace.Runner]
 	breakTracker  *breakTracker
 	// quarantineLoaded is set once the crashes that other processes reported are known.
@@ -129,6 +131,7 @@
 
 		announceSignal: newSignal(),
 		crashSignal:    newSignal(),
+		peerClock:      &cicadalimit.Clock{},
 		quarantine:     cicadaquarantine.New(cicadaquarantine.Config{}),
 		streams:        cicadaresume.NewStreams(),
 
--- a/internal/cicadaedge/tables.go
+++ b/internal/cicadaedge/tables.go
@@ -219,7 +219,7 @@
 		rt.confirmCrash(runner, "entry of its successor")
 	}
 	if r := c.Renewed(); r != nil && rt.quarantine.HasBreaks() {
-		rt.quarantine.RecordRenewal(r.Key().String(), rt.sharedTimeAt(now))
+		rt.recordRenewal(r, now)
 	}
 	if r := c.Removed(); r != nil {
 		rt.transports.remove(r)
--- a/internal/cicadaplace/hold_test.go
+++ b/internal/cicadaplace/hold_test.go
@@ -237,6 +237,7 @@
 			e := first
 			e.Draining = tt.draining
 			lb.Apply(e, start)
+			r := lb.Find("a")
 			if tt.removed {
 				lb.Remove("a", start)
 			}
@@ -248,8 +249,8 @@
 			if diff := cmp.Diff(tt.want, got); diff != "" {
 				t.Errorf("ended runners (-want +got)\n%s", diff)
 			}
-			if diff := cmp.Diff(tt.renewed, c.Renewed() != nil); diff != "" {
-				t.Errorf("renewed (-want +got)\n%s", diff)
+			if diff := cmp.Diff([]bool{tt.want != nil, tt.renewed}, []bool{lb.HasEnded(r), c.Renewed() != nil}); diff != "" {
+				t.Errorf("has ended, renewed (-want +got)\n%s", diff)
 			}
 		})
 	}
