The time of a crash is that of the last break of its connections

A second break of the same process was added to the first, and took its time. If connections broke for another reason long before, as at a cut of all runners, crashes at different moments became one incident, or were too old to count.

The later break gives the time now. Of the earlier one, suspects remain that were not answered in between.

Test: a row of TestCrashThatIsFoundOutLaterIsForgotten, "connections broke for another reason long before"; nothing was in quarantine before.

--- a/internal/cicadaquarantine/broken.go
+++ b/internal/cicadaquarantine/broken.go
@@ -1,6 +1,9 @@
 package cicadaquarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// breakTTL is how long broken connections are kept whose cause is not known. A runner that has crashed is
@@ -28,13 +31,12 @@
 	if len(suspects.Begun)+len(suspects.Waiting) == 0 {
 		return false
 	}
-	b, ok := q.broken[runner]
-	if !ok {
-		q.forgetBreaks(at)
-		b.at = at
-	}
-	b.at, b.renewedAt = min(b.at, at), 0
+	q.forgetBreaks(at)
+	b := brokenRunner{at: at}
 	b.suspects.add(&Suspects{Begun: q.likeliestFirst(suspects.Begun), Waiting: q.likeliestFirst(suspects.Waiting)})
+	if earlier, ok := q.broken[runner]; ok {
+		b.join(&earlier, q.unanswered(&earlier.suspects, earlier.at))
+	}
 	q.broken[runner] = b
 	c := q.crashes[runner]
 	if c == nil || !q.joinCrash(runner, c) {
@@ -45,6 +47,29 @@
 	return true
 }
 
+// join adds an earlier break of the same runner and the suspects in it. The later one of both is the more likely
+// end, unless they are of the same moment.
+func (b *brokenRunner) join(earlier *brokenRunner, suspects Suspects) {
+	b.suspects.add(&suspects)
+	if (b.at - earlier.at).Abs() <= incidentWindow {
+		b.at = min(b.at, earlier.at)
+	} else {
+		b.at = max(b.at, earlier.at)
+	}
+}
+
+// unanswered returns suspects without the traits that this router has seen answered since a time.
+func (q *Quarantine) unanswered(s *Suspects, since time.Duration) Suspects {
+	remaining := func(list []Suspect) []Suspect {
+		var out []Suspect
+		for _, suspect := range list {
+			out = append(out, slices.DeleteFunc(slices.Clone(suspect), func(t Trait) bool { return q.answers[t] > since }))
+		}
+		return out
+	}
+	return Suspects{Begun: remaining(s.Begun), Waiting: remaining(s.Waiting)}
+}
+
 // forgetBreaks removes breaks that are too old, and the oldest one if there is no room for another.
 func (q *Quarantine) forgetBreaks(now time.Duration) {
 	oldest := ""
--- a/internal/cicadaquarantine/broken_test.go
+++ b/internal/cicadaquarantine/broken_test.go
@@ -73,6 +73,17 @@
 			},
 			want: [][]cicadaquarantine.Trait{{"bad"}},
 		},
+		"connections broke for another reason long before": {
+			play: func(q *cicadaquarantine.Quarantine) {
+				for i, r := range []string{"r1", "r2"} {
+					q.RecordBreak(r, 1*second, begun([]traits{{"sound"}}))
+					q.RecordAnswer(traits{"sound"}, 2*second)
+					q.RecordBreak(r, time.Duration(100+i)*second, bad)
+					q.ConfirmBreak(r, 200*second)
+				}
+			},
+			want: [][]cicadaquarantine.Trait{{"bad"}},
+		},
 		"another router reports the crash afterwards": {
 			play: func(q *cicadaquarantine.Quarantine) {
 				q.RecordBreak("r1", 1*second, bad)
@@ -96,7 +107,11 @@
 			t.Parallel()
 			q := cicadaquarantine.New(cicadaquarantine.Config{})
 			tt.play(q)
-			if diff := cmp.Diff(tt.want, blocked(q)); diff != "" {
+			var got [][]cicadaquarantine.Trait
+			for _, b := range q.Blocks(0) {
+				got = append(got, b.Traits)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
 				t.Errorf("blocks (-want +got)\n%s", diff)
 			}
 		})
