--- a/internal/cicadaedge/common_crash_test.go
+++ b/internal/cicadaedge/common_crash_test.go
@@ -107,7 +107,7 @@
 	return r.entry.ID
 }
 
-// end ends the process with all connections. It reports whether one was there.
+// end ends the process with all connections, if there is one.
 func (r *processRunner) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
