A request that crashes runners before their entries is recognised by their connections

Cause: a break of unknown cause waited for the entry of the next start. A process that is crashed before its first write leaves none, nor does the next one, and a refused dial counted only beside a runner that accepts one. Behind it, all crashes of one start were one, so that a single runner could not make up two incidents without an entry in between.

Change: a network that cuts a host off resets connections, while the kernel ends those of a process in order. A connection that ended in order and a dial that is refused 30 ms later show an end by themselves. Processes of a runner are told apart by the end of the one before (Process), and merged again in an incident, as routers may name them by slightly different times.

Why it works: nothing is waited for; the network's cuts end no connection in order (TestNetworkThatRefusesConnectionsPutsSoundRequestsInQuarantine).

--- a/internal/cicadacrash/detector.go
+++ b/internal/cicadacrash/detector.go
@@ -20,6 +20,7 @@
 	// Broken are attempts at one runner that broke at the same time.
 	Broken struct {
 		At         time.Time // of the first one
+		AcceptedAt time.Time // when the runner accepted the latest of their connections; zero if that is not known
 		Suspects   cicadaquarantine.Suspects
 		RequestIDs []string
 		Relayed    bool // one of them at least was sent through another router
@@ -86,6 +87,9 @@
 	if o.At.Before(b.At) {
 		b.At = o.At
 	}
+	if o.AcceptedAt.After(b.AcceptedAt) {
+		b.AcceptedAt = o.AcceptedAt
+	}
 	b.RequestIDs = append(b.RequestIDs, o.RequestIDs...)
 	b.Relayed = b.Relayed || o.Relayed
 	b.Suspects.Begun = append(b.Suspects.Begun, o.Suspects.Begun...)
--- a/internal/cicadaedge/common_crash_test.go
+++ b/internal/cicadaedge/common_crash_test.go
@@ -42,7 +42,8 @@
 		expired     bool // its entry is removed before
 		otherID     bool
 		otherAddr   bool
-		removeLater bool // the entry of the earlier id is removed after the start
+		removeLater bool          // the entry of the earlier id is removed after the start
+		entryDelay  time.Duration // from the start to the first write of its entry
 	}
 )
 
@@ -56,15 +57,15 @@
 		}}
 		r.handler = handler(r)
 		f.runners = append(f.runners, nil)
-		r.start()
+		r.start(0)
 		f.t.Cleanup(r.end)
 		out = append(out, r)
 	}
 	return out
 }
 
-// start starts the process, and writes its entry until it ends.
-func (r *processRunner) start() {
+// start starts the process, and writes its entry from a delay on until it ends.
+func (r *processRunner) start(entryDelay time.Duration) {
 	var lc net.ListenConfig
 	ln, err := lc.Listen(r.fleet.t.Context(), "tcp", r.entry.Addr)
 	if err != nil {
@@ -77,15 +78,16 @@
 	r.entry.Addr, r.entry.StartMillis, r.entry.Seq = ln.Addr().String(), time.Now().UnixMilli(), 0
 	server, stop := r.server, r.stop
 	go func() { _ = server.Serve(ln) }() // it ends with the process
-	r.write()
+	if entryDelay == 0 {
+		r.write()
+		entryDelay = entryInterval
+	}
 	go func() {
-		ticker := time.NewTicker(entryInterval)
-		defer ticker.Stop()
-		for {
+		for wait := entryDelay; ; wait = entryInterval {
 			select {
 			case <-stop:
 				return
-			case <-ticker.C:
+			case <-time.After(wait):
 			}
 			r.mu.Lock()
 			if r.stop == stop {
@@ -134,7 +136,7 @@
 		r.entry.Addr = "127.0.0.1:0"
 	}
 	r.mu.Unlock()
-	r.start()
+	r.start(s.entryDelay)
 	if s.removeLater {
 		time.Sleep(2 * entryInterval)
 		r.fleet.store.removeRunner(earlier)
@@ -168,6 +170,7 @@
 		"another id there after the entry's expiry":  {otherID: true, expired: true},
 		"another id and address":                     {otherID: true, otherAddr: true, removeLater: true},
 		"another id and address after entry expired": {otherID: true, otherAddr: true, expired: true},
+		"same id, crashed again before its entry":    {entryDelay: 2 * commonCrashInterval},
 	} {
 		for _, runners := range []int{1, 2} {
 			t.Run(fmt.Sprintf("%d, %s", runners, name), func(t *testing.T) {
@@ -284,7 +287,7 @@
 			time.Sleep(5 * time.Second) // until entries were read that the runners wrote after the last cut
 			for _, r := range runners {
 				r.end()
-				r.start()
+				r.start(0)
 			}
 			time.Sleep(4 * entryInterval)
 			if diff := cmp.Diff([]int64{0, 0}, []int64{metrics.Crashes.Value(), metrics.Blocks.Value()}); diff != "" {
--- a/internal/cicadaedge/crash.go
+++ b/internal/cicadaedge/crash.go
@@ -31,12 +31,21 @@
 	entry.WithField("suspects", b.Suspects).WithField("clockKnown", ok).WithField("how", err.Error()).Info("runner crashed while it served requests")
 	rt.cfg.Metrics.Crashes.Add(1)
 	if ok {
-		rt.quarantine.RecordCrash(r.Key().String(), at, b.Suspects)
+		rt.quarantine.RecordCrash(rt.processOf(r, b), at, b.Suspects)
 		rt.logBlocks()
 		rt.crashSignal.send()
 	}
 }
 
+// processOf names the process of a runner whose connections broke.
+func (rt *Router) processOf(r *cicadaplace.Runner, b *cicadacrash.Broken) string {
+	acceptedAt, ok := rt.crashTime(b.AcceptedAt)
+	if !ok || b.AcceptedAt.IsZero() {
+		return r.Key().String()
+	}
+	return rt.quarantine.Process(r.Key().String(), acceptedAt)
+}
+
 // findCrash returns errRunnerEnded if the process of a runner has ended whose connections broke. An address
 // that accepts connections does not show the opposite: a successor may listen there.
 func (rt *Router) findCrash(r *cicadaplace.Runner, b *cicadacrash.Broken) error {
@@ -44,10 +53,15 @@
 		return errors.WithMessage(errRunnerEnded, "its connections ended together")
 	}
 	err := rt.dialer.probe(context.Background(), r, b.Relayed)
-	if err == nil && rt.balancer.HasRestarted(r) {
+	switch {
+	case err == nil && rt.balancer.HasRestarted(r):
 		return errors.WithMessage(errRunnerEnded, "it has started again")
+	case errors.Is(err, errRunnerUnknown) && !b.Relayed && rt.transports.endedInOrder(r, b.At):
+		// A network that cuts this host from all runners resets connections.
+		return errors.WithMessage(errRunnerEnded, "its connections ended in order, and it refuses new ones")
+	default:
+		return err
 	}
-	return err
 }
 
 // recordBreak records that the connections of a runner broke, and that the check of the runner did not show a
@@ -58,7 +72,7 @@
 	if !ok || b.Leaving || b.TimedOut {
 		return
 	}
-	if rt.quarantine.RecordBreak(r.Key().String(), at, b.Suspects) {
+	if rt.quarantine.RecordBreak(rt.processOf(r, b), at, b.Suspects) {
 		rt.logBlocks()
 		rt.crashSignal.send()
 	}
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -39,6 +39,8 @@
 	exchange struct {
 		*request
 		tried []string
+		// acceptedAt is when the connection of the last attempt was established; zero if there was none.
+		acceptedAt time.Time
 		// state of a stream
 		headerSent   bool   // the response header was sent to the caller
 		unframed     bool   // the response ends with the caller's connection
@@ -227,8 +229,8 @@
 	if trip.sent {
 		x.attempts++
 	}
-	if x.relay = ""; trip.conn != nil {
-		x.relay = trip.conn.relay
+	if x.relay, x.acceptedAt = "", (time.Time{}); trip.conn != nil {
+		x.relay, x.acceptedAt = trip.conn.relay, trip.conn.establishedAt
 	}
 	x.currentTry().Sent, x.currentTry().Relay = trip.sent, x.relay
 	if cause := context.Cause(ctx); cause != nil {
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -136,7 +136,7 @@
 // connection ended, or nil.
 func (x *exchange) checkRunner(p *placement, cause error, onResult ...func(err error)) {
 	b := &cicadacrash.Broken{
-		At: time.Now(), RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", TimedOut: errors.Is(cause, syscall.ETIMEDOUT), OnResult: onResult,
+		At: time.Now(), AcceptedAt: x.acceptedAt, RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", TimedOut: errors.Is(cause, syscall.ETIMEDOUT), OnResult: onResult,
 	}
 	suspect := []cicadaquarantine.Suspect{x.allTraits()}
 	switch {
--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -137,6 +137,24 @@
 	return true
 }
 
+// endedInOrder reports whether a connection that the runner has ended around a time shows that its end was not
+// the network's, which resets connections.
+func (c *runnerConns) endedInOrder(at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	inOrder := false
+	for _, e := range c.ends {
+		switch {
+		case e.at.Sub(at).Abs() > cicadacrash.CollectionPeriod:
+		case e.inOrder:
+			inOrder = true
+		case e.idle:
+			return false // the end of a process would be in order on it, as nothing was sent
+		}
+	}
+	return inOrder
+}
+
 // outlived reports whether the process that has answered on an ended connection is known to live on.
 func (c *runnerConns) outlived(ended *countedConn) bool {
 	now := time.Now()
@@ -239,6 +257,14 @@
 	return c != nil && c.processEnded(at)
 }
 
+// endedInOrder reports whether connections to a runner were ended around a time by the runner, not by the network.
+func (ts *runnerTransports) endedInOrder(r *cicadaplace.Runner, at time.Time) bool {
+	ts.mu.Lock()
+	c := ts.conns[r]
+	ts.mu.Unlock()
+	return c != nil && c.endedInOrder(at)
+}
+
 // connsOf returns the connections to a runner.
 func (ts *runnerTransports) connsOf(r *cicadaplace.Runner) *runnerConns {
 	ts.mu.Lock()
--- a/internal/cicadaquarantine/broken.go
+++ b/internal/cicadaquarantine/broken.go
@@ -22,10 +22,10 @@
 	renewedAt time.Duration
 }
 
-// RecordBreak records that the connections to a runner broke at a shared time while it served the suspects,
+// RecordBreak records that the connections to a process of a runner broke at a shared time while it served the suspects,
 // and that this router does not know of a crash. ConfirmBreak, or the report of another router, may tell of
 // one, and RecordRenewal that there was none. It reports whether another router has told of one already.
-func (q *Quarantine) RecordBreak(runner string, at time.Duration, suspects Suspects) bool {
+func (q *Quarantine) RecordBreak(process string, at time.Duration, suspects Suspects) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(suspects.Begun)+len(suspects.Waiting) == 0 {
@@ -34,17 +34,18 @@
 	q.forgetBreaks(at)
 	b := brokenRunner{at: at}
 	b.suspects.add(&Suspects{Begun: q.likeliestFirst(suspects.Begun), Waiting: q.likeliestFirst(suspects.Waiting)})
-	if earlier, ok := q.broken[runner]; ok {
+	if earlier, ok := q.broken[process]; ok {
 		b.join(&earlier, q.unanswered(&earlier.suspects, earlier.at))
 	}
-	q.broken[runner] = b
-	c := q.crashes[runner]
-	if c == nil || !q.joinCrash(runner, c) {
-		return false
+	q.broken[process] = b
+	for name, c := range q.crashes {
+		if runnerOf(name) == runnerOf(process) && q.joinCrash(name, c) {
+			q.applyAnswers(c.suspects.all())
+			q.update(at)
+			return true
+		}
 	}
-	q.applyAnswers(c.suspects.all())
-	q.update(at)
-	return true
+	return false
 }
 
 // join adds an earlier break of the same runner and the suspects in it. The later one of both is the more likely
@@ -90,15 +91,28 @@
 // ConfirmBreak records a crash of a runner that is known to have ended, if its connections have broken and
 // nothing has shown since that it lived on. It reports whether they have.
 func (q *Quarantine) ConfirmBreak(runner string, now time.Duration) bool {
+	confirmed := false
+	for process, b := range q.takeBreaks(runner) {
+		if now-b.at <= breakTTL {
+			q.RecordCrash(process, b.at, b.suspects)
+			confirmed = true
+		}
+	}
+	return confirmed
+}
+
+// takeBreaks removes and returns the breaks of a runner, by process.
+func (q *Quarantine) takeBreaks(runner string) map[string]brokenRunner {
 	q.mu.Lock()
-	b, ok := q.broken[runner]
-	delete(q.broken, runner)
-	q.mu.Unlock()
-	if !ok || now-b.at > breakTTL {
-		return false
+	defer q.mu.Unlock()
+	out := map[string]brokenRunner{}
+	for process, b := range q.broken {
+		if runnerOf(process) == runner {
+			out[process] = b
+			delete(q.broken, process)
+		}
 	}
-	q.RecordCrash(runner, b.at, b.suspects)
-	return true
+	return out
 }
 
 // RecordRenewal records that an entry was read at a shared time that a runner has written again. If two were
@@ -106,14 +120,15 @@
 func (q *Quarantine) RecordRenewal(runner string, now time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	b, ok := q.broken[runner]
-	switch {
-	case !ok || now-b.at <= renewalDelay:
-	case b.renewedAt == 0:
-		b.renewedAt = now
-		q.broken[runner] = b
-	case now > b.renewedAt:
-		delete(q.broken, runner)
+	for process, b := range q.broken {
+		switch {
+		case runnerOf(process) != runner || now-b.at <= renewalDelay:
+		case b.renewedAt == 0:
+			b.renewedAt = now
+			q.broken[process] = b
+		case now > b.renewedAt:
+			delete(q.broken, process)
+		}
 	}
 }
 
@@ -128,20 +143,26 @@
 func (q *Quarantine) IsBroken(runner string, now time.Duration) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	b, ok := q.broken[runner]
-	return ok && now-b.at <= breakTTL
+	for process, b := range q.broken {
+		if runnerOf(process) == runner && now-b.at <= breakTTL {
+			return true
+		}
+	}
+	return false
 }
 
 // joinCrash adds the suspects of this router to a crash that another router has reported. It reports whether
 // there are any.
-func (q *Quarantine) joinCrash(runner string, c *crash) bool {
-	b, ok := q.broken[runner]
-	if !ok || (b.at-c.at).Abs() > incidentWindow {
-		return false
+func (q *Quarantine) joinCrash(process string, c *crash) bool {
+	joined := false
+	for name, b := range q.broken {
+		if runnerOf(name) != runnerOf(process) || (b.at-c.at).Abs() > incidentWindow {
+			continue
+		}
+		delete(q.broken, name)
+		c.isOwn, joined = true, true
+		c.own.add(&b.suspects)
+		c.suspects.add(&b.suspects)
 	}
-	delete(q.broken, runner)
-	c.isOwn = true
-	c.own.add(&b.suspects)
-	c.suspects.add(&b.suspects)
-	return true
+	return joined
 }
--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -86,7 +86,7 @@
 
 	// Crash is the crash of a runner as seen by one or more routers.
 	Crash struct {
-		Runner   string `json:"runner"`   // identifies one start of the runner
+		Runner   string `json:"runner"`   // identifies one start of the runner, see Process
 		AtMillis int64  `json:"atMillis"` // shared time in milliseconds
 		Suspects
 	}
@@ -124,10 +124,10 @@
 		blocks atomic.Pointer[[]Block]
 
 		mu      sync.Mutex              // guards the fields below
-		crashes map[string]*crash       // by runner
+		crashes map[string]*crash       // by process
 		cleared map[Trait]clearance     // of crashes before a time
 		answers map[Trait]time.Duration // start of the last answer seen by this router
-		broken  map[string]brokenRunner // by runner; those that are not known to have crashed
+		broken  map[string]brokenRunner // by process; those that are not known to have crashed
 	}
 
 	// crash is a crash with the evidence of all routers.
@@ -211,12 +211,12 @@
 	return strings.Join(names, "+")
 }
 
-// RecordCrash records that a runner crashed at a shared time while it served the suspects.
-func (q *Quarantine) RecordCrash(runner string, at time.Duration, suspects Suspects) {
+// RecordCrash records that a process of a runner crashed at a shared time while it served the suspects.
+func (q *Quarantine) RecordCrash(process string, at time.Duration, suspects Suspects) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	suspects = Suspects{Begun: q.likeliestFirst(suspects.Begun), Waiting: q.likeliestFirst(suspects.Waiting)}
-	c := q.crashOf(runner, at)
+	c := q.crashOf(process, at)
 	c.isOwn = true
 	c.own.add(&suspects)
 	c.suspects.add(&suspects)
@@ -306,12 +306,12 @@
 	return false
 }
 
-// crashOf returns the crash of a runner, and adds it if it is not known.
-func (q *Quarantine) crashOf(runner string, at time.Duration) *crash {
-	c := q.crashes[runner]
+// crashOf returns the crash of a process, and adds it if it is not known.
+func (q *Quarantine) crashOf(process string, at time.Duration) *crash {
+	c := q.crashes[process]
 	if c == nil {
 		c = &crash{at: at}
-		q.crashes[runner] = c
+		q.crashes[process] = c
 	}
 	c.at = min(c.at, at)
 	return c
--- a/internal/cicadaquarantine/verdict.go
+++ b/internal/cicadaquarantine/verdict.go
@@ -35,7 +35,8 @@
 	// timeline holds the crashes in their order, with the incident that each belongs to.
 	timeline struct {
 		crashes  []Crash
-		incident []int // of the crash with the same index
+		incident []int      // of the crash with the same index
+		names    [][]string // of the process of the crash with the same index
 		// suspects holds the numbers of the suspects that have a trait, ascending.
 		suspects map[Trait][]int
 	}
@@ -210,23 +211,34 @@
 // timeline returns the crashes with their suspects that are not cleared.
 func (q *Quarantine) timeline() *timeline {
 	tl := &timeline{suspects: map[Trait][]int{}}
-	for runner, c := range q.crashes {
-		entry := Crash{Runner: runner, AtMillis: c.at.Milliseconds()}
+	var crashes []Crash
+	for process, c := range q.crashes {
+		entry := Crash{Runner: process, AtMillis: c.at.Milliseconds()}
 		entry.Suspects = q.uncleared(&c.suspects, c.at)
-		tl.crashes = append(tl.crashes, entry)
+		crashes = append(crashes, entry)
 	}
-	slices.SortFunc(tl.crashes, func(a, b Crash) int {
+	slices.SortFunc(crashes, func(a, b Crash) int {
 		return cmp.Or(cmp.Compare(a.AtMillis, b.AtMillis), cmp.Compare(a.Runner, b.Runner))
 	})
 	number, began, suspects := -1, int64(0), 0
-	for i := range tl.crashes {
-		if at := tl.crashes[i].AtMillis; number < 0 || at-began >= incidentWindow.Milliseconds() {
-			number, began = number+1, at
+	inIncident := map[string]int{} // indices of the crashes of the last incident, by runner
+	for i := range crashes {
+		c := &crashes[i]
+		if number < 0 || c.AtMillis-began >= incidentWindow.Milliseconds() {
+			number, began = number+1, c.AtMillis
+			clear(inIncident)
+		}
+		// Routers may have different names for one process.
+		if first, ok := inIncident[runnerOf(c.Runner)]; ok {
+			tl.crashes[first].add(&c.Suspects)
+			tl.names[first] = append(tl.names[first], c.Runner)
+		} else {
+			inIncident[runnerOf(c.Runner)] = len(tl.crashes)
+			tl.crashes, tl.incident, tl.names = append(tl.crashes, *c), append(tl.incident, number), append(tl.names, []string{c.Runner})
 		}
-		tl.incident = append(tl.incident, number)
 		// Cleared traits count here: an answer makes a trait no more special.
-		c := q.crashes[tl.crashes[i].Runner]
-		for _, s := range c.suspects.all() {
+		known := &q.crashes[c.Runner].suspects
+		for _, s := range known.all() {
 			for _, t := range s {
 				if list := tl.suspects[t]; len(list) == 0 || list[len(list)-1] != suspects {
 					tl.suspects[t] = append(list, suspects)
@@ -374,7 +386,7 @@
 		if len(b.Runners) == 0 {
 			b.FirstMillis = c.AtMillis
 		}
-		b.Runners, b.LastMillis = append(b.Runners, c.Runner), c.AtMillis
+		b.Runners, b.LastMillis = append(b.Runners, tl.names[i]...), c.AtMillis
 	}
 	b.UntilMillis = b.LastMillis + ttl.Milliseconds()
 	return b
