A runner that stops writing its entry after its connections broke has ended

Change: breaks of unknown cause are checked for silence too. A live runner writes its entry at its interval; one that has not for three intervals since the break, while the store has answered all the while, has ended. After an outage the hold period counts first. An entry that was removed sooner than it can expire is that of a runner that left, and shows nothing.

Why it works: the verdict no longer needs a message but the lack of one, for as long as the platform itself takes to give a runner up. Runners behind a cut network go on writing (the test of such networks now sets the interval).

--- a/internal/cicadaedge/atomic_time.go
+++ b/internal/cicadaedge/atomic_time.go
@@ -22,6 +22,21 @@
 	}
 }
 
+// setFirst stores a time if there is none.
+func (a *atomicTime) setFirst(t time.Time) { a.at.CompareAndSwap(nil, &t) }
+
+// clear removes the time.
+func (a *atomicTime) clear() { a.at.Store(nil) }
+
+// get returns the stored time, and false if there is none.
+func (a *atomicTime) get() (time.Time, bool) {
+	at := a.at.Load()
+	if at == nil {
+		return time.Time{}, false
+	}
+	return *at, true
+}
+
 // age returns the time elapsed since the stored time, or the largest duration if there is none.
 func (a *atomicTime) age(now time.Time) time.Duration {
 	at := a.at.Load()
--- a/internal/cicadaedge/break_tracker.go
+++ b/internal/cicadaedge/break_tracker.go
@@ -22,9 +22,10 @@
 )
 
 type (
-	// breakTracker checks runners again whose connections broke when no runner accepted connections, so that
-	// nobody could tell a crash from a network that refuses connections. The entry of a successor tells, but a
-	// runner may come back under another id at another address.
+	// breakTracker checks runners again whose connections broke when nobody could tell why: whether they refuse
+	// connections while others accept them, and whether they go on writing their entries. The entry of a
+	// successor tells, but a runner may come back under another id at another address, or crash again before it
+	// has written one.
 	breakTracker struct {
 		rt     *Router
 		signal signal // requests a check
@@ -36,8 +37,10 @@
 
 	// pendingBreak is what is known of a runner that is checked again.
 	pendingBreak struct {
-		relayed  bool // this host reached the runner through another router only
-		refusals int  // while others accepted connections, since it has last accepted one
+		since    time.Time // of the first break
+		relayed  bool      // this host reached the runner through another router only
+		accepted bool      // the runner, or its successor, accepted a connection after the break
+		refusals int       // while others accepted connections, since it has last accepted one
 	}
 )
 
@@ -45,11 +48,14 @@
 	return &breakTracker{rt: rt, signal: newSignal(), pending: map[*cicadaplace.Runner]pendingBreak{}}
 }
 
-// add adds a runner. They are checked as long as there are any.
-func (t *breakTracker) add(r *cicadaplace.Runner, relayed bool) {
+// add adds a runner whose connections broke. Runners are checked as long as there are any.
+func (t *breakTracker) add(r *cicadaplace.Runner, b pendingBreak) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.pending[r] = pendingBreak{relayed: relayed}
+	if earlier, ok := t.pending[r]; ok {
+		b.since = earlier.since
+	}
+	t.pending[r] = b
 	if !t.running {
 		t.running = true
 		t.rt.runTask(t.run)
@@ -73,7 +79,7 @@
 		}
 		pending := maps.Clone(t.pending)
 		t.mu.Unlock()
-		reachesAny := t.rt.dialer.reachesOthers(context.Background(), "")
+		reachesAny := hasRefused(pending) && t.rt.dialer.reachesOthers(context.Background(), "")
 		var checks sync.WaitGroup
 		for r, b := range pending {
 			checks.Go(func() { t.check(r, b, reachesAny) })
@@ -83,13 +89,28 @@
 	}
 }
 
+// hasRefused reports whether any runner has accepted no connection since it was added.
+func hasRefused(pending map[*cicadaplace.Runner]pendingBreak) bool {
+	for _, b := range pending {
+		if !b.accepted {
+			return true
+		}
+	}
+	return false
+}
+
 // check checks one runner. If this host reaches no runner at all, that shows nothing.
 func (t *breakTracker) check(r *cicadaplace.Runner, b pendingBreak, reachesAny bool) {
 	if !t.rt.quarantine.IsBroken(r.Key().String(), t.rt.sharedTime()) {
 		t.remove(r)
 		return
 	}
-	if reachesAny {
+	if t.hasFallenSilent(r, b.since) {
+		t.rt.confirmCrash(r.Key(), "it has stopped writing its entry")
+		t.remove(r)
+		return
+	}
+	if reachesAny && !b.accepted {
 		switch err := t.rt.dialer.probe(context.Background(), r, b.relayed); {
 		case err == nil:
 			b.refusals = 0
@@ -105,7 +126,26 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.pending[r] = b
+	if current, ok := t.pending[r]; ok {
+		current.refusals = b.refusals
+		t.pending[r] = current
+	}
+}
+
+// hasFallenSilent reports whether a runner has not written its entry since its connections broke, although the
+// store has answered all the while.
+func (t *breakTracker) hasFallenSilent(r *cicadaplace.Runner, since time.Time) bool {
+	w := t.rt.runnerWatcher
+	answeredSince, answering := w.answeredSince.get()
+	readAt, ok := w.freshAt.get()
+	if !answering || !ok {
+		return false
+	}
+	// After an outage, live runners write their entries again within the hold period.
+	if earliest := answeredSince.Add(t.rt.cfg.HoldPeriod); earliest.After(since) {
+		since = earliest
+	}
+	return t.rt.balancer.FellSilent(r, since, readAt)
 }
 
 func (t *breakTracker) remove(r *cicadaplace.Runner) {
--- a/internal/cicadaedge/common_crash_test.go
+++ b/internal/cicadaedge/common_crash_test.go
@@ -1,8 +1,10 @@
 package cicadaedge_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -11,7 +13,7 @@
 
 	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 )
 
 const (
@@ -35,6 +37,7 @@
 		listener net.Listener
 		server   *http.Server
 		stop     chan struct{} // closed when the process ends
+		conns    map[net.Conn]struct{}
 	}
 
 	// successor is how a runner comes back after a crash.
@@ -44,6 +47,8 @@
 		otherAddr   bool
 		removeLater bool          // the entry of the earlier id is removed after the start
 		entryDelay  time.Duration // from the start to the first write of its entry
+		reset       bool          // the crash resets connections
+		down        time.Duration // from the crash to the start; zero for commonCrashDown
 	}
 )
 
@@ -74,7 +79,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.listener, r.server, r.stop = ln, &http.Server{Handler: r.handler, ReadHeaderTimeout: time.Minute}, make(chan struct{})
+	r.listener, r.server, r.stop = ln, &http.Server{Handler: r.handler, ReadHeaderTimeout: time.Minute, ConnState: r.trackConn}, make(chan struct{})
+	r.conns = map[net.Conn]struct{}{}
 	r.entry.Addr, r.entry.StartMillis, r.entry.Seq = ln.Addr().String(), time.Now().UnixMilli(), 0
 	server, stop := r.server, r.stop
 	go func() { _ = server.Serve(ln) }() // it ends with the process
@@ -98,6 +104,14 @@
 	}()
 }
 
+func (r *processRunner) trackConn(conn net.Conn, state http.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if state == http.StateNew {
+		r.conns[conn] = struct{}{}
+	}
+}
+
 func (r *processRunner) write() {
 	r.entry.Seq++
 	r.fleet.store.put(tableRunners, r.entry.ID, r.entry)
@@ -110,15 +124,25 @@
 }
 
 // end ends the process with all connections, if there is one.
-func (r *processRunner) end() {
+func (r *processRunner) end() { r.endBy(false) }
+
+func (r *processRunner) endBy(reset bool) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	server, conns := r.server, maps.Clone(r.conns)
 	if r.stop == nil {
+		r.mu.Unlock()
 		return
 	}
 	close(r.stop)
 	r.stop = nil
-	_ = r.server.Close() // it closes the listener and all connections, whatever it returns
+	r.mu.Unlock()
+	for conn := range conns {
+		if tcp, ok := conn.(*net.TCPConn); ok && reset {
+			_ = tcp.SetLinger(0) // it may have ended
+			_ = tcp.Close()
+		}
+	}
+	_ = server.Close() // it closes the listener and all connections, whatever it returns
 }
 
 // startAs starts the process of an ended runner again, as a successor.
@@ -143,6 +167,8 @@
 	}
 }
 
+func withEntryInterval(cfg *cicadaedge.Config) { cfg.HeartbeatInterval = entryInterval }
+
 // crashLog has the crashes by harmful requests and the ids of those that reached runners late.
 type crashLog struct {
 	mu      sync.Mutex // guards the fields below
@@ -171,6 +197,7 @@
 		"another id and address":                     {otherID: true, otherAddr: true, removeLater: true},
 		"another id and address after entry expired": {otherID: true, otherAddr: true, expired: true},
 		"same id, crashed again before its entry":    {entryDelay: 2 * commonCrashInterval},
+		"the same, by a reset of its connections":    {entryDelay: 2 * commonCrashInterval, reset: true},
 	} {
 		for _, runners := range []int{1, 2} {
 			t.Run(fmt.Sprintf("%d, %s", runners, name), func(t *testing.T) {
@@ -194,8 +221,8 @@
 			}
 			if string(body) == "harmful" {
 				crashes.record(req.Header.Get("X-Id"))
-				r.end()
-				time.AfterFunc(commonCrashDown, func() { r.startAs(next) })
+				r.endBy(next.reset)
+				time.AfterFunc(cmp.Or(next.down, commonCrashDown), func() { r.startAs(next) })
 				abortConnection()
 			}
 			w.Header().Set("X-Id", req.Header.Get("X-Id"))
@@ -204,7 +231,7 @@
 			fmt.Fprintf(w, "sound")
 		})
 	})
-	nodes := f.startNodes(3)
+	nodes := f.startNodes(3, withEntryInterval)
 	for _, n := range nodes {
 		call(t, n, "/again/", nil, "sound")
 	}
@@ -223,7 +250,7 @@
 	time.Sleep(commonCrashDown + 4*entryInterval)
 	for _, n := range nodes {
 		got := []bool{isQuarantined(call(t, n, "/again/", nil, "harmful")), isQuarantined(call(t, n, "/again/", nil, "sound"))}
-		if diff := cmp.Diff([]bool{true, false}, got); diff != "" {
+		if diff := gocmp.Diff([]bool{true, false}, got); diff != "" {
 			t.Errorf("in quarantine, the harmful and a sound request (-want +got)\n%s", diff)
 		}
 	}
@@ -255,7 +282,7 @@
 			metrics := cicadaedge.NewMetrics()
 			var host *node
 			for i := range cuts {
-				n := f.waitReady(f.startNode(fmt.Sprint("n", i), cuts[i].configure, func(cfg *cicadaedge.Config) {
+				n := f.waitReady(f.startNode(fmt.Sprint("n", i), cuts[i].configure, withEntryInterval, func(cfg *cicadaedge.Config) {
 					if i == 0 {
 						cfg.Metrics = metrics
 					}
@@ -290,7 +317,7 @@
 				r.start(0)
 			}
 			time.Sleep(4 * entryInterval)
-			if diff := cmp.Diff([]int64{0, 0}, []int64{metrics.Crashes.Value(), metrics.Blocks.Value()}); diff != "" {
+			if diff := gocmp.Diff([]int64{0, 0}, []int64{metrics.Crashes.Value(), metrics.Blocks.Value()}); diff != "" {
 				t.Errorf("crashes and blocks (-want +got)\n%s", diff)
 			}
 			if got := call(t, host, "/once/", nil, "sound"); got.status != http.StatusOK {
--- a/internal/cicadaedge/crash.go
+++ b/internal/cicadaedge/crash.go
@@ -81,9 +81,7 @@
 		rt.confirmCrash(r.Key(), "entry of its successor")
 		return
 	}
-	if result != nil {
-		rt.breakTracker.add(r, b.Relayed)
-	}
+	rt.breakTracker.add(r, pendingBreak{since: b.At, relayed: b.Relayed, accepted: result == nil})
 }
 
 // recordRenewal records that a runner has written the entry again that was read at a time.
--- a/internal/cicadaedge/limit_test.go
+++ b/internal/cicadaedge/limit_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cicadadyke/cicadadyke/internal/cicadaedge"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -140,10 +141,10 @@
 	return statuses
 }
 
-func (f *fleet) startNodes(count int) []*node {
+func (f *fleet) startNodes(count int, options ...func(*cicadaedge.Config)) []*node {
 	var nodes []*node
 	for i := range count {
-		nodes = append(nodes, f.startNode(fmt.Sprintf("n%d", i)))
+		nodes = append(nodes, f.startNode(fmt.Sprintf("n%d", i), options...))
 	}
 	for _, n := range nodes {
 		f.waitReady(n)
--- a/internal/cicadaedge/watch.go
+++ b/internal/cicadaedge/watch.go
@@ -67,6 +67,8 @@
 		rt    *Router
 		// freshAt is the time at which the last answered call was sent.
 		freshAt atomicTime
+		// answeredSince is the time since which all calls have been answered.
+		answeredSince atomicTime
 		// position is up to where the changes have been applied; nil before the first read.
 		position atomic.Pointer[feedPosition]
 		done     chan struct{}
@@ -111,6 +113,7 @@
 				}
 			}
 			failing = true
+			w.answeredSince.clear()
 			sleep(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
@@ -133,6 +136,7 @@
 			}
 		}
 		failing, retryDelay = false, minRetryDelay
+		w.answeredSince.setFirst(now)
 		since = batch.Version
 		w.cfg.apply(batch, full, now)
 		w.position.Store(&feedPosition{version: since, era: era})
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -109,6 +109,9 @@
 		entry     Entry
 		hash      uint64
 		firstSeen time.Time
+		// renewedAt is when the last entry was read that the runner had written again. removedAt is when the
+		// entry was removed or replaced.
+		renewedAt, removedAt time.Time
 		// heldUntil is the time until which the runner stays in use although its entry was
 		// removed; zero if the entry exists.
 		heldUntil time.Time
@@ -191,7 +194,7 @@
 	if old != nil && old.entry.sameRunner(&e) {
 		c := Change{id: e.ID, changed: old.entry.Draining != e.Draining || old.isHeld() != (e.HoldRemaining > 0)}
 		if e.Seq > old.entry.Seq {
-			c.renewed = old
+			c.renewed, old.renewedAt = old, now
 		}
 		if !old.isHeld() || e.HoldRemaining <= 0 {
 			old.heldUntil = e.heldUntil(now)
@@ -210,7 +213,7 @@
 	if old != nil {
 		b.removeLocked(old, now)
 	}
-	r := &Runner{entry: e, hash: xxhash.Sum64String(e.ID), firstSeen: now, heldUntil: e.heldUntil(now), model: b.models.Runner(e.Service)}
+	r := &Runner{entry: e, hash: xxhash.Sum64String(e.ID), firstSeen: now, renewedAt: now, heldUntil: e.heldUntil(now), model: b.models.Runner(e.Service)}
 	if last, ok := b.removed[e.ID]; ok && last.entry.sameRunner(&e) {
 		// The runner has announced that it is draining, and its entry was only removed for a while.
 		r.draining = last.draining
@@ -357,6 +360,21 @@
 	return r.removed
 }
 
+// FellSilent reports whether a runner has not written its entry for silentHeartbeats intervals since a time, in
+// which the entries were read at a time as late as readAt. The entry of one that has left is removed before that.
+func (b *Balancer) FellSilent(r *Runner, since, readAt time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	interval := b.cfg.HeartbeatInterval
+	if interval <= 0 || r.entry.Draining || r.removed && r.removedAt.Sub(r.renewedAt) < expiryHeartbeats*interval {
+		return false
+	}
+	if r.renewedAt.After(since) {
+		since = r.renewedAt
+	}
+	return readAt.Sub(since) >= silentHeartbeats*interval
+}
+
 // Len returns the number of runners in use.
 func (b *Balancer) Len() int {
 	b.mu.Lock()
@@ -418,7 +436,7 @@
 }
 
 func (b *Balancer) removeLocked(r *Runner, now time.Time) {
-	r.removed = true
+	r.removed, r.removedAt = true, now
 	b.removed[r.entry.ID] = removedEntry{entry: r.entry, removedAt: now, draining: r.draining}
 	if b.byID[r.entry.ID] == r {
 		delete(b.byID, r.entry.ID)
--- a/internal/cicadaplace/hold.go
+++ b/internal/cicadaplace/hold.go
@@ -16,6 +16,14 @@
 // one and a half may have passed before the outage.
 const minOutageHeartbeats = 1.5
 
+const (
+	// silentHeartbeats is the time, in heartbeat intervals, in which a live runner writes its entry. The platform
+	// removes an entry after as many.
+	silentHeartbeats = 3
+	// expiryHeartbeats is less than that by the delay of reads. An entry that is removed sooner has not expired.
+	expiryHeartbeats = 2
+)
+
 // Change is the effect of applying or removing an entry.
 type Change struct {
 	id      string
