A request that was at an unexplained break is sent beside a spare connection

Cause: the check dials 30 ms after the break and is accepted, as a runner that broke off one answer would. The end of an idle connection tells the two apart, but there is none if requests are few: the request itself uses it.

Change: while a break of unknown cause is pending and nothing has answered the request since, it is sent only once a spare connection to its next runner has been idle for 30 ms (or cannot be opened in 50 ms). If that one ends in order with the request's, the process is gone; if it is reset, it was the network; if it stays, the runner lives on. Considered: a spare connection to each runner at all times, which takes routers times runners connections of a runner's limit.

Why it works: each further crash shows itself, whoever writes what.

--- a/internal/cicadaedge/common_crash_test.go
+++ b/internal/cicadaedge/common_crash_test.go
@@ -49,6 +49,8 @@
 		entryDelay  time.Duration // from the start to the first write of its entry
 		reset       bool          // the crash resets connections
 		down        time.Duration // from the crash to the start; zero for commonCrashDown
+		// intervalUnknown is set if routers do not know the interval of entries, so that silence shows nothing.
+		intervalUnknown bool
 	}
 )
 
@@ -198,6 +200,7 @@
 		"another id and address after entry expired": {otherID: true, otherAddr: true, expired: true},
 		"same id, crashed again before its entry":    {entryDelay: 2 * commonCrashInterval},
 		"the same, by a reset of its connections":    {entryDelay: 2 * commonCrashInterval, reset: true},
+		"the same, back at once":                     {entryDelay: 3 * commonCrashInterval, down: 10 * time.Millisecond, intervalUnknown: true},
 	} {
 		for _, runners := range []int{1, 2} {
 			t.Run(fmt.Sprintf("%d, %s", runners, name), func(t *testing.T) {
@@ -231,7 +234,11 @@
 			fmt.Fprintf(w, "sound")
 		})
 	})
-	nodes := f.startNodes(3, withEntryInterval)
+	nodes := f.startNodes(3, func(cfg *cicadaedge.Config) {
+		if withEntryInterval(cfg); next.intervalUnknown {
+			cfg.HeartbeatInterval = 0
+		}
+	})
 	for _, n := range nodes {
 		call(t, n, "/again/", nil, "sound")
 	}
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -222,7 +222,7 @@
 		cancel(nil)
 		return nil, &sendError{cause: err}
 	}
-	spare := x.rt.transports.leaseSpare(ctx, p.Runner(), x.service.Name)
+	spare := x.rt.transports.leaseSpare(ctx, p.Runner(), x.service.Name, x.isSuspected())
 	stall := x.startStallTimer(x.firstByteTimeout(), x.attempts+1, cancel)
 	trip, err := x.rt.transports.roundTrip(p.Runner(), x.service, req, x.body) //nolint:bodyclose // attempt.close closes it
 	x.stopStallTimer(stall)
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -96,6 +96,12 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// isSuspected reports whether the request was at a runner whose connections broke for a reason that is not known.
+// Then the next runner that it is sent to is watched more closely: the end of a spare connection shows a crash.
+func (q *request) isSuspected() bool {
+	return q.rt.quarantine.HasBreaks() && q.rt.quarantine.IsBreakSuspect(q.allTraits()[0], q.rt.sharedTime())
+}
+
 // quarantineRefusal returns a refusal if the request is in quarantine. It has no time to retry
 // after, because the quarantine lasts much longer than callers wait.
 func (q *request) quarantineRefusal() *refusal {
--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -57,6 +57,7 @@
 		keeper     *spareKeeper
 		service    string
 		held       bool
+		suspected  bool // see exchange.isSuspected
 	}
 )
 
@@ -208,10 +209,11 @@
 }
 
 // leaseSpare has a spare connection opened if the response to a request that is about to be sent may end
-// with its connection. It waits a little until it is there, as the whole response may come at once.
-func (ts *runnerTransports) leaseSpare(ctx context.Context, r *cicadaplace.Runner, service string) *spareLease {
-	l := &spareLease{transports: ts, keeper: ts.connsOf(r).spare, service: service}
-	if !ts.expectsUnframed(service, time.Now()) {
+// with its connection, or if the request is suspected to crash runners. It waits a little until it is there, as the
+// whole response, or the crash, may come at once.
+func (ts *runnerTransports) leaseSpare(ctx context.Context, r *cicadaplace.Runner, service string, suspected bool) *spareLease {
+	l := &spareLease{transports: ts, keeper: ts.connsOf(r).spare, service: service, suspected: suspected}
+	if !suspected && !ts.expectsUnframed(service, time.Now()) {
 		return l
 	}
 	l.held = true
@@ -222,6 +224,9 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	if suspected {
+		sleep(ctx, cicadacrash.CollectionPeriod) // then the connection counts as idle, see connEnd
+	}
 	return l
 }
 
@@ -232,7 +237,9 @@
 		l.transports.recordFraming(l.service, unframed, time.Now())
 	}
 	if !unframed {
-		l.end()
+		if !l.suspected {
+			l.end()
+		}
 		return
 	}
 	if !l.held {
--- a/internal/cicadaquarantine/broken.go
+++ b/internal/cicadaquarantine/broken.go
@@ -151,6 +151,19 @@
 	return false
 }
 
+// IsBreakSuspect reports whether requests with a trait were at a runner when connections to it broke for a reason
+// that is not known at a shared time, and this router has seen none of them answered since.
+func (q *Quarantine) IsBreakSuspect(t Trait, now time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, b := range q.broken {
+		if now-b.at <= breakTTL && q.answers[t] <= b.at && b.suspects.has(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // joinCrash adds the suspects of this router to a crash that another router has reported. It reports whether
 // there are any.
 func (q *Quarantine) joinCrash(process string, c *crash) bool {
