A request stays a suspect of its runner after the router has given it up

Cause: the router gives an attempt up at half of the time limit, and the caller leaves at its end; both forget it. The crash has as suspects only the requests that happen to wait there, or is not noticed, as the end of idle connections alone had no runner checked.

Change: an attempt that was given up stays a suspect until the time that the runner was given, and a second more, unless this router has seen it answered since; 32 for each runner. Meanwhile the end of an idle connection has the runner checked, and a spare one is opened if there is no other.

Why it works: the suspects of a crash are now all that may have run.

Measured: TestRequestThatCrashesItsRunnerLateIsForwardedAgainAndAgain failed before, 11 late retries (3 allowed) beside other requests and alone; holds now.

--- a/internal/cicadaedge/common_crash_test.go
+++ b/internal/cicadaedge/common_crash_test.go
@@ -333,3 +333,60 @@
 		})
 	}
 }
+
+// The request crashes its runner after the router has given it up, or its caller has left.
+func TestRequestThatCrashesItsRunnerLateIsForwardedAgainAndAgain(t *testing.T) {
+	t.Parallel()
+	const (
+		timeLimit  = 600 * time.Millisecond
+		crashAfter = 400 * time.Millisecond
+	)
+	for name, soundInterval := range map[string]time.Duration{"beside other requests": 30 * time.Millisecond, "alone": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			crashes := crashLog{late: map[string]bool{}}
+			f.addProcessRunners(4, func(r *processRunner) http.Handler {
+				return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+					body, _ := io.ReadAll(req.Body) // the router may have left
+					if string(body) == "harmful" {
+						crashes.record(req.Header.Get("X-Id"))
+						time.Sleep(crashAfter)
+						r.end()
+						time.AfterFunc(commonCrashDown, func() { r.startAs(successor{}) })
+						abortConnection()
+					}
+					w.Header().Set("X-Id", req.Header.Get("X-Id"))
+					w.Header().Set("X-Sealed", "yes")
+					fmt.Fprintf(w, "sound")
+				})
+			})
+			nodes := f.startNodes(2, withEntryInterval)
+			stop := make(chan struct{})
+			var calls sync.WaitGroup
+			calls.Go(func() {
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					case <-time.After(soundInterval):
+					}
+					calls.Go(func() { call(t, nodes[i%len(nodes)], "/again/", nil, fmt.Sprint("sound", i)) })
+				}
+			})
+			i := 0
+			for begin := time.Now(); time.Since(begin) < commonCrashTime; time.Sleep(commonCrashInterval) {
+				call(t, nodes[i%len(nodes)], "/again/", map[string]string{"X-Patience": fmt.Sprint(timeLimit.Milliseconds())}, "harmful")
+				i++
+			}
+			close(stop)
+			calls.Wait()
+			crashes.mu.Lock()
+			defer crashes.mu.Unlock()
+			if late := len(crashes.late); late > maxLateArrivals {
+				t.Errorf("%d retries reached runners later than %v after the third crash, want at most %d; %d arrivals in all",
+					late, quarantinePeriod, maxLateArrivals, len(crashes.crashes))
+			}
+		})
+	}
+}
--- a/internal/cicadaedge/crash.go
+++ b/internal/cicadaedge/crash.go
@@ -12,6 +12,7 @@
 
 // checkBroken finds out whether a runner whose connections broke has crashed, and records it.
 func (rt *Router) checkBroken(r *cicadaplace.Runner, b *cicadacrash.Broken) {
+	rt.addAbandoned(r, b)
 	err := rt.findCrash(r, b)
 	for _, f := range b.OnResult {
 		f(err)
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -39,8 +39,7 @@
 	exchange struct {
 		*request
 		tried []string
-		// acceptedAt is when the connection of the last attempt was established; zero if there was none.
-		acceptedAt time.Time
+		conn  *countedConn // of the last attempt; nil if it is not known
 		// state of a stream
 		headerSent   bool   // the response header was sent to the caller
 		unframed     bool   // the response ends with the caller's connection
@@ -229,8 +228,9 @@
 	if trip.sent {
 		x.attempts++
 	}
-	if x.relay, x.acceptedAt = "", (time.Time{}); trip.conn != nil {
-		x.relay, x.acceptedAt = trip.conn.relay, trip.conn.establishedAt
+	x.conn = trip.conn
+	if x.relay = ""; trip.conn != nil {
+		x.relay = trip.conn.relay
 	}
 	x.currentTry().Sent, x.currentTry().Relay = trip.sent, x.relay
 	if cause := context.Cause(ctx); cause != nil {
@@ -340,6 +340,9 @@
 	x.mayHaveRun = x.mayHaveRun || failed.sent
 	if x.r.Context().Err() != nil {
 		x.rt.placementClient.finish(p, cicadaplace.CallerCancelled)
+		if failed.sent {
+			x.abandon(p)
+		}
 		return result{callerGone: true}, false
 	}
 	if !failed.sent {
@@ -354,7 +357,9 @@
 		return refuse(RefuseNoRunner, retrySoon, "the runner was not reached: "+err.Error()), true
 	}
 	x.finishAttempt(p, cicadaplace.Failed, err)
-	if !x.isTimeout(err) && !errors.Is(err, errStalled) {
+	if x.isTimeout(err) || errors.Is(err, errStalled) {
+		x.abandon(p)
+	} else {
 		x.checkRunner(p, err)
 	}
 	if x.headerSent {
--- a/internal/cicadaedge/quarantine.go
+++ b/internal/cicadaedge/quarantine.go
@@ -14,7 +14,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cicadadyke/cicadadyke/internal/cicadacrash"
-	"github.com/cicadadyke/cicadadyke/internal/cicadaplace"
 	"github.com/cicadadyke/cicadadyke/internal/cicadaquarantine"
 	"github.com/cicadadyke/cicadadyke/internal/cicadastore"
 	"github.com/pkg/errors"
@@ -142,12 +141,14 @@
 // connection ended, or nil.
 func (x *exchange) checkRunner(p *placement, cause error, onResult ...func(err error)) {
 	b := &cicadacrash.Broken{
-		At: time.Now(), AcceptedAt: x.acceptedAt, RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", TimedOut: errors.Is(cause, syscall.ETIMEDOUT), OnResult: onResult,
+		At: time.Now(), RequestIDs: []string{x.info.ID}, Relayed: x.relay != "", TimedOut: errors.Is(cause, syscall.ETIMEDOUT), OnResult: onResult,
+	}
+	if x.conn != nil {
+		b.AcceptedAt = x.conn.establishedAt
 	}
 	suspect := []cicadaquarantine.Suspect{x.allTraits()}
 	switch {
-	case errors.Is(x.rt.balancer.Unavailability(p.Runner(), b.At), cicadaplace.ErrDraining) && !x.rt.balancer.HasRestarted(p.Runner()):
-		// It was about to end, whatever it served.
+	case x.rt.isLeaving(p.Runner(), b.At):
 		if b.Leaving = true; len(onResult) == 0 {
 			return
 		}
--- a/internal/cicadaedge/witness.go
+++ b/internal/cicadaedge/witness.go
@@ -36,6 +36,10 @@
 		mu   sync.Mutex // guards the fields below
 		open map[*countedConn]struct{}
 		ends []connEnd // by the runner, within endMemory
+		// abandoned are requests that the runner may still work on.
+		abandoned []abandonedRequest
+		// onEnd is called when the runner ends a connection while there are any.
+		onEnd func(conn *countedConn, at time.Time)
 	}
 
 	// connEnd is the end of a direct connection to a runner.
@@ -98,6 +102,9 @@
 		return
 	}
 	now := time.Now()
+	if len(c.abandonedAt(now)) > 0 {
+		c.onEnd(conn, now)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ends = slices.DeleteFunc(c.ends, func(e connEnd) bool { return now.Sub(e.at) > endMemory })
@@ -279,6 +286,7 @@
 	c := ts.conns[r]
 	if c == nil {
 		c = &runnerConns{open: map[*countedConn]struct{}{}}
+		c.onEnd = func(conn *countedConn, at time.Time) { ts.dialer.rt.checkIdleEnd(r, conn, at) }
 		c.spare = newSpareKeeper(ts.dialer.rt.runTask, func(ctx context.Context) (*countedConn, error) { return ts.dialSpare(ctx, r, c) })
 		ts.conns[r] = c
 	}
--- a/internal/cicadaquarantine/broken.go
+++ b/internal/cicadaquarantine/broken.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// Unanswered returns a suspect without the traits that this router has seen answered since a shared time.
+func (q *Quarantine) Unanswered(s Suspect, since time.Duration) Suspect {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(s), func(t Trait) bool { return q.answers[t] > since })
+}
+
 // unanswered returns suspects without the traits that this router has seen answered since a time.
 func (q *Quarantine) unanswered(s *Suspects, since time.Duration) Suspects {
 	remaining := func(list []Suspect) []Suspect {
