A live runner whose writes the store does not show has not ended

Two such breaks would put a sound request in quarantine.

Cause: silence was taken for an end without asking whether writes show.

--- a/internal/cicadaedge/break_tracker.go
+++ b/internal/cicadaedge/break_tracker.go
@@ -105,7 +105,7 @@
 		t.remove(r)
 		return
 	}
-	if t.hasFallenSilent(r, b.since) {
+	if t.rt.hasFallenSilent(r, b.since) {
 		t.rt.confirmCrash(r.Key(), "it has stopped writing its entry")
 		t.remove(r)
 		return
@@ -132,22 +132,6 @@
 	}
 }
 
-// hasFallenSilent reports whether a runner has not written its entry since its connections broke, although the
-// store has answered all the while.
-func (t *breakTracker) hasFallenSilent(r *cicadaplace.Runner, since time.Time) bool {
-	w := t.rt.runnerWatcher
-	answeredSince, answering := w.answeredSince.get()
-	readAt, ok := w.freshAt.get()
-	if !answering || !ok {
-		return false
-	}
-	// After an outage, live runners write their entries again within the hold period.
-	if earliest := answeredSince.Add(t.rt.cfg.HoldPeriod); earliest.After(since) {
-		since = earliest
-	}
-	return t.rt.balancer.FellSilent(r, since, readAt)
-}
-
 func (t *breakTracker) remove(r *cicadaplace.Runner) {
 	t.mu.Lock()
 	delete(t.pending, r)
--- a/internal/cicadaedge/common_crash_test.go
+++ b/internal/cicadaedge/common_crash_test.go
@@ -38,6 +38,7 @@
 		server   *http.Server
 		stop     chan struct{} // closed when the process ends
 		conns    map[net.Conn]struct{}
+		hidden   bool // the store does not show its writes
 	}
 
 	// successor is how a runner comes back after a crash.
@@ -115,7 +116,9 @@
 }
 
 func (r *processRunner) write() {
-	r.entry.Seq++
+	if r.entry.Seq++; r.hidden {
+		return
+	}
 	r.fleet.store.put(tableRunners, r.entry.ID, r.entry)
 }
 
@@ -390,3 +393,42 @@
 		})
 	}
 }
+
+// The store shows the writes of runners as long as they warm up, and later only those that change more than their
+// number. Then responses break off.
+func TestRunnerWhoseWritesAreNotShownCountsAsCrashed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	runners := f.addProcessRunners(2, func(*processRunner) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			w.Header().Set("X-Id", req.Header.Get("X-Id"))
+			w.Header().Set("X-Sealed", "yes")
+			if body, _ := io.ReadAll(req.Body); string(body) == "broken" { // the router may have left
+				w.WriteHeader(http.StatusOK)
+				abortConnection()
+			}
+			fmt.Fprintf(w, "sound")
+		})
+	})
+	metrics := cicadaedge.NewMetrics()
+	n := f.waitReady(f.startNode("n1", withEntryInterval, func(cfg *cicadaedge.Config) { cfg.Metrics = metrics }))
+	time.Sleep(3 * entryInterval)
+	for _, r := range runners {
+		r.mu.Lock()
+		r.hidden = true
+		r.mu.Unlock()
+	}
+	callFor := func(d time.Duration) {
+		for begin := time.Now(); time.Since(begin) < d; time.Sleep(20 * time.Millisecond) {
+			call(t, n, "/again/", nil, "sound")
+		}
+	}
+	callFor(10 * entryInterval)
+	for range 2 {
+		call(t, n, "/again/", nil, "broken")
+		callFor(5 * entryInterval)
+	}
+	if diff := gocmp.Diff("0", metrics.Crashes.String()); diff != "" {
+		t.Errorf("crashes (-want +got)\n%s", diff)
+	}
+}
--- a/internal/cicadaedge/exchange.go
+++ b/internal/cicadaedge/exchange.go
@@ -246,6 +246,7 @@
 		return nil, &sendError{cause: err, sent: trip.sent}
 	}
 	x.headerAt = time.Now()
+	x.rt.recordAlive(p.Runner(), trip.conn)
 	x.currentTry().Status, x.currentTry().Framing = trip.resp.StatusCode, framing(trip.resp)
 	a := &attempt{
 		placement: p, resp: trip.resp, cancel: cancel, info: x.rt.cfg.Dialect.ParseResponse(trip.resp), conn: trip.conn, spare: spare,
--- a/internal/cicadaedge/router.go
+++ b/internal/cicadaedge/router.go
@@ -82,6 +82,8 @@
 	peerClock     *cicadalimit.Clock
 	crashDetector *cicadacrash.Detector[*cicadaplace.Runner]
 	breakTracker  *breakTracker
+	// heartbeatsHidden is when a live runner was last found not to write its entry, see recordAlive.
+	heartbeatsHidden atomicTime
 	// quarantineLoaded is set once the crashes that other processes reported are known.
 	quarantineLoaded atomic.Bool
 	// crashRowRead is set once this router's own row of crashes was read, which it may then overwrite.
--- a/internal/cicadaplace/balancer.go
+++ b/internal/cicadaplace/balancer.go
@@ -109,8 +109,8 @@
 		entry     Entry
 		hash      uint64
 		firstSeen time.Time
-		// renewedAt is when the last entry was read that the runner had written again. removedAt is when the
-		// entry was removed or replaced.
+		// renewedAt is when the last entry was read that the runner had written again, or the first one if it has
+		// not yet. removedAt is when the entry was removed or replaced.
 		renewedAt, removedAt time.Time
 		// heldUntil is the time until which the runner stays in use although its entry was
 		// removed; zero if the entry exists.
@@ -360,19 +360,19 @@
 	return r.removed
 }
 
-// FellSilent reports whether a runner has not written its entry for silentHeartbeats intervals since a time, in
-// which the entries were read at a time as late as readAt. The entry of one that has left is removed before that.
+// FellSilent reports whether a runner that has written its entry again before has not done so for silentHeartbeats
+// intervals since a time, by entries that were read at readAt. The entry of one that has left is removed before that.
 func (b *Balancer) FellSilent(r *Runner, since, readAt time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	interval := b.cfg.HeartbeatInterval
-	if interval <= 0 || r.entry.Draining || r.removed && r.removedAt.Sub(r.renewedAt) < expiryHeartbeats*interval {
+	if interval <= 0 || readAt.Sub(since) < silentHeartbeats*interval {
 		return false
 	}
-	if r.renewedAt.After(since) {
-		since = r.renewedAt
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.entry.Draining || r.renewedAt.Equal(r.firstSeen) || r.removed && r.removedAt.Sub(r.renewedAt) < expiryHeartbeats*interval {
+		return false
 	}
-	return readAt.Sub(since) >= silentHeartbeats*interval
+	return readAt.Sub(r.renewedAt) >= silentHeartbeats*interval
 }
 
 // Len returns the number of runners in use.
