A break that a runner has survived adds no suspects to its crash

Found by reading: a break of unknown cause stayed pending after the same process had crashed later. The entry of its successor then confirmed it, so that the crash took the time of the break, and its suspects. Sound requests that were broken by a network were suspected of each crash that followed, and none of the suspects could be told apart.

Change: a crash shows that the process has lived on after earlier breaks, which are dropped.

Measured: the row "connections broke before the crash" of TestCrashThatIsFoundOutLaterIsForgotten failed before (no block), holds now.

--- a/internal/cicadaquarantine/broken_test.go
+++ b/internal/cicadaquarantine/broken_test.go
@@ -84,6 +84,16 @@
 			},
 			want: [][]cicadaquarantine.Trait{{"bad"}},
 		},
+		"connections broke before the crash": {
+			play: func(q *cicadaquarantine.Quarantine) {
+				for i, r := range []string{"r1", "r2"} {
+					q.RecordBreak(r, 1*second, begun([]traits{{"sound"}}))
+					q.RecordCrash(r, time.Duration(100+i)*second, bad)
+					q.ConfirmBreak(r, time.Duration(101+i)*second)
+				}
+			},
+			want: [][]cicadaquarantine.Trait{{"bad"}},
+		},
 		"another router reports the crash afterwards": {
 			play: func(q *cicadaquarantine.Quarantine) {
 				q.RecordBreak("r1", 1*second, bad)
--- a/internal/cicadaquarantine/quarantine.go
+++ b/internal/cicadaquarantine/quarantine.go
@@ -216,6 +216,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	suspects = Suspects{Begun: q.likeliestFirst(suspects.Begun), Waiting: q.likeliestFirst(suspects.Waiting)}
+	if b, ok := q.broken[process]; ok && at-b.at > incidentWindow {
+		delete(q.broken, process) // the process has lived on after that
+	}
 	c := q.crashOf(process, at)
 	c.isOwn = true
 	c.own.add(&suspects)
