The ends of connections are looked at before other routers are asked

Found by reading: the ends are kept for 300 ms, and asking up to three other routers may take longer, if these do not answer. A crash of all runners was then not recognised by its connections.

--- a/internal/cicadaedge/crash.go
+++ b/internal/cicadaedge/crash.go
@@ -53,11 +53,12 @@
 	if !b.Relayed && rt.transports.processEnded(r, b.At) {
 		return errors.WithMessage(errRunnerEnded, "its connections ended together")
 	}
+	inOrder := !b.Relayed && rt.transports.endedInOrder(r, b.At) // it is forgotten while routers are asked
 	err := rt.dialer.probe(context.Background(), r, b.Relayed)
 	switch {
 	case err == nil && rt.balancer.HasRestarted(r):
 		return errors.WithMessage(errRunnerEnded, "it has started again")
-	case errors.Is(err, errRunnerUnknown) && !b.Relayed && rt.transports.endedInOrder(r, b.At):
+	case errors.Is(err, errRunnerUnknown) && inOrder:
 		// A network that cuts this host from all runners resets connections.
 		return errors.WithMessage(errRunnerEnded, "its connections ended in order, and it refuses new ones")
 	default:
